Add build, checks, base module, design page and module interfaces

The interface headers of configuration, upstream, routing and membership let the modules be written in parallel.

--- /dev/null
+++ b/include/primroseweir/base/event_log.h
@@ -0,0 +1,52 @@
+#ifndef PRIMROSEWEIR_BASE_EVENT_LOG_H_
+#define PRIMROSEWEIR_BASE_EVENT_LOG_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <mutex>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "primroseweir/base/event.h"
+#include "primroseweir/base/hybrid_clock.h"
+
+namespace primroseweir {
+
+// Writes events as key=value lines through glog to standard error and keeps the newest ones in a
+// ring for the admin port. Safe for several threads.
+class EventLog {
+ public:
+  using Fields = std::vector<std::pair<std::string, std::string>>;
+
+  // `process` is written into each line. The ring holds `capacity` events.
+  explicit EventLog(std::string process, std::size_t capacity = kDefaultCapacity);
+
+  // Records one event at the present hybrid time.
+  void Emit(const std::string& name, Fields fields);
+
+  // The events after `sequence` that are still in the ring, oldest first. Linear in their number.
+  std::vector<Event> EventsAfter(std::uint64_t sequence) const;
+
+  HybridClock& clock() { return clock_; }
+  const std::string& process() const { return process_; }
+
+  static constexpr std::size_t kDefaultCapacity = 8192;
+
+ private:
+  const std::string process_;
+  const std::size_t capacity_;
+  HybridClock clock_;
+  mutable std::mutex mutex_;
+  std::deque<Event> ring_;
+  std::uint64_t next_sequence_ = 1;
+};
+
+// Sets glog up for key=value lines: standard error only, no prefix, no log files. Call once in
+// main.
+void InitializeLogging(const char* program);
+
+}  // namespace primroseweir
+
+#endif  // PRIMROSEWEIR_BASE_EVENT_LOG_H_
--- /dev/null
+++ b/include/primroseweir/base/rcu_cell.h
@@ -0,0 +1,46 @@
+#ifndef PRIMROSEWEIR_BASE_RCU_CELL_H_
+#define PRIMROSEWEIR_BASE_RCU_CELL_H_
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <utility>
+
+#include "primroseweir/base/rcu.h"
+
+namespace primroseweir {
+
+// Holds one immutable value that many threads read and few replace. Readers take no lock; a writer
+// waits until the last reader of the old value is gone.
+template <typename T>
+class RcuCell {
+ public:
+  explicit RcuCell(std::shared_ptr<const T> value)
+      : current_(new std::shared_ptr<const T>(std::move(value))) {}
+  ~RcuCell() { delete current_.load(); }
+  RcuCell(const RcuCell&) = delete;
+  RcuCell& operator=(const RcuCell&) = delete;
+
+  // The present value; it stays valid as long as the caller holds it. Constant time.
+  std::shared_ptr<const T> Load() const {
+    RcuReadLock lock;
+    return *current_.load(std::memory_order_acquire);
+  }
+
+  // Replaces the value. Blocks for a grace period; never call it on a request's path.
+  void Store(std::shared_ptr<const T> value) {
+    auto* replacement = new std::shared_ptr<const T>(std::move(value));
+    const std::lock_guard<std::mutex> lock(writers_);
+    auto* old = current_.exchange(replacement, std::memory_order_acq_rel);
+    RcuSynchronize();
+    delete old;
+  }
+
+ private:
+  std::atomic<std::shared_ptr<const T>*> current_;
+  std::mutex writers_;
+};
+
+}  // namespace primroseweir
+
+#endif  // PRIMROSEWEIR_BASE_RCU_CELL_H_
--- /dev/null
+++ b/include/primroseweir/configuration/snapshot.h
@@ -0,0 +1,29 @@
+#ifndef PRIMROSEWEIR_CONFIGURATION_SNAPSHOT_H_
+#define PRIMROSEWEIR_CONFIGURATION_SNAPSHOT_H_
+
+#include <set>
+#include <vector>
+
+#include "primroseweir/base/ids.h"
+#include "primroseweir/configuration/service.h"
+#include "primroseweir/configuration/upstream_record.h"
+
+namespace primroseweir {
+
+// The configuration in force at one moment. Immutable once published through an RcuCell.
+struct ConfigurationSnapshot {
+  // The highest revision of any key; 0 before the first value arrived.
+  Revision revision;
+  Revision text_revision;
+  Revision declarations_revision;
+  Revision instances_revision;
+
+  std::vector<Service> services;
+  // Data centres that operators took out of service.
+  std::set<DataCentre> out;
+  std::vector<UpstreamRecord> upstreams;
+};
+
+}  // namespace primroseweir
+
+#endif  // PRIMROSEWEIR_CONFIGURATION_SNAPSHOT_H_
--- /dev/null
+++ b/include/primroseweir/configuration/upstream_record.h
@@ -0,0 +1,35 @@
+#ifndef PRIMROSEWEIR_CONFIGURATION_UPSTREAM_RECORD_H_
+#define PRIMROSEWEIR_CONFIGURATION_UPSTREAM_RECORD_H_
+
+#include <cstdint>
+#include <string>
+
+#include "primroseweir/base/ids.h"
+#include "primroseweir/base/socket_address.h"
+#include "primroseweir/base/time.h"
+
+namespace primroseweir {
+
+// State of an upstream in the platform's list. The list lags behind the upstream's own word.
+enum class ListedState { kLive, kLeaving };
+
+// One upstream as the platform lists it.
+struct UpstreamRecord {
+  UpstreamId id;
+  ServiceName service;
+  DataCentre data_centre;
+  SocketAddress address;
+  // Calls that the upstream executes at a time.
+  std::uint32_t slots = 1;
+  // Connections that the upstream accepts, over the whole fleet.
+  std::uint32_t connections = 1;
+  // Target of a probe; empty when the upstream names none.
+  std::string probe;
+  // Time for which a probe occupies one slot.
+  Duration probe_cost{};
+  ListedState state = ListedState::kLive;
+};
+
+}  // namespace primroseweir
+
+#endif  // PRIMROSEWEIR_CONFIGURATION_UPSTREAM_RECORD_H_
--- /dev/null
+++ b/tests/support/main.cc
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
