Add the stand-in configuration service

Cause: the other modules need a configuration service to read and watch in their tests. Readers on loopback share one source address, so a frozen reader is named by its source address or by the read address it uses.

--- /dev/null
+++ b/standins/configuration/configuration_service.cc
@@ -0,0 +1,128 @@
+#include "configuration_service.h"
+
+#include <algorithm>
+#include <charconv>
+
+#include "primroseweir/admin/http_service.h"
+#include "primroseweir/base/error.h"
+
+namespace primroseweir::standin {
+namespace {
+
+// Each waiting watch occupies a thread; tests run some hundreds of watches.
+constexpr unsigned kReadThreads = 1024;
+constexpr unsigned kControlThreads = 4;
+constexpr std::uint64_t kLongestWaitMilliseconds = 60'000;
+constexpr char kValuePrefix[] = "/v1/values/";
+
+std::uint64_t Number(const std::string& text) {
+  std::uint64_t value = 0;
+  std::from_chars(text.data(), text.data() + text.size(), value);
+  return value;
+}
+
+HttpServiceAnswer Text(unsigned status, const std::string& body) {
+  HttpServiceAnswer answer;
+  answer.status = status;
+  answer.body = body;
+  return answer;
+}
+
+bool StartsWith(const std::string& text, const std::string& prefix) {
+  return text.compare(0, prefix.size(), prefix) == 0;
+}
+
+std::string CountsText(const ValueStore::Counts& counts) {
+  return "{\"reads\":" + std::to_string(counts.reads) +
+         ",\"waiting\":" + std::to_string(counts.waiting) +
+         ",\"load\":" + std::to_string(counts.load) +
+         ",\"highest_load\":" + std::to_string(counts.highest_load) + "}\n";
+}
+
+}  // namespace
+
+ConfigurationService::ConfigurationService() = default;
+
+ConfigurationService::~ConfigurationService() {
+  control_port_.reset();
+  Down();
+}
+
+SocketAddress ConfigurationService::control_address() const { return control_port_->address(); }
+
+absl::Status ConfigurationService::Start(const std::vector<SocketAddress>& read_addresses,
+                                         const SocketAddress& control_address) {
+  read_addresses_ = read_addresses;
+  absl::Status status = Up();
+  if (!status.ok()) return status;
+  auto control =
+      HttpService::Start({control_address, kControlThreads},
+                         [this](const HttpServiceRequest& request) { return Control(request); });
+  if (!control.ok()) return control.status();
+  control_port_ = std::move(*control);
+  return absl::OkStatus();
+}
+
+absl::Status ConfigurationService::Up() {
+  const std::lock_guard<std::mutex> lock(read_ports_mutex_);
+  if (!read_ports_.empty()) return absl::OkStatus();
+  values_.SetDown(false);
+  for (SocketAddress& address : read_addresses_) {
+    auto at = std::make_shared<std::string>(address.ToString());
+    auto port = HttpService::Start(
+        {address, kReadThreads},
+        [this, at](const HttpServiceRequest& request) { return Read(request, *at); });
+    if (!port.ok()) return port.status();
+    // Nobody can send a request to a port chosen just now, so no handler reads the text yet.
+    if (address.port == 0) *at = (*port)->address().ToString();
+    address = (*port)->address();
+    read_ports_.push_back(std::move(*port));
+  }
+  return absl::OkStatus();
+}
+
+void ConfigurationService::Down() {
+  const std::lock_guard<std::mutex> lock(read_ports_mutex_);
+  values_.SetDown(true);
+  read_ports_.clear();
+}
+
+HttpServiceAnswer ConfigurationService::Read(const HttpServiceRequest& request,
+                                             const std::string& at) {
+  if (request.method != "GET" || !StartsWith(request.path, kValuePrefix)) {
+    return Text(404, "no such path\n");
+  }
+  const std::string key = request.path.substr(sizeof(kValuePrefix) - 1);
+  const std::uint64_t wait = std::min(Number(request.Query("wait_ms")), kLongestWaitMilliseconds);
+  bool known = false;
+  const auto value = values_.Read({request.peer_ip, at}, key, Number(request.Query("after")),
+                                  std::chrono::milliseconds(wait), &known);
+  if (!value.has_value()) return known ? Text(304, "") : Text(404, "no such key\n");
+  HttpServiceAnswer answer;
+  answer.fields.emplace_back("X-Revision", std::to_string(value->revision));
+  answer.body = value->text;
+  return answer;
+}
+
+HttpServiceAnswer ConfigurationService::Control(const HttpServiceRequest& request) {
+  if (StartsWith(request.path, kValuePrefix)) {
+    const std::string key = request.path.substr(sizeof(kValuePrefix) - 1);
+    return Text(200, std::to_string(values_.Set(key, request.body)) + "\n");
+  }
+  if (request.path == "/counts") return Text(200, CountsText(values_.Count()));
+  if (request.path == "/freeze") {
+    values_.Freeze(request.Query("who"));
+  } else if (request.path == "/thaw") {
+    values_.Thaw(request.Query("who"));
+  } else if (request.path == "/down") {
+    Down();
+  } else if (request.path == "/up") {
+    const absl::Status status = Up();
+    if (!status.ok()) return Text(500, MessageOf(status) + "\n");
+  } else {
+    return Text(404, "no such path\n");
+  }
+  return Text(200, "done\n");
+}
+
+}  // namespace primroseweir::standin
--- /dev/null
+++ b/standins/configuration/configuration_service.h
@@ -0,0 +1,51 @@
+#ifndef PRIMROSEWEIR_STANDINS_CONFIGURATION_CONFIGURATION_SERVICE_H_
+#define PRIMROSEWEIR_STANDINS_CONFIGURATION_CONFIGURATION_SERVICE_H_
+
+#include <absl/status/status.h>
+
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "primroseweir/admin/http_message.h"
+#include "primroseweir/base/socket_address.h"
+#include "value_store.h"
+
+namespace primroseweir {
+class HttpService;
+}
+
+namespace primroseweir::standin {
+
+// The stand-in configuration service: read ports as in docs/design.md section 4, and a control
+// port for tests. Several read ports stand for replicas of the service, of which some may be stale.
+class ConfigurationService {
+ public:
+  ConfigurationService();
+  ~ConfigurationService();
+
+  // Errors: Unavailable when a port can't be bound.
+  absl::Status Start(const std::vector<SocketAddress>& read_addresses,
+                     const SocketAddress& control_address);
+
+  ValueStore& values() { return values_; }
+  const std::vector<SocketAddress>& read_addresses() const { return read_addresses_; }
+  SocketAddress control_address() const;
+
+ private:
+  HttpServiceAnswer Read(const HttpServiceRequest& request, const std::string& at);
+  HttpServiceAnswer Control(const HttpServiceRequest& request);
+  absl::Status Up();
+  void Down();
+
+  ValueStore values_;
+  std::vector<SocketAddress> read_addresses_;
+  std::mutex read_ports_mutex_;
+  std::vector<std::unique_ptr<HttpService>> read_ports_;
+  std::unique_ptr<HttpService> control_port_;
+};
+
+}  // namespace primroseweir::standin
+
+#endif  // PRIMROSEWEIR_STANDINS_CONFIGURATION_CONFIGURATION_SERVICE_H_
