--- a/include/primroseweir/routing/router.h
+++ b/include/primroseweir/routing/router.h
@@ -16,6 +16,7 @@
 namespace primroseweir {
 
 class EventLog;
+class UpstreamState;
 struct CallRequest;
 struct ConfigurationSnapshot;
 
--- a/include/primroseweir/routing/upstream_lease.h
+++ b/include/primroseweir/routing/upstream_lease.h
@@ -15,6 +15,7 @@
 // is finished; a lease destroyed unfinished counts as cancelled.
 class UpstreamLease {
  public:
+  // Takes over a call that UpstreamState::TryStart counted.
   UpstreamLease(std::shared_ptr<UpstreamState> state, Instant started);
   ~UpstreamLease();
   UpstreamLease(UpstreamLease&& other) noexcept;
