--- /dev/null
+++ b/src/http/message_writer.cc
@@ -0,0 +1,118 @@
+#include "primroseweir/http/message_writer.h"
+
+#include <http_parser.h>
+
+#include <string_view>
+#include <vector>
+
+namespace primroseweir {
+namespace {
+
+constexpr std::string_view kConnectionFields[] = {"Connection",
+                                                  "Keep-Alive",
+                                                  "TE",
+                                                  "Trailer",
+                                                  "Transfer-Encoding",
+                                                  "Upgrade",
+                                                  "Expect",
+                                                  "Proxy-Connection",
+                                                  "Proxy-Authenticate",
+                                                  "Proxy-Authorization"};
+
+bool FramesMessage(std::string_view name) {
+  return EqualsIgnoreCase(name, "Content-Length") || EqualsIgnoreCase(name, "Transfer-Encoding") ||
+         EqualsIgnoreCase(name, "Connection");
+}
+
+void AppendField(std::string* out, std::string_view name, std::string_view value) {
+  out->append(name).append(": ").append(value).append("\r\n");
+}
+
+void AppendFields(std::string* out, const HeaderFields& fields) {
+  for (const auto& [name, value] : fields.all()) {
+    if (!FramesMessage(name)) {
+      AppendField(out, name, value);
+    }
+  }
+}
+
+void AppendFraming(std::string* out, const BodyFraming& body) {
+  if (body.kind == BodyKind::kLength) {
+    AppendField(out, "Content-Length", std::to_string(body.length));
+  } else if (body.kind == BodyKind::kChunked) {
+    AppendField(out, "Transfer-Encoding", "chunked");
+  }
+}
+
+std::vector<std::string> ConnectionTokens(const HeaderFields& fields) {
+  std::vector<std::string> tokens;
+  for (const auto& [name, value] : fields.all()) {
+    if (!EqualsIgnoreCase(name, "Connection")) {
+      continue;
+    }
+    std::string token;
+    for (const char c : value + ",") {
+      if (c == ',') {
+        tokens.push_back(token);
+        token.clear();
+      } else if (c != ' ' && c != '\t') {
+        token += c;
+      }
+    }
+  }
+  return tokens;
+}
+
+}  // namespace
+
+void RemoveConnectionFields(HeaderFields* fields) {
+  for (const auto& token : ConnectionTokens(*fields)) {
+    if (!FramesMessage(token) && !EqualsIgnoreCase(token, "Host")) {
+      fields->Remove(token);
+    }
+  }
+  for (const auto name : kConnectionFields) {
+    fields->Remove(name);
+  }
+}
+
+std::string SerializeHead(const RequestHead& head) {
+  std::string out;
+  out.reserve(512);
+  out.append(head.method).append(" ").append(head.target).append(" HTTP/1.1\r\n");
+  AppendFields(&out, head.fields);
+  AppendFraming(&out, head.body);
+  if (!head.keep_alive) {
+    AppendField(&out, "Connection", "close");
+  }
+  out.append("\r\n");
+  return out;
+}
+
+std::string SerializeHead(const ResponseHead& head, bool bodiless) {
+  std::string out;
+  out.reserve(512);
+  out.append("HTTP/1.1 ").append(std::to_string(head.status)).append(" ");
+  out.append(head.reason.empty() ? ReasonOf(head.status) : head.reason).append("\r\n");
+  AppendFields(&out, head.fields);
+  const auto* length = head.fields.Find("Content-Length");
+  if (head.body.kind != BodyKind::kNone) {
+    AppendFraming(&out, head.body);
+  } else if ((bodiless || head.status == 304) && length != nullptr) {
+    AppendField(&out, "Content-Length", *length);
+  } else if (!bodiless && head.status >= 200 && head.status != 204 && head.status != 304) {
+    AppendField(&out, "Content-Length", "0");
+  }
+  if (!head.keep_alive) {
+    AppendField(&out, "Connection", "close");
+  }
+  out.append("\r\n");
+  return out;
+}
+
+const char* ReasonOf(int status) {
+  const char* text = http_status_str(static_cast<http_status>(status));
+  return std::string_view(text) == "<unknown>" ? "Unknown" : text;
+}
+
+}  // namespace primroseweir
--- /dev/null
+++ b/src/http/socket_stream.cc
@@ -0,0 +1,163 @@
+#include "primroseweir/http/socket_stream.h"
+
+#include <cxxtools/ioerror.h>
+#include <cxxtools/net/tcpsocket.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <chrono>
+#include <cstring>
+#include <ctime>
+#include <exception>
+#include <string>
+#include <utility>
+
+namespace primroseweir {
+namespace {
+
+constexpr int kKeepaliveIdleSeconds = 10;
+constexpr int kKeepaliveIntervalSeconds = 5;
+constexpr int kKeepaliveProbes = 2;
+constexpr unsigned kUserTimeoutMilliseconds = 30'000;
+
+void SetOption(int descriptor, int level, int name, int value) {
+  setsockopt(descriptor, level, name, &value, sizeof value);
+}
+
+// Dead peers show within 30 s, the progress limit of bodies; a call's deadline usually passes
+// first.
+void SetOptions(int descriptor) {
+  SetOption(descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
+  SetOption(descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
+  SetOption(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, kKeepaliveIdleSeconds);
+  SetOption(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, kKeepaliveIntervalSeconds);
+  SetOption(descriptor, IPPROTO_TCP, TCP_KEEPCNT, kKeepaliveProbes);
+  SetOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, kUserTimeoutMilliseconds);
+  fcntl(descriptor, F_SETFL, fcntl(descriptor, F_GETFL) | O_NONBLOCK);
+}
+
+timespec TimeLeft(Instant deadline) {
+  const auto left = std::max(deadline - MonotonicNow(), Duration::zero());
+  const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(left);
+  timespec result{};
+  result.tv_sec = seconds.count();
+  result.tv_nsec = (left - seconds).count();
+  return result;
+}
+
+absl::Status LastSocketError(const char* step) {
+  return absl::UnavailableError(std::string(step) + ": " + std::strerror(errno));
+}
+
+bool WouldBlock() { return errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR; }
+
+}  // namespace
+
+SocketStream::SocketStream(std::unique_ptr<cxxtools::net::TcpSocket> socket)
+    : socket_(std::move(socket)), descriptor_(socket_->getFd()), last_received_(MonotonicNow()) {
+  SetOptions(descriptor_);
+}
+
+SocketStream::~SocketStream() = default;
+
+absl::StatusOr<std::unique_ptr<SocketStream>> SocketStream::Connect(const SocketAddress& address,
+                                                                    Instant deadline) {
+  const auto left = ToMilliseconds(deadline - MonotonicNow());
+  if (left <= 0) {
+    return absl::DeadlineExceededError("deadline passed before the connect");
+  }
+  try {
+    auto socket = std::make_unique<cxxtools::net::TcpSocket>();
+    socket->setTimeout(cxxtools::Milliseconds(static_cast<double>(left)));
+    socket->connect(address.ip, address.port);
+    return std::make_unique<SocketStream>(std::move(socket));
+  } catch (const cxxtools::IOTimeout&) {
+    return absl::DeadlineExceededError("connect to " + address.ToString() + ": timeout");
+  } catch (const std::exception& error) {
+    return absl::UnavailableError("connect to " + address.ToString() + ": " + error.what());
+  }
+}
+
+absl::StatusOr<std::optional<std::size_t>> SocketStream::Read(char* buffer, std::size_t size) {
+  auto count = recv(descriptor_, buffer, size, 0);
+  if (count < 0) {
+    if (WouldBlock()) {
+      return std::optional<std::size_t>();
+    }
+    return LastSocketError("receive");
+  }
+  if (count > 0) {
+    bytes_received_ += static_cast<std::uint64_t>(count);
+    last_received_ = MonotonicNow();
+  }
+  return std::optional<std::size_t>(static_cast<std::size_t>(count));
+}
+
+absl::Status SocketStream::Write(std::string_view data, Instant deadline, Duration progress) {
+  while (!data.empty()) {
+    auto count = send(descriptor_, data.data(), data.size(), MSG_NOSIGNAL);
+    if (count > 0) {
+      bytes_sent_ += static_cast<std::uint64_t>(count);
+      data.remove_prefix(static_cast<std::size_t>(count));
+      continue;
+    }
+    if (!WouldBlock()) {
+      return LastSocketError("send");
+    }
+    auto status = Wait(POLLOUT, std::min(deadline, MonotonicNow() + progress));
+    if (!status.ok()) {
+      return status;
+    }
+  }
+  return absl::OkStatus();
+}
+
+absl::Status SocketStream::WaitReadable(Instant deadline) { return Wait(POLLIN, deadline); }
+
+absl::Status SocketStream::Wait(std::int16_t events, Instant deadline) const {
+  std::array<pollfd, 2> descriptors{};
+  descriptors[0] = {descriptor_, events, 0};
+  descriptors[1] = {watched_, POLLRDHUP, 0};
+  const auto left = TimeLeft(deadline);
+  const int ready = ppoll(descriptors.data(), watched_ < 0 ? 1 : 2, &left, nullptr);
+  if (ready < 0 && errno != EINTR) {
+    return LastSocketError("poll");
+  }
+  if (descriptors[0].revents != 0) {
+    return absl::OkStatus();
+  }
+  if (descriptors[1].revents != 0) {
+    return absl::CancelledError("the caller closed its connection");
+  }
+  if (ready == 0) {
+    return absl::DeadlineExceededError("no progress until the deadline");
+  }
+  return absl::OkStatus();
+}
+
+bool SocketStream::PeerClosed() const {
+  pollfd descriptor{descriptor_, POLLRDHUP, 0};
+  return poll(&descriptor, 1, 0) > 0;
+}
+
+bool SocketStream::Readable() const {
+  pollfd descriptor{descriptor_, POLLIN | POLLRDHUP, 0};
+  return poll(&descriptor, 1, 0) > 0;
+}
+
+void SocketStream::ShutdownWrite() { shutdown(descriptor_, SHUT_WR); }
+
+void SocketStream::Reset() {
+  const linger hard{1, 0};
+  setsockopt(descriptor_, SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
+  socket_->close();
+  descriptor_ = -1;
+}
+
+}  // namespace primroseweir
