Add the filter chain and the dispatch of calls

Calls need three certain outcomes, bounded retries and a connection share that holds without any view of the membership.

Each mechanism was removed once to see its test fail: repeatable check and proven connections ([at-most-once]), possibly_ran ([not-run]), entity tag check, cut of broken answers and the check before a connection returns to the pool ([whole-answers]).

--- /dev/null
+++ b/include/primroseweir/filters/answer_sink.h
@@ -0,0 +1,30 @@
+#ifndef PRIMROSEWEIR_FILTERS_ANSWER_SINK_H_
+#define PRIMROSEWEIR_FILTERS_ANSWER_SINK_H_
+
+#include <absl/status/status.h>
+
+#include <string_view>
+
+#include "primroseweir/base/time.h"
+
+namespace primroseweir {
+
+struct ResponseHead;
+
+// Takes the answer of a call. Errors as in SocketStream.
+class AnswerSink {
+ public:
+  virtual ~AnswerSink() = default;
+
+  // The head leaves with the first piece, with Flush or with End.
+  virtual void Begin(const ResponseHead& head) = 0;
+  virtual absl::Status Write(std::string_view piece, Instant deadline) = 0;
+  virtual absl::Status Flush(Instant deadline) = 0;
+  virtual absl::Status End(std::string_view last_piece, Instant deadline) = 0;
+  // Cuts the answer, so that the caller can't take it for a whole one.
+  virtual void Abort() = 0;
+};
+
+}  // namespace primroseweir
+
+#endif  // PRIMROSEWEIR_FILTERS_ANSWER_SINK_H_
--- /dev/null
+++ b/include/primroseweir/filters/call.h
@@ -0,0 +1,48 @@
+#ifndef PRIMROSEWEIR_FILTERS_CALL_H_
+#define PRIMROSEWEIR_FILTERS_CALL_H_
+
+#include <cstdint>
+#include <string>
+
+#include "primroseweir/base/ids.h"
+#include "primroseweir/base/time.h"
+#include "primroseweir/routing/call_request.h"
+
+namespace primroseweir {
+
+class AnswerSink;
+class ServerConnection;
+struct RequestHead;
+
+// One caller's call on its way through the filter chain. Each filter fills in what it decides.
+struct Call {
+  ServerConnection* caller = nullptr;
+  RequestHead* request = nullptr;
+  AnswerSink* sink = nullptr;
+  Instant arrived;
+
+  // ---- request id ----
+  RequestId id;
+
+  // ---- route ----
+  ServiceName service;
+  // Target at the upstream, "/REST".
+  std::string target;
+  Instant deadline;
+  // Nesting, 0 for the outermost hop.
+  int depth = 0;
+  Priority priority = Priority::kNormal;
+  // Whether the call may be executed more than once.
+  bool repeatable = true;
+
+  // ---- body ----
+  // The body, or its first 64 KB when body_whole is false.
+  std::string body;
+  bool body_whole = true;
+  // Hash of method, target and the first 64 KB of the body.
+  std::uint64_t fingerprint = 0;
+};
+
+}  // namespace primroseweir
+
+#endif  // PRIMROSEWEIR_FILTERS_CALL_H_
--- a/include/primroseweir/http/client_connection.h
+++ b/include/primroseweir/http/client_connection.h
@@ -53,6 +53,8 @@
   // As ReadBody, but never waits: nothing when no byte is there.
   absl::StatusOr<std::optional<std::string_view>> TryReadBody();
 
+  // Whether the answer's end has been read. Its last piece may still have to be taken.
+  bool AnswerComplete() const;
   // Whether the answer is whole and the server keeps the connection open for a further request.
   bool Reusable() const;
   // Whether the idle connection still looks open: no byte and no end of input has arrived.
--- a/include/primroseweir/http/socket_stream.h
+++ b/include/primroseweir/http/socket_stream.h
@@ -43,12 +43,16 @@
   absl::Status Write(std::string_view data, Instant deadline, Duration progress);
 
   // Waits until the socket is readable.
-  absl::Status WaitReadable(Instant deadline);
+  absl::Status WaitReadable(Instant deadline) const;
 
   // Waits end with Cancelled when the peer of the socket `descriptor` closes its connection; -1
   // ends the watching.
   void set_watched(int descriptor) { watched_ = descriptor; }
 
+  // Writes that would block end with Aborted when input has arrived: the peer answers early and may
+  // take no more.
+  void set_stop_on_input(bool stop) { stop_on_input_ = stop; }
+
   // Whether the peer has closed or reset its side.
   bool PeerClosed() const;
   // Whether bytes or the end of the input wait to be read.
@@ -66,11 +70,12 @@
   Instant last_received() const { return last_received_; }
 
  private:
-  absl::Status Wait(std::int16_t events, Instant deadline) const;
+  absl::Status WaitWritable(Instant deadline) const;
 
   std::unique_ptr<cxxtools::net::TcpSocket> socket_;
   int descriptor_ = -1;
   int watched_ = -1;
+  bool stop_on_input_ = false;
   std::uint64_t bytes_sent_ = 0;
   std::uint64_t bytes_received_ = 0;
   Instant last_received_;
--- /dev/null
+++ b/src/filters/connection_pool.cc
@@ -0,0 +1,103 @@
+#include "primroseweir/filters/connection_pool.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "primroseweir/base/rendezvous.h"
+#include "primroseweir/configuration/snapshot.h"
+#include "primroseweir/filters/upstream_connections.h"
+
+namespace primroseweir {
+namespace {
+
+// A new connection costs about 1 ms; an upstream that does not accept within this time is treated
+// as unreachable, so that the call can still go elsewhere.
+constexpr auto kConnectTimeout = std::chrono::seconds(1);
+
+}  // namespace
+
+std::size_t ConnectionShare(const UpstreamRecord& record, Seat seat, std::uint64_t seats) {
+  const auto remainder = record.connections % seats;
+  const auto rank = RendezvousRank(record.id.value(), seat.value(), seats);
+  return record.connections / seats + (rank < remainder ? 1 : 0);
+}
+
+ConnectionPool::ConnectionPool(const Options& options)
+    : options_(options), table_(std::make_shared<const Table>()) {}
+
+ConnectionPool::~ConnectionPool() = default;
+
+absl::StatusOr<PooledConnection> ConnectionPool::Take(const UpstreamRecord& record, bool proven,
+                                                      Instant now, Instant deadline) {
+  const auto table = table_.Load();
+  const auto entry = table->find(record.id);
+  if (entry == table->end() || seat_taken_.load()) {
+    return absl::UnavailableError("no connections may be held to the upstream");
+  }
+  auto owner = entry->second;
+  auto idle = owner->TakeIdle(proven, now);
+  if (idle != nullptr) {
+    return PooledConnection(std::move(idle), std::move(owner));
+  }
+  if (!owner->Reserve(now) && !owner->ReplaceIdle()) {
+    return absl::ResourceExhaustedError("the connection share is used up");
+  }
+  auto connection = ClientConnection::Open(
+      record.address, std::min(deadline, now + kConnectTimeout), options_.limits);
+  if (!connection.ok()) {
+    owner->Release();
+    return connection.status();
+  }
+  return PooledConnection(std::move(*connection), std::move(owner));
+}
+
+std::shared_ptr<UpstreamConnections> ConnectionPool::Keep(const Table& old,
+                                                          const UpstreamRecord& record) const {
+  const auto share = ConnectionShare(record, options_.seat, options_.seats);
+  const auto known = old.find(record.id);
+  if (known != old.end() && known->second->address() == record.address &&
+      known->second->share() == share) {
+    return known->second;
+  }
+  return std::make_shared<UpstreamConnections>(record.address, share);
+}
+
+void ConnectionPool::Apply(const ConfigurationSnapshot& snapshot) {
+  const std::lock_guard<std::mutex> lock(writers_);
+  const std::shared_ptr<const Table> old = table_.Load();
+  auto table = std::make_shared<Table>();
+  for (const auto& record : snapshot.upstreams) {
+    const auto connections = Keep(*old, record);
+    if (record.state == ListedState::kLeaving) {
+      connections->CloseIdle();
+    }
+    (*table)[record.id] = connections;
+  }
+  const std::shared_ptr<const Table> replacement = table;
+  table_.Store(replacement);
+  for (const auto& [id, connections] : *old) {
+    const auto kept = table->find(id);
+    if (kept == table->end() || kept->second != connections) {
+      connections->Retire();
+    }
+  }
+}
+
+void ConnectionPool::SetSeatTaken(bool taken) {
+  seat_taken_.store(taken);
+  if (!taken) {
+    return;
+  }
+  for (const auto& [id, connections] : *table_.Load()) {
+    connections->CloseIdle();
+  }
+}
+
+void ConnectionPool::CloseOld(Instant now) {
+  for (const auto& [id, connections] : *table_.Load()) {
+    connections->CloseOld(now);
+  }
+}
+
+}  // namespace primroseweir
--- /dev/null
+++ b/src/filters/detail/answer_relay.cc
@@ -0,0 +1,115 @@
+#include "primroseweir/filters/detail/answer_relay.h"
+
+#include <chrono>
+#include <utility>
+
+#include "primroseweir/filters/answer_sink.h"
+#include "primroseweir/filters/call.h"
+#include "primroseweir/filters/detail/attempt.h"
+#include "primroseweir/http/message_writer.h"
+
+namespace primroseweir::detail {
+namespace {
+
+// A download may outlast the call's deadline once its head has arrived; only its progress counts.
+Instant NoDeadline() { return MonotonicNow() + std::chrono::hours(24); }
+
+bool Resumable(const Call& call, const ResponseHead& head) {
+  const auto etag = head.fields.Get("ETag");
+  return call.request->method == "GET" && call.request->fields.Find("Range") == nullptr &&
+         head.status == 200 && head.body.kind == BodyKind::kLength && etag.size() > 2 &&
+         etag.front() == '"' && head.fields.HasToken("Accept-Ranges", "bytes");
+}
+
+}  // namespace
+
+AnswerRelay::AnswerRelay(Call* call, Resume resume) : call_(call), resume_(std::move(resume)) {}
+
+absl::Status AnswerRelay::Pass(std::unique_ptr<Attempt>* attempt) {
+  Begin(**attempt);
+  auto status = PassBody(attempt->get());
+  if (absl::IsUnavailable(status) && Continue(attempt)) {
+    status = PassBody(attempt->get());
+  }
+  if (!status.ok()) {
+    call_->sink->Abort();
+  }
+  return status;
+}
+
+void AnswerRelay::Begin(const Attempt& attempt) {
+  ResponseHead head = *attempt.head();
+  if (Resumable(*call_, head)) {
+    etag_ = head.fields.Get("ETag");
+    length_ = head.body.length;
+  }
+  RemoveConnectionFields(&head.fields);
+  for (const char* name : {"X-Load", "X-Refused", "X-Leaving"}) {
+    head.fields.Remove(name);
+  }
+  head.fields.Set("Primroseweir-Outcome", "ran");
+  head.fields.Set("Primroseweir-Request-Id", call_->id.value());
+  head.keep_alive = true;
+  call_->sink->Begin(head);
+}
+
+// Unavailable: the upstream's side broke. Cancelled: the caller's side did.
+absl::Status AnswerRelay::PassBody(Attempt* attempt) {
+  bool ended = false;
+  while (!ended) {
+    const auto piece = attempt->connection()->TryReadBody();
+    if (!piece.ok()) {
+      return absl::UnavailableError(piece.status().message());
+    }
+    if (piece->has_value()) {
+      auto status = PassPiece(attempt, **piece, &ended);
+      if (!status.ok()) {
+        return absl::CancelledError(status.message());
+      }
+      continue;
+    }
+    if (!call_->sink->Flush(NoDeadline()).ok()) {
+      return absl::CancelledError("the caller takes no more");
+    }
+    auto waited =
+        attempt->connection()->socket()->WaitReadable(MonotonicNow() + limits_.body_progress);
+    if (absl::IsDeadlineExceeded(waited)) {
+      attempt->pooled()->MarkSilent();
+      return absl::UnavailableError("the upstream's answer went silent");
+    }
+    if (!waited.ok()) {
+      return waited;
+    }
+  }
+  return absl::OkStatus();
+}
+
+absl::Status AnswerRelay::PassPiece(Attempt* attempt, std::string_view piece, bool* ended) {
+  passed_ += piece.size();
+  *ended = attempt->connection()->AnswerComplete();
+  return *ended ? call_->sink->End(piece, NoDeadline()) : call_->sink->Write(piece, NoDeadline());
+}
+
+bool AnswerRelay::Continue(std::unique_ptr<Attempt>* attempt) {
+  if (etag_.empty() || passed_ >= length_) {
+    return false;
+  }
+  auto next = resume_(passed_, etag_);
+  if (next == nullptr || !Continues(next.get())) {
+    return false;
+  }
+  *attempt = std::move(next);
+  return true;
+}
+
+// Only the missing rest of the very same representation may follow.
+bool AnswerRelay::Continues(Attempt* attempt) const {
+  const auto& head = *attempt->head();
+  const auto range = "bytes " + std::to_string(passed_) + "-" + std::to_string(length_ - 1) + "/" +
+                     std::to_string(length_);
+  return head.status == 206 && head.fields.Get("ETag") == etag_ &&
+         head.fields.Get("Content-Range") == range && head.body.kind == BodyKind::kLength &&
+         head.body.length == length_ - passed_;
+}
+
+}  // namespace primroseweir::detail
--- /dev/null
+++ b/src/filters/detail/attempt.cc
@@ -0,0 +1,135 @@
+#include "primroseweir/filters/detail/attempt.h"
+
+#include <poll.h>
+
+#include <algorithm>
+#include <charconv>
+#include <chrono>
+#include <utility>
+
+#include "primroseweir/filters/call.h"
+#include "primroseweir/http/message_writer.h"
+#include "primroseweir/http/server_connection.h"
+#include "primroseweir/http/socket_wait.h"
+
+namespace primroseweir::detail {
+namespace {
+
+std::optional<std::uint32_t> NumberAfter(std::string_view text, std::string_view name) {
+  const auto start = text.find(name);
+  if (start == std::string_view::npos) {
+    return std::nullopt;
+  }
+  text.remove_prefix(start + name.size());
+  std::uint32_t number = 0;
+  const auto result = std::from_chars(text.data(), text.data() + text.size(), number);
+  return result.ec == std::errc() ? std::optional<std::uint32_t>(number) : std::nullopt;
+}
+
+bool SaysLeaving(const ResponseHead& head) {
+  return head.fields.Get("X-Leaving") == "1" ||
+         (head.status == 503 && head.fields.HasToken("Connection", "close") &&
+          head.fields.Get("X-Refused") == "leaving");
+}
+
+}  // namespace
+
+std::optional<LoadReport> ParseLoadReport(std::string_view text) {
+  const auto in_flight = NumberAfter(text, "in_flight=");
+  if (!in_flight) {
+    return std::nullopt;
+  }
+  LoadReport report;
+  report.in_flight = *in_flight;
+  report.latency = std::chrono::milliseconds(NumberAfter(text, "latency_ms=").value_or(0));
+  return report;
+}
+
+RequestHead UpstreamHead(const Call& call, Instant now) {
+  RequestHead head = *call.request;
+  head.target = call.target;
+  RemoveConnectionFields(&head.fields);
+  head.fields.Remove("Primroseweir-Forwarded");
+  const auto left = std::max<std::int64_t>(ToMilliseconds(call.deadline - now), 1);
+  head.fields.Set("Primroseweir-Deadline-Ms", std::to_string(left));
+  head.fields.Set("Primroseweir-Depth", std::to_string(call.depth + 1));
+  head.fields.Set("Primroseweir-Request-Id", call.id.value());
+  head.keep_alive = true;
+  return head;
+}
+
+Attempt::Attempt(UpstreamLease lease, PooledConnection connection)
+    : lease_(std::move(lease)),
+      connection_(std::move(connection)),
+      bytes_before_(connection_->socket()->bytes_sent()),
+      received_before_(connection_->socket()->bytes_received()),
+      started_(MonotonicNow()) {}
+
+absl::Status Attempt::Send(Call* call, const RequestHead& head) {
+  auto* socket = connection_->socket();
+  socket->set_watched(call->caller->socket()->descriptor());
+  socket->set_stop_on_input(true);
+  if (call->body_whole) {
+    return connection_->Send(head, call->body, call->deadline);
+  }
+  connection_->Begin(head);
+  auto status = connection_->WriteBody(call->body, call->deadline);
+  return status.ok() ? StreamRest(call) : status;
+}
+
+absl::Status Attempt::StreamRest(Call* call) {
+  const auto progress = MessageLimits().body_progress;
+  while (true) {
+    const auto piece = call->caller->TryReadBody();
+    if (!piece.ok()) {
+      return absl::CancelledError("the caller's body ended early");
+    }
+    if (!piece->has_value()) {
+      const auto limit = std::min(call->deadline, MonotonicNow() + progress);
+      auto status = WaitForAny(
+          {{descriptor(), POLLIN}, {call->caller->socket()->descriptor(), POLLIN}}, -1, limit);
+      if (status.ok() && connection_->socket()->Readable()) {
+        return absl::AbortedError("the upstream answered before the body's end");
+      }
+      if (!status.ok()) {
+        return status;
+      }
+      continue;
+    }
+    auto status = (*piece)->empty() ? connection_->End("", call->deadline)
+                                    : connection_->WriteBody(**piece, call->deadline);
+    if (!status.ok() || (*piece)->empty()) {
+      return status;
+    }
+  }
+}
+
+absl::StatusOr<const ResponseHead*> Attempt::TryReadHead() {
+  const auto head = connection_->TryReadHead();
+  if (head.ok() && *head != nullptr) {
+    head_ = *head;
+    time_to_head_ = MonotonicNow() - started_;
+  }
+  return head.ok() ? absl::StatusOr<const ResponseHead*>(head_) : head.status();
+}
+
+bool Attempt::Refused() const {
+  return head_ != nullptr && head_->status == 503 && head_->fields.Get("X-Refused") == "not-run";
+}
+
+void Attempt::Finish(AttemptEnd end) {
+  if (finished_) {
+    return;
+  }
+  finished_ = true;
+  CallResult result;
+  result.end = end;
+  result.time_to_head = time_to_head_;
+  if (head_ != nullptr) {
+    result.report = ParseLoadReport(head_->fields.Get("X-Load"));
+    result.leaving = SaysLeaving(*head_);
+  }
+  lease_.Finish(result, MonotonicNow());
+}
+
+}  // namespace primroseweir::detail
--- /dev/null
+++ b/src/filters/detail/call_dispatch.cc
@@ -0,0 +1,330 @@
+#include "primroseweir/filters/detail/call_dispatch.h"
+
+#include <poll.h>
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "primroseweir/filters/call.h"
+#include "primroseweir/filters/connection_pool.h"
+#include "primroseweir/filters/detail/answer_relay.h"
+#include "primroseweir/filters/latency_quantiles.h"
+#include "primroseweir/http/server_connection.h"
+#include "primroseweir/http/socket_wait.h"
+#include "primroseweir/routing/router.h"
+
+namespace primroseweir::detail {
+namespace {
+
+// Section 7.5: two executions of a call, three further upstreams after refusals.
+constexpr int kMaxExecutions = 2;
+constexpr int kMaxResends = 3;
+// A hedge that can't connect at once is not worth its budget.
+constexpr auto kHedgeConnectTimeout = std::chrono::milliseconds(20);
+
+AttemptEnd EndOf(const absl::Status& failure) {
+  switch (failure.code()) {
+    case absl::StatusCode::kDeadlineExceeded:
+      return AttemptEnd::kTimedOut;
+    case absl::StatusCode::kCancelled:
+      return AttemptEnd::kCancelled;
+    default:
+      return AttemptEnd::kConnectionLost;
+  }
+}
+
+}  // namespace
+
+CallDispatch::CallDispatch(const DispatchServices& services, LatencyQuantiles* latencies,
+                           Call* call)
+    : services_(services), latencies_(latencies), call_(call) {
+  request_.service = call->service;
+  request_.priority = call->priority;
+  request_.deadline = call->deadline;
+  request_.fingerprint = call->fingerprint;
+}
+
+CallEnd CallDispatch::Run() {
+  if (call_->depth == 0) {
+    services_.note_first_attempt();
+  }
+  while (true) {
+    auto status = Start();
+    if (status.ok()) {
+      status = AwaitHead();
+    }
+    if (!status.ok()) {
+      if (!GoesOnAfter(status)) {
+        return Failure(status);
+      }
+    } else if (current_->Refused()) {
+      if (!GoesOnAfterRefusal()) {
+        return Failure(absl::UnavailableError("every upstream tried refused the call"));
+      }
+    } else if (!GoesOnAfterShedding()) {
+      return PassAnswer();
+    }
+  }
+}
+
+// ---- attempts ----
+
+absl::Status CallDispatch::Acquire(std::optional<UpstreamLease>* lease) {
+  if (next_lease_) {
+    *lease = std::move(next_lease_);
+    next_lease_.reset();
+    return absl::OkStatus();
+  }
+  services_.ensure_fresh(MonotonicNow());
+  auto acquired = services_.router->Acquire(request_, MonotonicNow());
+  if (!acquired.ok()) {
+    no_upstream_ = true;
+    step_ = "admission";
+    return acquired.status();
+  }
+  *lease = std::move(*acquired);
+  return absl::OkStatus();
+}
+
+absl::Status CallDispatch::Start() {
+  current_.reset();
+  std::optional<UpstreamLease> lease;
+  auto status = Acquire(&lease);
+  if (!status.ok()) {
+    return status;
+  }
+  auto attempt = Connect(std::move(*lease), call_->deadline);
+  if (!attempt.ok()) {
+    return attempt.status();
+  }
+  current_ = std::move(*attempt);
+  return Send(current_.get());
+}
+
+absl::StatusOr<std::unique_ptr<Attempt>> CallDispatch::Connect(UpstreamLease lease,
+                                                               Instant deadline) {
+  const auto& record = lease.record();
+  step_ = "connect";
+  peer_ = record.id.value();
+  request_.excluded.insert(record.id);
+  auto connection = services_.pool->Take(record, !call_->repeatable, MonotonicNow(), deadline);
+  if (connection.ok()) {
+    return std::make_unique<Attempt>(std::move(lease), std::move(*connection));
+  }
+  CallResult result;
+  // A used-up share says nothing about the upstream.
+  result.end = absl::IsResourceExhausted(connection.status()) ? AttemptEnd::kCancelled
+                                                              : AttemptEnd::kConnectFailed;
+  lease.Finish(result, MonotonicNow());
+  return connection.status();
+}
+
+absl::Status CallDispatch::Send(Attempt* attempt) {
+  auto head = UpstreamHead(*call_, MonotonicNow());
+  if (!range_.empty()) {
+    head.fields.Set("Range", range_);
+    head.fields.Set("If-Range", if_range_);
+  }
+  step_ = "send";
+  body_consumed_ = body_consumed_ || !call_->body_whole;
+  auto status = attempt->Send(call_, head);
+  if (attempt->sent()) {
+    ++executions_;
+  }
+  step_ = "answer";
+  return absl::IsAborted(status) ? absl::OkStatus() : status;
+}
+
+absl::Status CallDispatch::AwaitHead() {
+  auto hedge_at = HedgeAt();
+  while (true) {
+    if (current_ == nullptr) {
+      current_ = std::move(hedge_);
+    }
+    for (auto* attempt : {&current_, &hedge_}) {
+      auto& other = attempt == &current_ ? hedge_ : current_;
+      if (*attempt == nullptr) {
+        continue;
+      }
+      auto arrived = CheckHead(attempt, other);
+      if (!arrived.ok()) {
+        return arrived.status();
+      }
+      if (*arrived) {
+        Choose(attempt, &other);
+        return absl::OkStatus();
+      }
+    }
+    const int first = current_ == nullptr ? -1 : current_->descriptor();
+    const int second = hedge_ == nullptr ? -1 : hedge_->descriptor();
+    const auto limit = std::min(call_->deadline, hedge_at);
+    auto status = WaitForAny({{first, POLLIN}, {second, POLLIN}},
+                             call_->caller->socket()->descriptor(), limit);
+    if (absl::IsDeadlineExceeded(status) && limit < call_->deadline) {
+      hedge_at = Instant::max();
+      StartHedge();
+    } else if (!status.ok()) {
+      return status;
+    }
+  }
+}
+
+absl::StatusOr<bool> CallDispatch::CheckHead(std::unique_ptr<Attempt>* attempt,
+                                             const std::unique_ptr<Attempt>& other) {
+  const auto head = (*attempt)->TryReadHead();
+  if (other == nullptr) {
+    return head.ok() ? absl::StatusOr<bool>(*head != nullptr) : head.status();
+  }
+  if (!head.ok()) {
+    possibly_ran_ = true;
+    End(attempt->get(), AttemptEnd::kConnectionLost);
+    attempt->reset();
+    return false;
+  }
+  if ((*attempt)->Refused() || (*attempt)->Shed()) {
+    possibly_ran_ = possibly_ran_ || (*attempt)->Shed();
+    End(attempt->get(), AttemptEnd::kRefused);
+    attempt->reset();
+    return false;
+  }
+  return *head != nullptr;
+}
+
+void CallDispatch::Choose(std::unique_ptr<Attempt>* winner, std::unique_ptr<Attempt>* loser) {
+  if (*loser != nullptr) {
+    possibly_ran_ = true;
+    End(loser->get(), AttemptEnd::kCancelled);
+    loser->reset();
+  }
+  if (winner == &hedge_) {
+    current_ = std::move(hedge_);
+  }
+  peer_ = current_->record().id.value();
+  latencies_->Add(call_->service, current_->time_to_head());
+}
+
+Instant CallDispatch::HedgeAt() const {
+  if (call_->request->method != "GET" || !MayExecuteAgain() || !range_.empty()) {
+    return Instant::max();
+  }
+  const auto usual = latencies_->Get(call_->service);
+  return usual ? MonotonicNow() + *usual : Instant::max();
+}
+
+void CallDispatch::StartHedge() {
+  auto lease = services_.router->TryAcquire(request_, MonotonicNow());
+  if (!lease.ok() || !services_.take_retry()) {
+    return;
+  }
+  auto attempt = Connect(std::move(*lease), MonotonicNow() + kHedgeConnectTimeout);
+  if (!attempt.ok()) {
+    return;
+  }
+  if (Send(attempt->get()).ok()) {
+    hedge_ = std::move(*attempt);
+  } else {
+    End(attempt->get(), AttemptEnd::kConnectionLost);
+  }
+}
+
+// ---- decisions ----
+
+void CallDispatch::End(Attempt* attempt, AttemptEnd end) {
+  attempt->Finish(end);
+  if (attempt->sent()) {
+    services_.note_end(call_->fingerprint, attempt->record().id, end);
+  }
+}
+
+bool CallDispatch::MayExecuteAgain() const {
+  return call_->depth == 0 && call_->repeatable && executions_ < kMaxExecutions &&
+         !body_consumed_ && MonotonicNow() < call_->deadline;
+}
+
+bool CallDispatch::GoesOnAfter(const absl::Status& failure) {
+  hedge_.reset();
+  if (no_upstream_) {
+    return false;
+  }
+  const bool final = absl::IsCancelled(failure) || MonotonicNow() >= call_->deadline;
+  if (current_ == nullptr || !current_->sent()) {
+    if (current_ != nullptr) {
+      End(current_.get(), EndOf(failure));
+    }
+    return !final && (absl::IsResourceExhausted(failure) || ++refusals_ <= kMaxResends);
+  }
+  possibly_ran_ = true;
+  if (absl::IsDeadlineExceeded(failure) && !current_->received()) {
+    current_->pooled()->MarkSilent();
+  }
+  End(current_.get(), EndOf(failure));
+  return !final && MayExecuteAgain() && services_.take_retry();
+}
+
+bool CallDispatch::GoesOnAfterRefusal() {
+  --executions_;
+  End(current_.get(), AttemptEnd::kRefused);
+  return ++refusals_ <= kMaxResends && !body_consumed_ && MonotonicNow() < call_->deadline;
+}
+
+// The answer of an upstream that shed the call is given up only when another upstream is at hand.
+bool CallDispatch::GoesOnAfterShedding() {
+  if (!current_->Shed() || !MayExecuteAgain()) {
+    return false;
+  }
+  auto lease = services_.router->TryAcquire(request_, MonotonicNow());
+  if (!lease.ok() || !services_.take_retry()) {
+    return false;
+  }
+  next_lease_ = std::move(*lease);
+  possibly_ran_ = true;
+  End(current_.get(), AttemptEnd::kRefused);
+  return true;
+}
+
+// ---- answers ----
+
+CallEnd CallDispatch::PassAnswer() {
+  CallEnd end;
+  end.answered = true;
+  end.http_status = current_->head()->status;
+  end.peer = peer_;
+  AnswerRelay relay(call_, [this](std::uint64_t offset, const std::string& etag) {
+    return Resume(offset, etag);
+  });
+  const auto status = relay.Pass(&current_);
+  End(current_.get(), status.ok() ? AttemptEnd::kAnswered : EndOf(status));
+  return end;
+}
+
+std::unique_ptr<Attempt> CallDispatch::Resume(std::uint64_t offset, const std::string& etag) {
+  End(current_.get(), AttemptEnd::kConnectionLost);
+  // The deadline of the call covers the time to the first byte; the rest of a download has its own.
+  call_->deadline = std::max(call_->deadline, MonotonicNow() + std::chrono::seconds(10));
+  request_.deadline = call_->deadline;
+  if (!MayExecuteAgain() || !services_.take_retry()) {
+    return nullptr;
+  }
+  auto broken = std::move(current_);
+  range_ = "bytes=" + std::to_string(offset) + "-";
+  if_range_ = etag;
+  const bool started = Start().ok() && AwaitHead().ok();
+  auto resumed = started ? std::move(current_) : nullptr;
+  current_ = std::move(broken);
+  return resumed;
+}
+
+CallEnd CallDispatch::Failure(const absl::Status& failure) const {
+  const bool late = absl::IsDeadlineExceeded(failure);
+  const std::string reason(failure.message());
+  auto end = possibly_ran_ ? CallEnd::Unknown(step_, reason, late ? 504 : 502)
+                           : CallEnd::NotRun(step_, reason, late ? 504 : 503);
+  end.peer = peer_;
+  if (!possibly_ran_ && !late) {
+    end.retry_after = 1;
+  }
+  return end;
+}
+
+}  // namespace primroseweir::detail
--- /dev/null
+++ b/src/filters/dispatch_filter.cc
@@ -0,0 +1,13 @@
+#include "primroseweir/filters/dispatch_filter.h"
+
+#include "primroseweir/filters/call.h"
+#include "primroseweir/filters/detail/call_dispatch.h"
+
+namespace primroseweir {
+
+CallEnd DispatchFilter::Handle(Call* call, const Next& next) {
+  detail::CallDispatch dispatch(services_, &latencies_, call);
+  return dispatch.Run();
+}
+
+}  // namespace primroseweir
--- a/src/http/client_connection.cc
+++ b/src/http/client_connection.cc
@@ -91,6 +91,8 @@
   return stream_->TryReadBody();
 }
 
+bool ClientConnection::AnswerComplete() const { return stream_->parser()->message_complete(); }
+
 bool ClientConnection::Reusable() const {
   return request_complete_ && stream_->parser()->message_complete() &&
          stream_->parser()->response()->keep_alive && !stream_->has_buffered_input();
--- a/src/http/socket_stream.cc
+++ b/src/http/socket_stream.cc
@@ -13,11 +13,12 @@
 #include <cerrno>
 #include <chrono>
 #include <cstring>
-#include <ctime>
 #include <exception>
 #include <string>
 #include <utility>
 
+#include "primroseweir/http/socket_wait.h"
+
 namespace primroseweir {
 namespace {
 
@@ -42,15 +43,6 @@
   fcntl(descriptor, F_SETFL, fcntl(descriptor, F_GETFL) | O_NONBLOCK);
 }
 
-timespec TimeLeft(Instant deadline) {
-  const auto left = std::max(deadline - MonotonicNow(), Duration::zero());
-  const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(left);
-  timespec result{};
-  result.tv_sec = seconds.count();
-  result.tv_nsec = (left - seconds).count();
-  return result;
-}
-
 absl::Status LastSocketError(const char* step) {
   return absl::UnavailableError(std::string(step) + ": " + std::strerror(errno));
 }
@@ -110,7 +102,7 @@
     if (!WouldBlock()) {
       return LastSocketError("send");
     }
-    auto status = Wait(POLLOUT, std::min(deadline, MonotonicNow() + progress));
+    auto status = WaitWritable(std::min(deadline, MonotonicNow() + progress));
     if (!status.ok()) {
       return status;
     }
@@ -118,27 +110,17 @@
   return absl::OkStatus();
 }
 
-absl::Status SocketStream::WaitReadable(Instant deadline) { return Wait(POLLIN, deadline); }
+absl::Status SocketStream::WaitReadable(Instant deadline) const {
+  return WaitForAny({{descriptor_, POLLIN}}, watched_, deadline);
+}
 
-absl::Status SocketStream::Wait(std::int16_t events, Instant deadline) const {
-  std::array<pollfd, 2> descriptors{};
-  descriptors[0] = {descriptor_, events, 0};
-  descriptors[1] = {watched_, POLLRDHUP, 0};
-  const auto left = TimeLeft(deadline);
-  const int ready = ppoll(descriptors.data(), watched_ < 0 ? 1 : 2, &left, nullptr);
-  if (ready < 0 && errno != EINTR) {
-    return LastSocketError("poll");
+absl::Status SocketStream::WaitWritable(Instant deadline) const {
+  const int events = POLLOUT | (stop_on_input_ ? POLLIN : 0);
+  auto status = WaitForAny({{descriptor_, static_cast<std::int16_t>(events)}}, watched_, deadline);
+  if (status.ok() && stop_on_input_ && Readable()) {
+    return absl::AbortedError("the peer answered before it took everything");
   }
-  if (descriptors[0].revents != 0) {
-    return absl::OkStatus();
-  }
-  if (descriptors[1].revents != 0) {
-    return absl::CancelledError("the caller closed its connection");
-  }
-  if (ready == 0) {
-    return absl::DeadlineExceededError("no progress until the deadline");
-  }
-  return absl::OkStatus();
+  return status;
 }
 
 bool SocketStream::PeerClosed() const {
