Add the configuration parsers and the controller

Cause: every instance needs the same verdict on a value, and an accepted value must never be taken back by a stale read, an older peer or a restart.

--- a/include/primroseweir/configuration/configuration_controller.h
+++ b/include/primroseweir/configuration/configuration_controller.h
@@ -3,9 +3,11 @@
 
 #include <functional>
 #include <memory>
+#include <vector>
 
 #include "primroseweir/base/ids.h"
 #include "primroseweir/base/time.h"
+#include "primroseweir/configuration/configuration_rejection.h"
 #include "primroseweir/configuration/configuration_values.h"
 #include "primroseweir/configuration/snapshot.h"
 
@@ -32,12 +34,16 @@
   // When a revision was last heard; the freshness check of a dispatch uses it.
   Instant LastHeard() const;
 
-  // Adds a function that is called after each change, in the thread that offered it.
+  // Adds a function that is called after each change, in the thread that offered it. Listeners are
+  // called one after the other and must not offer values themselves.
   void AddListener(Listener listener);
 
   // The configuration in force; never null.
   std::shared_ptr<const ConfigurationSnapshot> Current() const;
 
+  // The newest rejected values, at most one a key, for the status.
+  std::vector<ConfigurationRejection> Rejections() const;
+
   // The accepted values with a revision above `after`, to pass on to a peer.
   ConfigurationValues ValuesAfter(Revision after) const;
 
--- /dev/null
+++ b/include/primroseweir/configuration/configuration_rejection.h
@@ -0,0 +1,21 @@
+#ifndef PRIMROSEWEIR_CONFIGURATION_CONFIGURATION_REJECTION_H_
+#define PRIMROSEWEIR_CONFIGURATION_CONFIGURATION_REJECTION_H_
+
+#include <string>
+#include <vector>
+
+#include "primroseweir/base/ids.h"
+#include "primroseweir/configuration/verdict.h"
+
+namespace primroseweir {
+
+// A value of the configuration service that was refused, with the reasons.
+struct ConfigurationRejection {
+  std::string key;
+  Revision revision;
+  std::vector<Verdict> verdicts;
+};
+
+}  // namespace primroseweir
+
+#endif  // PRIMROSEWEIR_CONFIGURATION_CONFIGURATION_REJECTION_H_
--- /dev/null
+++ b/include/primroseweir/configuration/declarations_parser.h
@@ -0,0 +1,18 @@
+#ifndef PRIMROSEWEIR_CONFIGURATION_DECLARATIONS_PARSER_H_
+#define PRIMROSEWEIR_CONFIGURATION_DECLARATIONS_PARSER_H_
+
+#include <set>
+#include <string>
+
+#include "primroseweir/base/ids.h"
+#include "primroseweir/configuration/checked.h"
+
+namespace primroseweir {
+
+// Reads `declarations`: the data centres out of service. A data centre that is named twice is out
+// once; one that lists no upstream is accepted. Linear in the size of the text.
+Checked<std::set<DataCentre>> ParseDeclarations(const std::string& text);
+
+}  // namespace primroseweir
+
+#endif  // PRIMROSEWEIR_CONFIGURATION_DECLARATIONS_PARSER_H_
--- /dev/null
+++ b/include/primroseweir/configuration/key_value_line.h
@@ -0,0 +1,16 @@
+#ifndef PRIMROSEWEIR_CONFIGURATION_KEY_VALUE_LINE_H_
+#define PRIMROSEWEIR_CONFIGURATION_KEY_VALUE_LINE_H_
+
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace primroseweir {
+
+// Formats one line of `key=value` pairs. Values with spaces, quotes, equals signs or bytes outside
+// printable ASCII are quoted and escaped, so that a value can't forge a key or a second line.
+std::string FormatKeyValueLine(const std::vector<std::pair<std::string, std::string>>& fields);
+
+}  // namespace primroseweir
+
+#endif  // PRIMROSEWEIR_CONFIGURATION_KEY_VALUE_LINE_H_
--- a/include/primroseweir/configuration/snapshot.h
+++ b/include/primroseweir/configuration/snapshot.h
@@ -1,6 +1,7 @@
 #ifndef PRIMROSEWEIR_CONFIGURATION_SNAPSHOT_H_
 #define PRIMROSEWEIR_CONFIGURATION_SNAPSHOT_H_
 
+#include <cstdint>
 #include <set>
 #include <vector>
 
@@ -17,6 +18,9 @@
   Revision text_revision;
   Revision declarations_revision;
   Revision instances_revision;
+  // Hash of the keys in force and their revisions. Two instances with the same configuration
+  // revision but different digests lack a value of each other.
+  std::uint64_t digest = 0;
 
   std::vector<Service> services;
   // Data centres that operators took out of service.
--- /dev/null
+++ b/include/primroseweir/configuration/text_parser.h
@@ -0,0 +1,18 @@
+#ifndef PRIMROSEWEIR_CONFIGURATION_TEXT_PARSER_H_
+#define PRIMROSEWEIR_CONFIGURATION_TEXT_PARSER_H_
+
+#include <string>
+#include <vector>
+
+#include "primroseweir/configuration/checked.h"
+#include "primroseweir/configuration/service.h"
+
+namespace primroseweir {
+
+// Reads the operators' text (docs/design.md, section 4). The verdicts depend on the text alone, so
+// that all instances agree. Linear in the size of the text plus the number of dependencies.
+Checked<std::vector<Service>> ParseText(const std::string& text);
+
+}  // namespace primroseweir
+
+#endif  // PRIMROSEWEIR_CONFIGURATION_TEXT_PARSER_H_
--- /dev/null
+++ b/include/primroseweir/configuration/verdict.h
@@ -0,0 +1,24 @@
+#ifndef PRIMROSEWEIR_CONFIGURATION_VERDICT_H_
+#define PRIMROSEWEIR_CONFIGURATION_VERDICT_H_
+
+#include <cstddef>
+#include <string>
+
+namespace primroseweir {
+
+// One reason why a value of the configuration service is rejected.
+struct Verdict {
+  // Line of the value, from 1.
+  std::size_t line = 1;
+  // Path such as "services[3].depends_on[0]"; empty for the value as a whole.
+  std::string field;
+  std::string problem;
+  std::string expected;
+};
+
+// `line=N field=PATH problem="..." expected="..."`.
+std::string FormatVerdict(const Verdict& verdict);
+
+}  // namespace primroseweir
+
+#endif  // PRIMROSEWEIR_CONFIGURATION_VERDICT_H_
--- /dev/null
+++ b/src/configuration/configuration_controller.cc
@@ -0,0 +1,158 @@
+#include "primroseweir/configuration/configuration_controller.h"
+
+#include <algorithm>
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <utility>
+
+#include "primroseweir/base/event_log.h"
+#include "primroseweir/base/rcu_cell.h"
+#include "primroseweir/configuration/detail/accepted_values.h"
+
+namespace primroseweir {
+
+class ConfigurationController::Implementation {
+ public:
+  explicit Implementation(EventLog* events)
+      : events_(events), current_(std::make_shared<const ConfigurationSnapshot>()) {}
+
+  void Offer(const ConfigurationValues& values, Instant now) {
+    const std::lock_guard<std::mutex> offering(offering_);
+    Revision highest;
+    bool changed = false;
+    for (const auto& [key, value] : values) {
+      highest = std::max(highest, value.revision);
+      changed = OfferOne(key, value) || changed;
+    }
+    if (changed) Publish(now);
+    NoteHeard(highest, now);
+  }
+
+  void NoteHeard(Revision revision, Instant now) {
+    // A revision below the one in force comes from a stale platform or an older peer and says
+    // nothing about the present. "No revision at all" confirms an instance that has none.
+    if (revision < Current()->revision) return;
+    Instant::rep heard = last_heard_.load();
+    const Instant::rep present = now.time_since_epoch().count();
+    while (heard < present && !last_heard_.compare_exchange_weak(heard, present)) {
+    }
+  }
+
+  Instant LastHeard() const { return Instant(Duration(last_heard_.load())); }
+
+  void AddListener(Listener listener) {
+    const std::lock_guard<std::mutex> offering(offering_);
+    listeners_.push_back(std::move(listener));
+  }
+
+  std::shared_ptr<const ConfigurationSnapshot> Current() const { return current_.Load(); }
+
+  ConfigurationValues ValuesAfter(Revision after) const {
+    const std::lock_guard<std::mutex> lock(accepted_mutex_);
+    return accepted_.After(after);
+  }
+
+  std::vector<ConfigurationRejection> Rejections() const {
+    const std::lock_guard<std::mutex> lock(accepted_mutex_);
+    std::vector<ConfigurationRejection> rejections;
+    for (const auto& [key, rejection] : rejections_) rejections.push_back(rejection);
+    return rejections;
+  }
+
+ private:
+  using Outcome = detail::AcceptedValues::Outcome;
+
+  bool OfferOne(const std::string& key, const ConfigurationValue& value) {
+    Outcome outcome;
+    {
+      const std::lock_guard<std::mutex> lock(accepted_mutex_);
+      outcome = accepted_.Offer(key, value);
+      if (outcome.kind == Outcome::Kind::kAdopted) ForgetRejection(key, value.revision);
+      if (outcome.kind == Outcome::Kind::kRejected) {
+        rejections_[key] = {key, value.revision, outcome.verdicts};
+      }
+    }
+    if (outcome.kind == Outcome::Kind::kRejected) ReportRejection(key, value, outcome.verdicts);
+    if (outcome.kind != Outcome::Kind::kAdopted) return false;
+    events_->Emit("configuration_value_adopted",
+                  {{"key", key}, {"revision", std::to_string(value.revision.value())}});
+    return true;
+  }
+
+  void ForgetRejection(const std::string& key, Revision adopted) {
+    const auto found = rejections_.find(key);
+    if (found != rejections_.end() && found->second.revision < adopted) rejections_.erase(found);
+  }
+
+  void ReportRejection(const std::string& key, const ConfigurationValue& value,
+                       const std::vector<Verdict>& verdicts) {
+    for (const Verdict& verdict : verdicts) {
+      events_->Emit("configuration_rejected", {{"key", key},
+                                               {"revision", std::to_string(value.revision.value())},
+                                               {"line", std::to_string(verdict.line)},
+                                               {"field", verdict.field},
+                                               {"problem", verdict.problem},
+                                               {"expected", verdict.expected}});
+    }
+  }
+
+  void Publish(Instant now) {
+    std::shared_ptr<const ConfigurationSnapshot> snapshot;
+    {
+      const std::lock_guard<std::mutex> lock(accepted_mutex_);
+      snapshot = accepted_.Snapshot(*Current());
+    }
+    current_.Store(snapshot);
+    events_->Emit("configuration_in_force",
+                  {{"revision", std::to_string(snapshot->revision.value())},
+                   {"services", std::to_string(snapshot->services.size())},
+                   {"upstreams", std::to_string(snapshot->upstreams.size())},
+                   {"out", std::to_string(snapshot->out.size())}});
+    for (const Listener& listener : listeners_) listener(snapshot, now);
+  }
+
+  EventLog* const events_;
+  // Held during a whole offer, so that snapshots are published in the order of their revisions.
+  std::mutex offering_;
+  // Held for short reads and changes of the values, which listeners may ask for.
+  mutable std::mutex accepted_mutex_;
+  detail::AcceptedValues accepted_;
+  std::map<std::string, ConfigurationRejection> rejections_;
+  RcuCell<ConfigurationSnapshot> current_;
+  std::atomic<Instant::rep> last_heard_{0};
+  std::vector<Listener> listeners_;
+};
+
+ConfigurationController::ConfigurationController(EventLog* events)
+    : implementation_(std::make_unique<Implementation>(events)) {}
+
+ConfigurationController::~ConfigurationController() = default;
+
+void ConfigurationController::Offer(const ConfigurationValues& values, Instant now) {
+  implementation_->Offer(values, now);
+}
+
+void ConfigurationController::NoteHeard(Revision revision, Instant now) {
+  implementation_->NoteHeard(revision, now);
+}
+
+Instant ConfigurationController::LastHeard() const { return implementation_->LastHeard(); }
+
+void ConfigurationController::AddListener(Listener listener) {
+  implementation_->AddListener(std::move(listener));
+}
+
+std::shared_ptr<const ConfigurationSnapshot> ConfigurationController::Current() const {
+  return implementation_->Current();
+}
+
+std::vector<ConfigurationRejection> ConfigurationController::Rejections() const {
+  return implementation_->Rejections();
+}
+
+ConfigurationValues ConfigurationController::ValuesAfter(Revision after) const {
+  return implementation_->ValuesAfter(after);
+}
+
+}  // namespace primroseweir
