--- a/include/primroseweir/routing/candidate.h
+++ b/include/primroseweir/routing/candidate.h
@@ -13,6 +13,9 @@
   std::uint32_t index = 0;
   // Calls that the upstream executes at a time.
   std::uint32_t slots = 1;
+  // Slots of the upstream that the live seats' even division assigns to this instance; a
+  // preference, not a limit. 0 when it has none there.
+  std::uint32_t owned_slots = 0;
   // Calls of this instance that are in flight there.
   std::uint32_t local_in_flight = 0;
   // Newest report known, over the whole fleet; valid when has_report is set.
@@ -24,6 +27,8 @@
   std::uint32_t ended_since_report = 0;
   // Exponentially weighted time to an answer's head as this instance saw it; 0 before the first.
   Duration latency{};
+  // Time since `latency` last changed.
+  Duration latency_age{};
   // Time since the upstream last refused a call of this instance; Duration::max() when never.
   Duration since_refusal = Duration::max();
   // Network round trip to its data centre, 0 for this instance's own.
--- /dev/null
+++ b/src/routing/detail/choice_functions.cc
@@ -0,0 +1,146 @@
+#include "primroseweir/routing/detail/choice_functions.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <utility>
+
+#include "primroseweir/base/random.h"
+#include "primroseweir/routing/detail/load_estimate.h"
+
+namespace primroseweir::detail {
+namespace {
+
+// An upstream whose latency is above this many times the median is treated as slow. At 90% load 2.0
+// gave a lower 99.9th percentile with stragglers than 1.3, 1.5 and 2.5 in bench/choice.
+constexpr double kSlowLatencyRatio = 2.0;
+// Cost of leaving the owned slots, in median latencies: another instance may use the slot.
+constexpr double kOverflowCost = 0.5;
+// An upstream that was slow gets calls again after about this time without news of its latency.
+constexpr double kLatencyFadeMicroseconds = 2'000'000.0;
+// Upstreams that HotColdPools looks at for one choice.
+constexpr std::size_t kPoolSize = 4;
+
+// Position of the lowest cost; ties are broken at random. `cost` takes a Candidate.
+template <typename Cost>
+std::size_t Lowest(const std::vector<Candidate>& candidates, Random* random, const Cost& cost) {
+  std::size_t best = 0;
+  double best_cost = std::numeric_limits<double>::infinity();
+  std::uint64_t ties = 0;
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    const double value = cost(candidates[i]);
+    if (value > best_cost) continue;
+    ties = value < best_cost ? 1 : ties + 1;
+    if (ties == 1 || random->Below(ties) == 0) best = i;
+    best_cost = value;
+  }
+  return best;
+}
+
+double LocalPerSlot(const Candidate& candidate) {
+  return static_cast<double>(candidate.local_in_flight) / candidate.slots;
+}
+
+// Latency in multiples of the median; 1 for upstreams that are not slow. It fades towards 1 with
+// its age, so that an upstream that recovered is found out.
+double Slowness(const Candidate& candidate, double median_latency) {
+  const auto latency = static_cast<double>(ToMicroseconds(candidate.latency));
+  if (latency <= 0 || median_latency <= 0) return 1.0;
+  const auto age = static_cast<double>(ToMicroseconds(candidate.latency_age));
+  const double ratio =
+      1.0 + (latency / median_latency - 1.0) * std::exp(-age / kLatencyFadeMicroseconds);
+  return ratio > kSlowLatencyRatio ? ratio : 1.0;
+}
+
+// 0 while an owned slot is free; grows with the calls beyond the owned slots.
+double OverflowCost(const Candidate& candidate) {
+  if (candidate.local_in_flight < candidate.owned_slots) return 0.0;
+  const double beyond = candidate.local_in_flight - candidate.owned_slots + 1.0;
+  return kOverflowCost + beyond / candidate.slots;
+}
+
+// Two different positions at random; the same one twice when there is only one.
+std::pair<std::size_t, std::size_t> TwoPositions(std::size_t count, Random* random) {
+  const std::size_t first = random->Below(count);
+  if (count == 1) return {first, first};
+  const std::size_t second = (first + 1 + random->Below(count - 1)) % count;
+  return {first, second};
+}
+
+}  // namespace
+
+std::size_t ChooseRandom(const std::vector<Candidate>& candidates, Random* random,
+                         Instant /*now*/) {
+  return random->Below(candidates.size());
+}
+
+std::size_t ChooseLeastInFlight(const std::vector<Candidate>& candidates, Random* random,
+                                Instant /*now*/) {
+  return Lowest(candidates, random, LocalPerSlot);
+}
+
+std::size_t ChooseTwoRandom(const std::vector<Candidate>& candidates, Random* random,
+                            Instant /*now*/) {
+  const auto [first, second] = TwoPositions(candidates.size(), random);
+  return LocalPerSlot(candidates[first]) <= LocalPerSlot(candidates[second]) ? first : second;
+}
+
+std::size_t ChooseTwoReported(const std::vector<Candidate>& candidates, Random* random,
+                              Instant /*now*/) {
+  const auto [first, second] = TwoPositions(candidates.size(), random);
+  const double mean = MeanOthersPerSlot(candidates);
+  const auto load = [&](std::size_t i) {
+    return EstimatedInFlight(candidates[i], mean) / candidates[i].slots;
+  };
+  return load(first) <= load(second) ? first : second;
+}
+
+std::size_t ChooseCorrectedReport(const std::vector<Candidate>& candidates, Random* random,
+                                  Instant /*now*/) {
+  return Lowest(candidates, random, [](const Candidate& candidate) {
+    const double reported = candidate.has_report ? candidate.reported_in_flight : 0.0;
+    const double corrected =
+        reported + candidate.sent_since_report - static_cast<double>(candidate.ended_since_report);
+    return corrected / candidate.slots;
+  });
+}
+
+std::size_t ChooseHotColdPools(const std::vector<Candidate>& candidates, Random* random,
+                               Instant /*now*/) {
+  std::vector<std::size_t> pool;
+  for (std::size_t i = 0; i < std::min(kPoolSize, candidates.size()); ++i) {
+    pool.push_back(random->Below(candidates.size()));
+  }
+  const double mean = MeanOthersPerSlot(candidates);
+  const auto load = [&](std::size_t i) {
+    return EstimatedInFlight(candidates[i], mean) / candidates[i].slots;
+  };
+  std::sort(pool.begin(), pool.end(),
+            [&](std::size_t a, std::size_t b) { return load(a) < load(b); });
+  const double hot = load(pool[pool.size() / 2]);
+  std::size_t best = pool[0];
+  for (const std::size_t i : pool) {
+    if (load(i) <= hot && candidates[i].latency < candidates[best].latency) best = i;
+  }
+  return best;
+}
+
+std::size_t ChooseOwnedFirst(const std::vector<Candidate>& candidates, Random* random,
+                             Instant /*now*/) {
+  return Lowest(candidates, random, [](const Candidate& candidate) {
+    const bool owned_free = candidate.local_in_flight < candidate.owned_slots;
+    return owned_free ? -1.0 : LocalPerSlot(candidate);
+  });
+}
+
+std::size_t ChooseOwnedAndFast(const std::vector<Candidate>& candidates, Random* random,
+                               Instant /*now*/) {
+  const double median = MedianLatency(candidates);
+  return Lowest(candidates, random, [median](const Candidate& candidate) {
+    const double distance =
+        median > 0 ? static_cast<double>(ToMicroseconds(candidate.distance)) / median : 0.0;
+    return Slowness(candidate, median) * (1.0 + OverflowCost(candidate)) + distance;
+  });
+}
+
+}  // namespace primroseweir::detail
--- /dev/null
+++ b/src/routing/detail/load_estimate.cc
@@ -0,0 +1,55 @@
+#include "primroseweir/routing/detail/load_estimate.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace primroseweir::detail {
+namespace {
+
+// The others' calls at an upstream change almost completely within a few service times.
+constexpr double kReportFadeMicroseconds = 60'000.0;
+
+double Microseconds(Duration duration) { return static_cast<double>(ToMicroseconds(duration)); }
+
+// Calls of other instances that the report contains.
+double OthersInReport(const Candidate& candidate) {
+  const double own_then = static_cast<double>(candidate.local_in_flight) +
+                          candidate.ended_since_report - candidate.sent_since_report;
+  return std::max(0.0, candidate.reported_in_flight - own_then);
+}
+
+}  // namespace
+
+double MeanOthersPerSlot(const std::vector<Candidate>& candidates) {
+  double others = 0;
+  double slots = 0;
+  for (const Candidate& candidate : candidates) {
+    if (!candidate.has_report) continue;
+    others += OthersInReport(candidate);
+    slots += candidate.slots;
+  }
+  return slots > 0 ? others / slots : 0.0;
+}
+
+double EstimatedInFlight(const Candidate& candidate, double mean_others_per_slot) {
+  double others = mean_others_per_slot * candidate.slots;
+  if (candidate.has_report) {
+    const double weight = std::exp(-Microseconds(candidate.report_age) / kReportFadeMicroseconds);
+    others += weight * (OthersInReport(candidate) - others);
+  }
+  return others + candidate.local_in_flight;
+}
+
+double MedianLatency(const std::vector<Candidate>& candidates) {
+  std::vector<double> latencies;
+  latencies.reserve(candidates.size());
+  for (const Candidate& candidate : candidates) {
+    if (candidate.latency > Duration::zero()) latencies.push_back(Microseconds(candidate.latency));
+  }
+  if (latencies.empty()) return 0.0;
+  const auto middle = latencies.begin() + static_cast<std::ptrdiff_t>(latencies.size() / 2);
+  std::nth_element(latencies.begin(), middle, latencies.end());
+  return *middle;
+}
+
+}  // namespace primroseweir::detail
