--- a/Makefile
+++ b/Makefile
@@ -15,6 +15,7 @@
 check: build
 	@tools/check_format.sh
 	@tools/check_lint.sh $(BUILD)
+	@tools/check_threads.sh $(BUILD)
 	@tools/run_tests.sh $(BUILD)
 
 demo: build
