--- /dev/null
+++ b/include/primroseweir/membership/detail/gossip_threads.h
@@ -0,0 +1,111 @@
+#ifndef PRIMROSEWEIR_MEMBERSHIP_DETAIL_GOSSIP_THREADS_H_
+#define PRIMROSEWEIR_MEMBERSHIP_DETAIL_GOSSIP_THREADS_H_
+
+#include <atomic>
+#include <condition_variable>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+#include "primroseweir/base/random.h"
+#include "primroseweir/base/rcu_cell.h"
+#include "primroseweir/membership/detail/configuration_fetcher.h"
+#include "primroseweir/membership/gossip_controller.h"
+#include "primroseweir/membership/gossip_node.h"
+#include "primroseweir/peer/snapshot_client.h"
+#include "primroseweir/peer/snapshot_server.h"
+#include "primroseweir/peer/udp_transport.h"
+
+namespace primroseweir {
+namespace detail {
+
+// The threads of GossipController. The gossip thread alone uses the GossipNode; other threads leave
+// their wishes in a queue and wake it.
+class GossipThreads {
+ public:
+  GossipThreads(GossipSettings settings, GossipHooks hooks, EventLog* events);
+  ~GossipThreads();
+
+  absl::Status Start();
+  void Stop(bool farewell);
+  void SendUrgent(UrgentItems items);
+  void DeclareLeaving();
+  absl::StatusOr<Revision> RefreshNow(Duration timeout);
+  std::shared_ptr<const MembershipView> View() const { return view_.Load(); }
+  SocketAddress local_address() const;
+  GossipController::Traffic traffic() const;
+
+ private:
+  // What other threads want from the gossip thread.
+  struct Wishes {
+    bool urgent = false;
+    bool leaving = false;
+    UrgentItems items;
+    std::vector<std::uint64_t> questions;
+  };
+
+  // A RefreshNow that waits.
+  struct Refresh {
+    bool answered = false;
+    Revision revision;
+  };
+
+  absl::Status Bind();
+  absl::Status BindOnce();
+  void AskSeeds();
+  void AskSeed(const SocketAddress& seed);
+  void Run();
+  void SayFarewell();
+  void NotifyRefreshes();
+  void FulfilWishes(Instant now);
+  void ReceiveAll(Instant now);
+  void ReceiveOne(const Datagram& datagram, Instant now);
+  void HearConfiguration(const GossipMessage& message, Duration waited, Instant now);
+  void NoteAnswer(const GossipHeader& header);
+  void TickWhenDue(Instant now);
+  void Send(const std::vector<OutgoingDatagram>& datagrams);
+  void SendUrgentDue(Instant now);
+  void Publish(Instant now);
+  void EmitChanges(const MembershipView& before, const MembershipView& after);
+  void NoteRefused(const absl::Status& status, Instant now);
+  Duration WaitTime(Instant now) const;
+  ConfigurationState OwnState() const;
+  HybridTime HybridNow();
+
+  GossipSettings settings_;
+  const GossipHooks hooks_;
+  EventLog* const events_;
+  const MessageSigner signer_;
+  const SnapshotClient client_;
+  ConfigurationFetcher fetcher_;
+  std::unique_ptr<UdpTransport> transport_;
+  std::unique_ptr<SnapshotServer> server_;
+  std::unique_ptr<GossipNode> node_;
+  RcuCell<MembershipView> view_;
+  Random random_;
+
+  std::mutex mutex_;
+  Wishes wishes_;
+  std::map<std::uint64_t, Refresh> refreshes_;
+  std::condition_variable refreshed_;
+
+  std::atomic<bool> stopping_{false};
+  std::atomic<bool> farewell_{false};
+  std::atomic<bool> running_{false};
+  std::atomic<std::uint64_t> datagrams_sent_{0};
+  std::atomic<std::uint64_t> bytes_sent_{0};
+  std::atomic<std::uint64_t> datagrams_received_{0};
+  std::atomic<std::uint64_t> bytes_received_{0};
+  std::atomic<std::uint64_t> datagrams_refused_{0};
+  Instant next_tick_;
+  Instant next_refusal_event_;
+  std::thread thread_;
+};
+
+}  // namespace detail
+}  // namespace primroseweir
+
+#endif  // PRIMROSEWEIR_MEMBERSHIP_DETAIL_GOSSIP_THREADS_H_
--- /dev/null
+++ b/include/primroseweir/membership/urgent_items.h
@@ -0,0 +1,20 @@
+#ifndef PRIMROSEWEIR_MEMBERSHIP_URGENT_ITEMS_H_
+#define PRIMROSEWEIR_MEMBERSHIP_URGENT_ITEMS_H_
+
+#include <vector>
+
+#include "primroseweir/limits/crash_strike.h"
+#include "primroseweir/upstream/observation.h"
+
+namespace primroseweir {
+
+// Items to send to the peers at once. The present revision and the own state go along with every
+// message, so an empty object announces a change of either.
+struct UrgentItems {
+  std::vector<UpstreamObservation> observations;
+  std::vector<CrashStrike> strikes;
+};
+
+}  // namespace primroseweir
+
+#endif  // PRIMROSEWEIR_MEMBERSHIP_URGENT_ITEMS_H_
--- /dev/null
+++ b/include/primroseweir/peer/gossip_message.h
@@ -0,0 +1,37 @@
+#ifndef PRIMROSEWEIR_PEER_GOSSIP_MESSAGE_H_
+#define PRIMROSEWEIR_PEER_GOSSIP_MESSAGE_H_
+
+#include <cstdint>
+#include <vector>
+
+#include "primroseweir/base/hybrid_time.h"
+#include "primroseweir/base/ids.h"
+#include "primroseweir/limits/crash_strike.h"
+#include "primroseweir/peer/configuration_state.h"
+#include "primroseweir/peer/member_record.h"
+#include "primroseweir/upstream/observation.h"
+
+namespace primroseweir {
+
+// The head of a datagram between entry instances.
+struct GossipHeader {
+  InstanceId sender;
+  Incarnation incarnation;
+  HybridTime sent_at;
+  ConfigurationState configuration;
+  // Not 0 when the sender wants an answer at once; the answer repeats the number in `answer_to`.
+  std::uint64_t question = 0;
+  std::uint64_t answer_to = 0;
+};
+
+// The content of one datagram. The sender's own record is the first of `members`.
+struct GossipMessage {
+  GossipHeader header;
+  std::vector<MemberRecord> members;
+  std::vector<UpstreamObservation> observations;
+  std::vector<CrashStrike> strikes;
+};
+
+}  // namespace primroseweir
+
+#endif  // PRIMROSEWEIR_PEER_GOSSIP_MESSAGE_H_
--- /dev/null
+++ b/include/primroseweir/peer/snapshot_client.h
@@ -0,0 +1,39 @@
+#ifndef PRIMROSEWEIR_PEER_SNAPSHOT_CLIENT_H_
+#define PRIMROSEWEIR_PEER_SNAPSHOT_CLIENT_H_
+
+#include <absl/status/statusor.h>
+
+#include <string>
+#include <vector>
+
+#include "primroseweir/base/socket_address.h"
+#include "primroseweir/base/time.h"
+#include "primroseweir/configuration/configuration_values.h"
+#include "primroseweir/peer/message_signer.h"
+#include "primroseweir/upstream/observation.h"
+
+namespace primroseweir {
+
+// Asks a peer for a snapshot by JSON-RPC. Blocks; safe for several threads. Errors: Unavailable
+// when the peer can't be reached in time or refuses, PermissionDenied when its answer isn't signed
+// for this request, InvalidArgument when the answer can't be read. Each carries step and peer.
+class SnapshotClient {
+ public:
+  // `signer` must outlive the client. `timeout` holds for each wait on the network.
+  SnapshotClient(const MessageSigner* signer, Duration timeout);
+
+  absl::StatusOr<ConfigurationValues> Configuration(const SocketAddress& peer,
+                                                    Revision after) const;
+  absl::StatusOr<std::vector<UpstreamObservation>> Observations(const SocketAddress& peer) const;
+
+ private:
+  absl::StatusOr<std::string> Call(const SocketAddress& peer, const std::string& method,
+                                   const std::string& parameters) const;
+
+  const MessageSigner* const signer_;
+  const Duration timeout_;
+};
+
+}  // namespace primroseweir
+
+#endif  // PRIMROSEWEIR_PEER_SNAPSHOT_CLIENT_H_
--- /dev/null
+++ b/include/primroseweir/peer/snapshot_codec.h
@@ -0,0 +1,27 @@
+#ifndef PRIMROSEWEIR_PEER_SNAPSHOT_CODEC_H_
+#define PRIMROSEWEIR_PEER_SNAPSHOT_CODEC_H_
+
+#include <absl/status/statusor.h>
+
+#include <string>
+#include <vector>
+
+#include "primroseweir/configuration/configuration_values.h"
+#include "primroseweir/upstream/observation.h"
+
+namespace primroseweir {
+
+// JSON texts of the snapshot transfer. The decoders answer InvalidArgument with the step "decode
+// snapshot" and `peer`; all are linear in the length.
+
+std::string EncodeConfigurationValues(const ConfigurationValues& values);
+absl::StatusOr<ConfigurationValues> DecodeConfigurationValues(const std::string& text,
+                                                              const std::string& peer);
+
+std::string EncodeObservations(const std::vector<UpstreamObservation>& observations);
+absl::StatusOr<std::vector<UpstreamObservation>> DecodeObservations(const std::string& text,
+                                                                    const std::string& peer);
+
+}  // namespace primroseweir
+
+#endif  // PRIMROSEWEIR_PEER_SNAPSHOT_CODEC_H_
--- /dev/null
+++ b/src/membership/detail/gossip_threads.cc
@@ -0,0 +1,354 @@
+#include "primroseweir/membership/detail/gossip_threads.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+#include "primroseweir/base/error.h"
+#include "primroseweir/base/event_log.h"
+#include "primroseweir/peer/gossip_codec.h"
+
+namespace primroseweir {
+namespace detail {
+namespace {
+
+// A free UDP port may be taken on TCP; then another one is tried.
+constexpr int kBindAttempts = 20;
+// Seeds asked at start. More than one, since one may be dead or may know an old revision.
+constexpr std::size_t kSeedsAsked = 3;
+// Datagrams read before the next period is served.
+constexpr int kDatagramsAtOnce = 2'000;
+// Refused datagrams are recorded at most this often, so that a flood doesn't fill the log.
+constexpr Duration kRefusalEventPeriod = std::chrono::seconds(1);
+// Urgent datagrams that wait for the budget are tried this often.
+constexpr Duration kUrgentRetry = std::chrono::milliseconds(10);
+
+const char* StateName(MemberState state) {
+  switch (state) {
+    case MemberState::kAlive:
+      return "alive";
+    case MemberState::kSuspect:
+      return "suspect";
+    case MemberState::kLeaving:
+      return "leaving";
+    case MemberState::kDead:
+      return "dead";
+  }
+  return "unknown";
+}
+
+std::shared_ptr<const MembershipView> ViewOfSelf(const Member& self) {
+  auto view = std::make_shared<MembershipView>();
+  view->members.push_back(self);
+  return view;
+}
+
+using StatesByMember = std::map<std::pair<InstanceId, Incarnation>, const Member*>;
+
+StatesByMember IndexOf(const MembershipView& view) {
+  StatesByMember index;
+  for (const Member& member : view.members) index[{member.id, member.incarnation}] = &member;
+  return index;
+}
+
+}  // namespace
+
+GossipThreads::GossipThreads(GossipSettings settings, GossipHooks hooks, EventLog* events)
+    : settings_(std::move(settings)),
+      hooks_(std::move(hooks)),
+      events_(events),
+      signer_(settings_.fleet_key),
+      client_(&signer_, settings_.snapshot_timeout),
+      fetcher_(&hooks_, &client_, events, [this] { NotifyRefreshes(); }),
+      view_(ViewOfSelf(settings_.self)),
+      random_(EntropySeed()) {}
+
+GossipThreads::~GossipThreads() { Stop(false); }
+
+// ---- start and stop ----
+
+absl::Status GossipThreads::BindOnce() {
+  auto transport = UdpTransport::Bind(settings_.self.peer_address);
+  if (!transport.ok()) return transport.status();
+  SnapshotServer::Providers providers;
+  providers.configuration = [this](Revision after) {
+    return hooks_.configuration_values ? hooks_.configuration_values(after) : ConfigurationValues();
+  };
+  providers.observations = [this] {
+    return hooks_.all_observations ? hooks_.all_observations() : std::vector<UpstreamObservation>();
+  };
+  server_ = std::make_unique<SnapshotServer>(std::move(providers), &signer_);
+  absl::Status status = server_->Start((*transport)->local_address());
+  if (status.ok()) transport_ = std::move(*transport);
+  return status;
+}
+
+absl::Status GossipThreads::Bind() {
+  absl::Status status = BindOnce();
+  if (settings_.self.peer_address.port != 0) return status;
+  for (int attempt = 1; !status.ok() && attempt < kBindAttempts; ++attempt) status = BindOnce();
+  return status;
+}
+
+absl::Status GossipThreads::Start() {
+  absl::Status status = Bind();
+  if (!status.ok()) return status;
+  settings_.self.peer_address = transport_->local_address();
+  transport_->SetSendFilter(settings_.send_filter);
+  node_ = std::make_unique<GossipNode>(settings_, &hooks_, &signer_, MonotonicNow());
+  AskSeeds();
+  fetcher_.Start();
+  next_tick_ = MonotonicNow();
+  running_ = true;
+  thread_ = std::thread([this] { Run(); });
+  return absl::OkStatus();
+}
+
+void GossipThreads::AskSeed(const SocketAddress& seed) {
+  if (settings_.send_filter && !settings_.send_filter(seed)) return;
+  if (!fetcher_.Fetch(seed, OwnState().revision)) return;
+  const auto observations = client_.Observations(seed);
+  if (!observations.ok()) return;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    node_->NoteSnapshot(*observations);
+  }
+  if (hooks_.merge_observations) hooks_.merge_observations(*observations, MonotonicNow());
+}
+
+void GossipThreads::AskSeeds() {
+  std::vector<SocketAddress> seeds = settings_.seeds;
+  seeds.erase(std::remove(seeds.begin(), seeds.end(), settings_.self.peer_address), seeds.end());
+  for (std::size_t i = seeds.size(); i > 1; --i) std::swap(seeds[i - 1], seeds[random_.Below(i)]);
+  seeds.resize(std::min(seeds.size(), kSeedsAsked));
+  std::vector<std::thread> threads;
+  threads.reserve(seeds.size());
+  for (const SocketAddress& seed : seeds) threads.emplace_back([this, seed] { AskSeed(seed); });
+  for (std::thread& thread : threads) thread.join();
+}
+
+void GossipThreads::Stop(bool farewell) {
+  if (!running_.exchange(false)) return;
+  farewell_ = farewell;
+  stopping_ = true;
+  transport_->Wake();
+  thread_.join();
+  fetcher_.Stop();
+  server_->Stop();
+  NotifyRefreshes();
+}
+
+void GossipThreads::SayFarewell() {
+  node_->table().DeclareStopped();
+  node_->PutUrgent({}, MonotonicNow());
+  Send(node_->UrgentDatagrams(HybridNow(), MonotonicNow()));
+}
+
+// ---- wishes of other threads ----
+
+void GossipThreads::SendUrgent(UrgentItems items) {
+  if (!running_) return;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    wishes_.urgent = true;
+    UrgentItems& waiting = wishes_.items;
+    waiting.observations.insert(waiting.observations.end(), items.observations.begin(),
+                                items.observations.end());
+    waiting.strikes.insert(waiting.strikes.end(), items.strikes.begin(), items.strikes.end());
+  }
+  transport_->Wake();
+}
+
+void GossipThreads::DeclareLeaving() {
+  if (!running_) return;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    wishes_.leaving = true;
+  }
+  transport_->Wake();
+}
+
+absl::StatusOr<Revision> GossipThreads::RefreshNow(Duration timeout) {
+  const ErrorOrigin origin{"refresh configuration", ""};
+  if (!running_) return MakeError(absl::StatusCode::kUnavailable, origin, "gossip is not running");
+  const Instant deadline = MonotonicNow() + timeout;
+  std::unique_lock<std::mutex> lock(mutex_);
+  std::uint64_t question = 0;
+  while (question == 0 || refreshes_.count(question) != 0) question = EntropySeed();
+  Refresh& refresh = refreshes_[question];
+  wishes_.questions.push_back(question);
+  transport_->Wake();
+  refreshed_.wait_until(lock, deadline, [this, &refresh] {
+    return !running_ || (refresh.answered && OwnState().revision >= refresh.revision);
+  });
+  const Refresh result = refresh;
+  refreshes_.erase(question);
+  if (result.answered) return result.revision;
+  return MakeError(absl::StatusCode::kDeadlineExceeded, origin, "no peer answered");
+}
+
+void GossipThreads::NotifyRefreshes() {
+  // Under the lock, so that a waiting thread can't miss it between its check and its wait.
+  const std::lock_guard<std::mutex> lock(mutex_);
+  refreshed_.notify_all();
+}
+
+void GossipThreads::FulfilWishes(Instant now) {
+  Wishes wishes;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    std::swap(wishes, wishes_);
+  }
+  if (wishes.leaving) node_->table().DeclareLeaving();
+  if (wishes.leaving || wishes.urgent) node_->PutUrgent(wishes.items, now);
+  if (wishes.leaving) Publish(now);
+  for (const std::uint64_t question : wishes.questions) {
+    Send(node_->Questions(question, HybridNow(), now));
+  }
+}
+
+// ---- the gossip thread ----
+
+void GossipThreads::Run() {
+  while (!stopping_) {
+    transport_->Wait(WaitTime(MonotonicNow()));
+    ReceiveAll(MonotonicNow());
+    FulfilWishes(MonotonicNow());
+    TickWhenDue(MonotonicNow());
+    SendUrgentDue(MonotonicNow());
+  }
+  if (farewell_) SayFarewell();
+}
+
+Duration GossipThreads::WaitTime(Instant now) const {
+  const Duration until_tick = std::max<Duration>(Duration::zero(), next_tick_ - now);
+  return node_->has_urgent() ? std::min(until_tick, kUrgentRetry) : until_tick;
+}
+
+void GossipThreads::ReceiveAll(Instant now) {
+  for (int i = 0; i < kDatagramsAtOnce; ++i) {
+    const auto datagram = transport_->Receive();
+    if (!datagram) return;
+    ReceiveOne(*datagram, now);
+  }
+}
+
+void GossipThreads::ReceiveOne(const Datagram& datagram, Instant now) {
+  ++datagrams_received_;
+  bytes_received_ += datagram.bytes.size();
+  auto message = DecodeGossip(datagram.bytes, datagram.from.ToString(), signer_);
+  if (!message.ok()) {
+    NoteRefused(message.status(), now);
+    return;
+  }
+  // An own datagram that came back says nothing.
+  if (message->header.sender == settings_.self.id &&
+      message->header.incarnation == settings_.self.incarnation) {
+    return;
+  }
+  const HybridTime received_at =
+      events_->clock().Observe(message->header.sent_at, WallMicroseconds());
+  HearConfiguration(*message, datagram.waited, now);
+  if (message->header.question != 0) Send(node_->Answer(*message, HybridNow(), now));
+  NoteAnswer(message->header);
+  if (node_->Receive(std::move(*message), datagram.waited, received_at, now)) Publish(now);
+}
+
+void GossipThreads::HearConfiguration(const GossipMessage& message, Duration waited, Instant now) {
+  const ConfigurationState& theirs = message.header.configuration;
+  const SocketAddress& peer = message.members.front().member.peer_address;
+  if (hooks_.heard_revision) hooks_.heard_revision(theirs.revision, now - waited);
+  if (settings_.send_filter && !settings_.send_filter(peer)) return;
+  fetcher_.Hear(peer, theirs, OwnState(), now);
+}
+
+void GossipThreads::NoteAnswer(const GossipHeader& header) {
+  if (header.answer_to == 0) return;
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const auto refresh = refreshes_.find(header.answer_to);
+  if (refresh == refreshes_.end()) return;
+  refresh->second.answered = true;
+  refresh->second.revision = std::max(refresh->second.revision, header.configuration.revision);
+  refreshed_.notify_all();
+}
+
+void GossipThreads::NoteRefused(const absl::Status& status, Instant now) {
+  ++datagrams_refused_;
+  if (now < next_refusal_event_) return;
+  next_refusal_event_ = now + kRefusalEventPeriod;
+  const ErrorOrigin origin = OriginOf(status);
+  events_->Emit("datagram_refused", {{"step", origin.step},
+                                     {"peer", origin.peer},
+                                     {"reason", MessageOf(status)},
+                                     {"refused", std::to_string(datagrams_refused_)}});
+}
+
+void GossipThreads::TickWhenDue(Instant now) {
+  if (now < next_tick_) return;
+  next_tick_ = std::max(next_tick_ + settings_.period, now);
+  bool changed = false;
+  Send(node_->Tick(HybridNow(), now, &changed));
+  if (changed) Publish(now);
+}
+
+void GossipThreads::SendUrgentDue(Instant now) {
+  if (node_->has_urgent()) Send(node_->UrgentDatagrams(HybridNow(), now));
+}
+
+void GossipThreads::Send(const std::vector<OutgoingDatagram>& datagrams) {
+  for (const OutgoingDatagram& datagram : datagrams) {
+    if (!transport_->Send(datagram.to, datagram.bytes)) continue;
+    ++datagrams_sent_;
+    bytes_sent_ += datagram.bytes.size();
+  }
+}
+
+// ---- publishing ----
+
+void GossipThreads::Publish(Instant now) {
+  const auto before = view_.Load();
+  auto after = std::make_shared<const MembershipView>(node_->table().View());
+  EmitChanges(*before, *after);
+  view_.Store(after);
+  if (hooks_.membership_changed) hooks_.membership_changed(after, now);
+}
+
+void GossipThreads::EmitChanges(const MembershipView& before, const MembershipView& after) {
+  const StatesByMember earlier = IndexOf(before);
+  for (const Member& member : after.members) {
+    const auto found = earlier.find({member.id, member.incarnation});
+    const bool known = found != earlier.end();
+    if (known && found->second->state == member.state) continue;
+    events_->Emit("member_changed", {{"member", member.id.value()},
+                                     {"incarnation", std::to_string(member.incarnation.value())},
+                                     {"seat", std::to_string(member.seat.value())},
+                                     {"from", known ? StateName(found->second->state) : "unknown"},
+                                     {"to", StateName(member.state)}});
+  }
+  if (before.seat_taken == after.seat_taken) return;
+  events_->Emit(after.seat_taken ? "seat_taken" : "seat_free",
+                {{"seat", std::to_string(settings_.self.seat.value())}});
+}
+
+// ---- small helpers ----
+
+ConfigurationState GossipThreads::OwnState() const {
+  return hooks_.configuration_state ? hooks_.configuration_state() : ConfigurationState();
+}
+
+HybridTime GossipThreads::HybridNow() { return events_->clock().Tick(WallMicroseconds()); }
+
+SocketAddress GossipThreads::local_address() const { return settings_.self.peer_address; }
+
+GossipController::Traffic GossipThreads::traffic() const {
+  GossipController::Traffic traffic;
+  traffic.datagrams_sent = datagrams_sent_;
+  traffic.bytes_sent = bytes_sent_;
+  traffic.datagrams_received = datagrams_received_;
+  traffic.bytes_received = bytes_received_;
+  traffic.datagrams_refused = datagrams_refused_;
+  return traffic;
+}
+
+}  // namespace detail
+}  // namespace primroseweir
--- /dev/null
+++ b/src/membership/gossip_node.cc
@@ -0,0 +1,243 @@
+#include "primroseweir/membership/gossip_node.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace primroseweir {
+namespace {
+
+// The byte bucket holds one second of budget, of which periodic datagrams leave half for urgent
+// ones. Urgent datagrams may use it up; periodic ones then carry the own record only.
+constexpr double kBucketSeconds = 1.0;
+constexpr double kUrgentShare = 0.5;
+// Enough for the head and the own record.
+constexpr std::size_t kSmallestLimit = 256;
+// Records asked from the providers for one period; more never fit into a datagram.
+constexpr std::size_t kNewestObservations = 64;
+constexpr std::size_t kNewestStrikes = 16;
+// A change is passed on this often per doubling of the fleet. 3 reaches every member with high
+// probability (SWIM, section 4.1), one more allows for lost datagrams.
+constexpr std::size_t kRumorFactor = 4;
+// Strikes are void after 10 minutes (docs/design.md 7.9).
+constexpr Duration kStrikeLifetime = std::chrono::minutes(10);
+// Clocks of instances that differ by less than this are not taken for a replay.
+constexpr std::int64_t kClockToleranceMicroseconds = 60'000'000;
+// Bounds on what is remembered, against endless growth.
+constexpr std::size_t kMaximumSenders = 8'192;
+constexpr std::size_t kMaximumStrikes = 4'096;
+
+}  // namespace
+
+GossipNode::GossipNode(const GossipSettings& settings, const GossipHooks* hooks,
+                       const MessageSigner* signer, Instant now)
+    : settings_(settings),
+      hooks_(hooks),
+      signer_(signer),
+      random_(settings.random_seed),
+      table_(settings.self, settings.timeouts, now),
+      bytes_(settings.bytes_per_second, settings.bytes_per_second * kBucketSeconds, now),
+      urgent_datagrams_(settings.urgent_datagrams_per_second, settings.urgent_datagrams_per_second,
+                        now) {}
+
+// ---- receiving ----
+
+Duration GossipNode::LagOf(const GossipHeader& header, HybridTime received_at) {
+  if (newest_from_.size() > kMaximumSenders) newest_from_.clear();
+  const auto [entry, first] =
+      newest_from_.try_emplace({header.sender, header.incarnation}, header.sent_at);
+  std::int64_t lag = entry->second.microseconds - header.sent_at.microseconds;
+  if (first) {
+    lag = received_at.microseconds - header.sent_at.microseconds - kClockToleranceMicroseconds;
+  }
+  entry->second = std::max(entry->second, header.sent_at);
+  return std::chrono::microseconds(std::max<std::int64_t>(0, lag));
+}
+
+bool GossipNode::Receive(GossipMessage message, Duration waited, HybridTime received_at,
+                         Instant now) {
+  const Duration age = waited + LagOf(message.header, received_at);
+  bool changed = false;
+  for (const MemberRecord& record : message.members) {
+    changed = table_.Receive(record, age, now) || changed;
+  }
+  TakeObservations(std::move(message.observations), age, now);
+  TakeStrikes(std::move(message.strikes), age, now);
+  return changed;
+}
+
+void GossipNode::TakeObservations(std::vector<UpstreamObservation> observations, Duration age,
+                                  Instant now) {
+  if (observations.empty()) return;
+  for (UpstreamObservation& observation : observations) {
+    if (observation.report) observation.report->age += age;
+    if (news_.Note(observation)) observation_rumors_.Put(observation.id, observation, now);
+  }
+  if (hooks_->merge_observations) hooks_->merge_observations(observations, now);
+}
+
+void GossipNode::TakeStrikes(std::vector<CrashStrike> strikes, Duration age, Instant now) {
+  for (CrashStrike& strike : strikes) strike.age += age;
+  strikes.erase(std::remove_if(strikes.begin(), strikes.end(),
+                               [](const CrashStrike& s) { return s.age >= kStrikeLifetime; }),
+                strikes.end());
+  if (strikes.empty()) return;
+  if (known_strikes_.size() > kMaximumStrikes) known_strikes_.clear();
+  for (const CrashStrike& strike : strikes) {
+    const StrikeKey key{strike.fingerprint, strike.upstream};
+    if (known_strikes_.emplace(key, now).second) strike_rumors_.Put(key, strike, now);
+  }
+  if (hooks_->merge_strikes) hooks_->merge_strikes(strikes, now);
+}
+
+void GossipNode::NoteSnapshot(const std::vector<UpstreamObservation>& observations) {
+  for (const UpstreamObservation& observation : observations) news_.NoteKnown(observation);
+}
+
+// ---- building datagrams ----
+
+GossipHeader GossipNode::MakeHeader(HybridTime sent_at) {
+  GossipHeader header;
+  header.sender = settings_.self.id;
+  header.incarnation = settings_.self.incarnation;
+  header.sent_at = sent_at;
+  if (hooks_->configuration_state) header.configuration = hooks_->configuration_state();
+  table_.SetRevision(header.configuration.revision);
+  return header;
+}
+
+DatagramPacker GossipNode::StartDatagram(const GossipHeader& header, std::size_t limit) {
+  DatagramPacker packer(header, limit);
+  packer.Add(table_.OwnRecord());
+  return packer;
+}
+
+std::size_t GossipNode::RumorLimit() const {
+  const auto members = static_cast<double>(table_.LiveCount() + 1);
+  return kRumorFactor * static_cast<std::size_t>(std::ceil(std::log2(members + 1)));
+}
+
+void GossipNode::AddRumors(DatagramPacker* packer, Instant now) {
+  const std::size_t limit = RumorLimit();
+  for (const auto* rumor : strike_rumors_.InOrder()) {
+    CrashStrike strike = rumor->value;
+    strike.age += now - rumor->noted;
+    if (!packer->Add(strike)) break;
+    strike_rumors_.NoteSent(StrikeKey(rumor->key), limit);
+  }
+  for (const auto* rumor : observation_rumors_.InOrder()) {
+    UpstreamObservation observation = rumor->value;
+    if (observation.report) observation.report->age += now - rumor->noted;
+    if (!packer->Add(observation)) break;
+    observation_rumors_.NoteSent(UpstreamId(rumor->key), limit);
+  }
+}
+
+void GossipNode::AddNewest(const std::vector<MemberRecord>& members,
+                           const std::vector<UpstreamObservation>& observations,
+                           DatagramPacker* packer) {
+  const std::size_t half = packer->size() + packer->room() / 2;
+  std::size_t next = 0;
+  while (next < members.size() && packer->size() < half && packer->Add(members[next])) ++next;
+  for (const UpstreamObservation& observation : observations) {
+    if (!packer->Add(observation)) break;
+  }
+  while (next < members.size() && packer->Add(members[next])) ++next;
+}
+
+bool GossipNode::Spend(std::size_t bytes, Instant now) {
+  return bytes_.Take(static_cast<double>(bytes + kHeaderBytes), now);
+}
+
+std::size_t GossipNode::PeriodicLimit(std::size_t datagrams, Instant now) {
+  const double level = bytes_.Level(now);
+  const double reserve = kUrgentShare * settings_.bytes_per_second * kBucketSeconds;
+  const double share = (level - reserve) / static_cast<double>(datagrams) - kHeaderBytes;
+  const double limit = std::clamp(share, static_cast<double>(kSmallestLimit),
+                                  static_cast<double>(DatagramPacker::kMaximumBytes));
+  return static_cast<std::size_t>(limit);
+}
+
+void GossipNode::NoteNewest(const std::vector<UpstreamObservation>& observations, Instant now) {
+  for (const UpstreamObservation& observation : observations) {
+    if (news_.NoteKnown(observation)) observation_rumors_.Put(observation.id, observation, now);
+  }
+}
+
+std::vector<OutgoingDatagram> GossipNode::Tick(HybridTime sent_at, Instant now,
+                                               bool* membership_changed) {
+  const bool changed = table_.Tick(now);
+  if (membership_changed != nullptr) *membership_changed = changed;
+  const std::vector<SocketAddress> targets = table_.ChooseTargets(settings_.seeds, &random_);
+  const std::vector<MemberRecord> members = table_.NewestFirst();
+  std::vector<UpstreamObservation> observations;
+  if (hooks_->newest_observations) observations = hooks_->newest_observations(kNewestObservations);
+  NoteNewest(observations, now);
+  const GossipHeader header = MakeHeader(sent_at);
+  std::vector<OutgoingDatagram> datagrams;
+  for (std::size_t i = 0; i < targets.size(); ++i) {
+    DatagramPacker packer = StartDatagram(header, PeriodicLimit(targets.size() - i, now));
+    AddRumors(&packer, now);
+    AddNewest(members, observations, &packer);
+    if (!Spend(packer.size(), now)) break;
+    datagrams.push_back({targets[i], packer.Finish(*signer_)});
+  }
+  return datagrams;
+}
+
+// ---- urgent datagrams ----
+
+void GossipNode::PutUrgent(const UrgentItems& items, Instant now) {
+  for (const UpstreamObservation& observation : items.observations) {
+    news_.Note(observation);
+    observation_rumors_.Put(observation.id, observation, now);
+  }
+  for (const CrashStrike& strike : items.strikes) {
+    const StrikeKey key{strike.fingerprint, strike.upstream};
+    known_strikes_.emplace(key, now);
+    strike_rumors_.Put(key, strike, now);
+  }
+  urgent_targets_ = table_.LivePeers(kUrgentTargets, &random_);
+}
+
+std::vector<OutgoingDatagram> GossipNode::UrgentDatagrams(HybridTime sent_at, Instant now) {
+  std::vector<OutgoingDatagram> datagrams;
+  if (urgent_targets_.empty()) return datagrams;
+  const GossipHeader header = MakeHeader(sent_at);
+  while (!urgent_targets_.empty() && urgent_datagrams_.Level(now) >= 1) {
+    DatagramPacker packer = StartDatagram(header, DatagramPacker::kMaximumBytes);
+    AddRumors(&packer, now);
+    if (!Spend(packer.size(), now)) break;
+    urgent_datagrams_.Take(1, now);
+    datagrams.push_back({urgent_targets_.back(), packer.Finish(*signer_)});
+    urgent_targets_.pop_back();
+  }
+  return datagrams;
+}
+
+// ---- questions ----
+
+std::vector<OutgoingDatagram> GossipNode::Questions(std::uint64_t question, HybridTime sent_at,
+                                                    Instant now) {
+  std::vector<SocketAddress> targets = table_.LivePeers(kQuestionTargets, &random_);
+  if (targets.empty()) targets = settings_.seeds;
+  GossipHeader header = MakeHeader(sent_at);
+  header.question = question;
+  std::vector<OutgoingDatagram> datagrams;
+  for (const SocketAddress& target : targets) {
+    const DatagramPacker packer = StartDatagram(header, DatagramPacker::kMaximumBytes);
+    if (!Spend(packer.size(), now)) break;
+    datagrams.push_back({target, packer.Finish(*signer_)});
+  }
+  return datagrams;
+}
+
+std::vector<OutgoingDatagram> GossipNode::Answer(const GossipMessage& message, HybridTime sent_at,
+                                                 Instant now) {
+  GossipHeader header = MakeHeader(sent_at);
+  header.answer_to = message.header.question;
+  const DatagramPacker packer = StartDatagram(header, DatagramPacker::kMaximumBytes);
+  if (!Spend(packer.size(), now)) return {};
+  return {{message.members.front().member.peer_address, packer.Finish(*signer_)}};
+}
+
+}  // namespace primroseweir
--- /dev/null
+++ b/src/membership/membership_table.cc
@@ -0,0 +1,265 @@
+#include "primroseweir/membership/membership_table.h"
+
+#include <algorithm>
+#include <tuple>
+
+#include "primroseweir/base/random.h"
+
+namespace primroseweir {
+namespace {
+
+constexpr std::size_t kRandomTargets = 2;
+constexpr std::size_t kContactsWhenAlone = 3;
+// 860 restarts a day at the target size: enough for several days.
+constexpr std::size_t kMaximumForgotten = 4'096;
+// More than the members that the largest planned data centre loses at once.
+constexpr std::size_t kMaximumLostContacts = 256;
+
+template <typename T>
+void Shuffle(std::vector<T>* values, Random* random) {
+  for (std::size_t i = values->size(); i > 1; --i) {
+    std::swap((*values)[i - 1], (*values)[random->Below(i)]);
+  }
+}
+
+}  // namespace
+
+MembershipTable::MembershipTable(Member self, MembershipTimeouts timeouts, Instant now)
+    : self_(std::move(self)), timeouts_(timeouts), advanced_to_(now) {}
+
+void MembershipTable::Advance(Instant now) {
+  if (now <= advanced_to_) return;
+  listened_ += std::min(now - advanced_to_, timeouts_.longest_step);
+  advanced_to_ = now;
+}
+
+// ---- receiving ----
+
+bool MembershipTable::Receive(const MemberRecord& received, Duration waited, Instant now) {
+  Advance(now);
+  const Key key{received.member.id, received.member.incarnation};
+  if (key == Key{self_.id, self_.incarnation}) return ReceiveOwn(received);
+  MemberRecord record = received;
+  // Suspicion is the conclusion of the instance that passed the record on; the age tells as much.
+  if (record.member.state == MemberState::kSuspect) record.member.state = MemberState::kAlive;
+  const auto forgotten = forgotten_.find(key);
+  if (forgotten != forgotten_.end() && record.heartbeat <= forgotten->second) return false;
+  const Duration heard_at = listened_ - record.age - waited;
+  const auto found = entries_.find(key);
+  if (found == entries_.end()) return Insert(record, heard_at);
+  if (record.heartbeat <= found->second.record.heartbeat) return false;
+  return Update(record, heard_at, &found->second);
+}
+
+bool MembershipTable::ReceiveOwn(const MemberRecord& record) {
+  const bool doubted =
+      record.member.state == MemberState::kSuspect || record.member.state == MemberState::kDead;
+  if (doubted) heartbeat_ = std::max(heartbeat_, record.heartbeat + 1);
+  return false;
+}
+
+bool MembershipTable::Insert(const MemberRecord& record, Duration heard_at) {
+  Entry entry{record, heard_at, MemberState::kAlive};
+  entry.state = StateOf(entry);
+  // A member that is dead when first heard of concerns nobody here.
+  if (entry.state == MemberState::kDead) return false;
+  entries_.emplace(Key{record.member.id, record.member.incarnation}, entry);
+  EndEarlierRuns(record);
+  return true;
+}
+
+bool MembershipTable::Update(const MemberRecord& record, Duration heard_at, Entry* entry) {
+  const bool revision_changed = entry->record.member.revision != record.member.revision;
+  entry->record = record;
+  entry->heard_at = std::max(entry->heard_at, heard_at);
+  return Judge(entry) || revision_changed;
+}
+
+bool MembershipTable::EndEarlierRuns(const MemberRecord& record) {
+  bool changed = false;
+  auto entry = entries_.lower_bound(Key{record.member.id, Incarnation(0)});
+  for (; entry != entries_.end() && entry->first.first == record.member.id; ++entry) {
+    const Member& earlier = entry->second.record.member;
+    if (earlier.incarnation >= record.member.incarnation) continue;
+    if (earlier.peer_address != record.member.peer_address) continue;
+    entry->second.record.member.state = MemberState::kDead;
+    changed = Judge(&entry->second) || changed;
+  }
+  return changed;
+}
+
+// ---- failure detection ----
+
+MemberState MembershipTable::StateOf(const Entry& entry) const {
+  const MemberState declared = entry.record.member.state;
+  if (declared == MemberState::kDead) return MemberState::kDead;
+  const Duration silence = SilenceOf(entry);
+  if (silence >= timeouts_.dead) return MemberState::kDead;
+  if (declared == MemberState::kLeaving) return MemberState::kLeaving;
+  return silence >= timeouts_.suspect ? MemberState::kSuspect : MemberState::kAlive;
+}
+
+bool MembershipTable::Judge(Entry* entry) {
+  const MemberState state = StateOf(*entry);
+  if (state == entry->state) return false;
+  entry->state = state;
+  const bool silent = entry->record.member.state != MemberState::kDead;
+  if (state == MemberState::kDead && silent) AddLostContact(entry->record.member.peer_address);
+  return true;
+}
+
+bool MembershipTable::IsForgotten(const Entry& entry) const {
+  return entry.state == MemberState::kDead &&
+         SilenceOf(entry) >= timeouts_.dead + timeouts_.forgotten;
+}
+
+void MembershipTable::Forget(const Key& key, std::uint64_t heartbeat) {
+  if (forgotten_.count(key) == 0) forgotten_order_.push_back(key);
+  forgotten_[key] = heartbeat;
+  if (forgotten_order_.size() <= kMaximumForgotten) return;
+  forgotten_.erase(forgotten_order_.front());
+  forgotten_order_.pop_front();
+}
+
+bool MembershipTable::Tick(Instant now) {
+  Advance(now);
+  ++heartbeat_;
+  bool changed = false;
+  for (auto entry = entries_.begin(); entry != entries_.end();) {
+    changed = Judge(&entry->second) || changed;
+    if (!IsForgotten(entry->second)) {
+      ++entry;
+      continue;
+    }
+    Forget(entry->first, entry->second.record.heartbeat);
+    entry = entries_.erase(entry);
+    changed = true;
+  }
+  return changed;
+}
+
+// ---- own state ----
+
+void MembershipTable::DeclareLeaving() {
+  if (self_.state == MemberState::kAlive) self_.state = MemberState::kLeaving;
+  ++heartbeat_;
+}
+
+void MembershipTable::DeclareStopped() {
+  self_.state = MemberState::kDead;
+  ++heartbeat_;
+}
+
+void MembershipTable::SetRevision(Revision revision) { self_.revision = revision; }
+
+MemberRecord MembershipTable::OwnRecord() const { return {self_, heartbeat_, Duration::zero()}; }
+
+bool MembershipTable::IsSeatTaken() const {
+  for (const auto& [key, entry] : entries_) {
+    if (entry.state == MemberState::kDead || entry.record.member.seat != self_.seat) continue;
+    const Key own{self_.id, self_.incarnation};
+    if (std::tie(key.second, key.first) < std::tie(own.second, own.first)) return true;
+  }
+  return false;
+}
+
+// ---- sending ----
+
+std::vector<MemberRecord> MembershipTable::NewestFirst() const {
+  std::vector<MemberRecord> records;
+  for (const auto& [key, entry] : entries_) {
+    const bool silent =
+        entry.state == MemberState::kDead && entry.record.member.state != MemberState::kDead;
+    if (silent) continue;
+    MemberRecord record = entry.record;
+    // A member that declared itself leaving or dead is passed on as such.
+    if (record.member.state == MemberState::kAlive) record.member.state = entry.state;
+    record.age = SilenceOf(entry);
+    records.push_back(std::move(record));
+  }
+  std::sort(records.begin(), records.end(),
+            [](const MemberRecord& a, const MemberRecord& b) { return a.age < b.age; });
+  return records;
+}
+
+std::vector<const MembershipTable::Entry*> MembershipTable::LiveEntries() const {
+  std::vector<const Entry*> live;
+  for (const auto& [key, entry] : entries_) {
+    if (entry.state != MemberState::kDead) live.push_back(&entry);
+  }
+  return live;
+}
+
+std::size_t MembershipTable::LiveCount() const { return LiveEntries().size(); }
+
+void MembershipTable::AddLostContact(const SocketAddress& address) {
+  const auto found = std::find(lost_contacts_.begin(), lost_contacts_.end(), address);
+  if (found != lost_contacts_.end()) lost_contacts_.erase(found);
+  lost_contacts_.push_back(address);
+  if (lost_contacts_.size() > kMaximumLostContacts) lost_contacts_.pop_front();
+}
+
+bool MembershipTable::IsLiveAddress(const SocketAddress& address) const {
+  if (address == self_.peer_address) return true;
+  return std::any_of(entries_.begin(), entries_.end(), [&address](const auto& entry) {
+    return entry.second.state != MemberState::kDead &&
+           entry.second.record.member.peer_address == address;
+  });
+}
+
+std::vector<SocketAddress> MembershipTable::UnheardContacts(
+    const std::vector<SocketAddress>& seeds) const {
+  std::vector<SocketAddress> contacts = seeds;
+  contacts.insert(contacts.end(), lost_contacts_.begin(), lost_contacts_.end());
+  contacts.erase(
+      std::remove_if(contacts.begin(), contacts.end(),
+                     [this](const SocketAddress& address) { return IsLiveAddress(address); }),
+      contacts.end());
+  return contacts;
+}
+
+std::vector<SocketAddress> MembershipTable::ChooseTargets(const std::vector<SocketAddress>& seeds,
+                                                          Random* random) {
+  std::vector<const Entry*> live = LiveEntries();
+  Shuffle(&live, random);
+  std::vector<SocketAddress> targets;
+  bool other_data_centre = false;
+  for (const Entry* entry : live) {
+    const Member& member = entry->record.member;
+    const bool other = member.data_centre != self_.data_centre;
+    const bool wanted = targets.size() < kRandomTargets || (other && !other_data_centre);
+    if (!wanted) continue;
+    if (targets.size() >= kRandomTargets) other_data_centre = true;
+    targets.push_back(member.peer_address);
+  }
+  const bool alone = targets.empty();
+  if (!alone && ++target_choices_ % kContactPeriod != 0) return targets;
+  std::vector<SocketAddress> contacts = UnheardContacts(seeds);
+  Shuffle(&contacts, random);
+  contacts.resize(std::min<std::size_t>(contacts.size(), alone ? kContactsWhenAlone : 1));
+  targets.insert(targets.end(), contacts.begin(), contacts.end());
+  return targets;
+}
+
+std::vector<SocketAddress> MembershipTable::LivePeers(std::size_t limit, Random* random) const {
+  std::vector<const Entry*> live = LiveEntries();
+  Shuffle(&live, random);
+  live.resize(std::min(live.size(), limit));
+  std::vector<SocketAddress> addresses;
+  addresses.reserve(live.size());
+  for (const Entry* entry : live) addresses.push_back(entry->record.member.peer_address);
+  return addresses;
+}
+
+MembershipView MembershipTable::View() const {
+  MembershipView view;
+  view.members.push_back(self_);
+  for (const auto& [key, entry] : entries_) {
+    view.members.push_back(entry.record.member);
+    view.members.back().state = entry.state;
+  }
+  view.seat_taken = IsSeatTaken();
+  return view;
+}
+
+}  // namespace primroseweir
--- /dev/null
+++ b/src/membership/observation_news.cc
@@ -0,0 +1,26 @@
+#include "primroseweir/membership/observation_news.h"
+
+namespace primroseweir {
+
+bool ObservationNews::Raise(const UpstreamObservation& observation, Known* known) {
+  if (observation.epoch < known->epoch) return false;
+  const bool later = observation.epoch > known->epoch;
+  const bool raised =
+      later || observation.window > known->window || (observation.leaving && !known->leaving);
+  if (!raised) return false;
+  if (later) *known = {observation.epoch, 0, false};
+  if (observation.window > known->window) known->window = observation.window;
+  known->leaving = known->leaving || observation.leaving;
+  return true;
+}
+
+bool ObservationNews::Note(const UpstreamObservation& observation) {
+  return Raise(observation, &known_[observation.id]);
+}
+
+bool ObservationNews::NoteKnown(const UpstreamObservation& observation) {
+  const auto [entry, inserted] = known_.try_emplace(observation.id);
+  return Raise(observation, &entry->second) && !inserted;
+}
+
+}  // namespace primroseweir
--- /dev/null
+++ b/src/peer/snapshot_client.cc
@@ -0,0 +1,53 @@
+#include "primroseweir/peer/snapshot_client.h"
+
+#include <nlohmann/json.hpp>
+
+#include "primroseweir/base/error.h"
+#include "primroseweir/base/random.h"
+#include "primroseweir/peer/detail/json_rpc_call.h"
+#include "primroseweir/peer/detail/snapshot_signing.h"
+#include "primroseweir/peer/snapshot_codec.h"
+
+namespace primroseweir {
+namespace {
+
+// Makes each request unique, so that the signature of its answer fits this request only.
+std::string Nonce() { return std::to_string(EntropySeed()); }
+
+}  // namespace
+
+SnapshotClient::SnapshotClient(const MessageSigner* signer, Duration timeout)
+    : signer_(signer), timeout_(timeout) {}
+
+absl::StatusOr<std::string> SnapshotClient::Call(const SocketAddress& peer,
+                                                 const std::string& method,
+                                                 const std::string& parameters) const {
+  const detail::JsonRpcTarget target{peer.ip, peer.port, ToMilliseconds(timeout_)};
+  const detail::JsonRpcAnswer answer =
+      detail::CallJsonRpc(target, method, parameters, detail::SnapshotSigning(signer_));
+  if (answer.ok) return answer.text;
+  const auto code = answer.refused_signature ? absl::StatusCode::kPermissionDenied
+                                             : absl::StatusCode::kUnavailable;
+  return MakeError(code, {"call " + method, peer.ToString()}, answer.text);
+}
+
+absl::StatusOr<ConfigurationValues> SnapshotClient::Configuration(const SocketAddress& peer,
+                                                                  Revision after) const {
+  nlohmann::json parameters;
+  parameters["after_revision"] = std::to_string(after.value());
+  parameters["nonce"] = Nonce();
+  const auto answer = Call(peer, "configuration", parameters.dump());
+  if (!answer.ok()) return answer.status();
+  return DecodeConfigurationValues(*answer, peer.ToString());
+}
+
+absl::StatusOr<std::vector<UpstreamObservation>> SnapshotClient::Observations(
+    const SocketAddress& peer) const {
+  nlohmann::json parameters;
+  parameters["nonce"] = Nonce();
+  const auto answer = Call(peer, "observations", parameters.dump());
+  if (!answer.ok()) return answer.status();
+  return DecodeObservations(*answer, peer.ToString());
+}
+
+}  // namespace primroseweir
--- /dev/null
+++ b/src/peer/token_bucket.cc
@@ -0,0 +1,24 @@
+#include "primroseweir/peer/token_bucket.h"
+
+#include <algorithm>
+
+namespace primroseweir {
+
+TokenBucket::TokenBucket(double rate, double capacity, Instant now)
+    : rate_(rate), capacity_(capacity), level_(capacity), updated_(now) {}
+
+double TokenBucket::Level(Instant now) {
+  const std::chrono::duration<double> passed = now - updated_;
+  if (passed.count() <= 0) return level_;
+  level_ = std::min(capacity_, level_ + passed.count() * rate_);
+  updated_ = now;
+  return level_;
+}
+
+bool TokenBucket::Take(double tokens, Instant now) {
+  if (Level(now) < tokens) return false;
+  level_ -= tokens;
+  return true;
+}
+
+}  // namespace primroseweir
--- /dev/null
+++ b/tests/peer/gossip_codec_test.cc
@@ -0,0 +1,243 @@
+#include "primroseweir/peer/gossip_codec.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include "primroseweir/base/error.h"
+#include "primroseweir/base/random.h"
+#include "primroseweir/peer/datagram_packer.h"
+
+namespace primroseweir {
+namespace {
+
+using std::chrono::milliseconds;
+
+const MessageSigner& Signer() {
+  static const MessageSigner signer("fleet key of the tests");
+  return signer;
+}
+
+MemberRecord SampleMember(const std::string& id) {
+  MemberRecord record;
+  record.member.id = InstanceId(id);
+  record.member.incarnation = Incarnation(1'700'000'000'123'456);
+  record.member.data_centre = DataCentre("krems");
+  record.member.caller_address = {"127.0.0.1", 8080};
+  record.member.peer_address = {"10.1.2.3", 9101};
+  record.member.seat = Seat(3);
+  record.member.state = MemberState::kLeaving;
+  record.member.revision = Revision(77);
+  record.heartbeat = 12'345;
+  record.age = milliseconds(250);
+  return record;
+}
+
+UpstreamObservation SampleObservation(const std::string& id) {
+  UpstreamObservation observation;
+  observation.id = UpstreamId(id);
+  observation.epoch = Epoch(4);
+  observation.window = 2;
+  observation.report = LoadReport{5, milliseconds(7), milliseconds(30)};
+  return observation;
+}
+
+GossipHeader SampleHeader() {
+  GossipHeader header;
+  header.sender = InstanceId("entry-1");
+  header.incarnation = Incarnation(1'700'000'000'123'456);
+  header.sent_at = {1'700'000'100'000'000, 3};
+  header.configuration = {Revision(78), 0xfeedULL};
+  header.question = 9;
+  return header;
+}
+
+std::string SampleDatagram() {
+  DatagramPacker packer(SampleHeader(), DatagramPacker::kMaximumBytes);
+  REQUIRE(packer.Add(SampleMember("entry-1")));
+  REQUIRE(packer.Add(SampleMember("entry-2")));
+  REQUIRE(packer.Add(SampleObservation("ib-1")));
+  REQUIRE(packer.Add(CrashStrike{0xabcdefULL, UpstreamId("ib-2"), milliseconds(40)}));
+  return packer.Finish(Signer());
+}
+
+// A signed datagram with this content.
+std::string Signed(const nlohmann::json& content) {
+  std::string bytes;
+  nlohmann::json::to_msgpack(content, bytes);
+  return bytes + Signer().Sign(kGossipPurpose, bytes);
+}
+
+nlohmann::json ContentOf(const std::string& datagram) {
+  return nlohmann::json::from_msgpack(
+      datagram.substr(0, datagram.size() - MessageSigner::kSignatureBytes));
+}
+
+absl::Status StatusOf(const std::string& datagram) {
+  return DecodeGossip(datagram, "10.0.0.9:1", Signer()).status();
+}
+
+// Guards against a field that is lost or mixed up on the way.
+TEST_CASE("a datagram is read back as it was packed") {
+  const auto message = DecodeGossip(SampleDatagram(), "10.0.0.9:1", Signer());
+  REQUIRE(message.ok());
+  CHECK(message->header.sender == InstanceId("entry-1"));
+  CHECK(message->header.sent_at == SampleHeader().sent_at);
+  CHECK(message->header.configuration == SampleHeader().configuration);
+  CHECK(message->header.question == 9);
+  REQUIRE(message->members.size() == 2);
+  const MemberRecord& record = message->members[1];
+  CHECK(record.member.id == InstanceId("entry-2"));
+  CHECK(record.member.incarnation == Incarnation(1'700'000'000'123'456));
+  CHECK(record.member.peer_address.ToString() == "10.1.2.3:9101");
+  CHECK(record.member.caller_address.ToString() == "127.0.0.1:8080");
+  CHECK(record.member.seat == Seat(3));
+  CHECK(record.member.state == MemberState::kLeaving);
+  CHECK(record.member.revision == Revision(77));
+  CHECK(record.heartbeat == 12'345);
+  CHECK(record.age == milliseconds(250));
+  REQUIRE(message->observations.size() == 1);
+  CHECK(message->observations[0].epoch == Epoch(4));
+  CHECK(message->observations[0].window == 2);
+  REQUIRE(message->observations[0].report);
+  CHECK(message->observations[0].report->latency == milliseconds(7));
+  REQUIRE(message->strikes.size() == 1);
+  CHECK(message->strikes[0].fingerprint == 0xabcdefULL);
+}
+
+// Guards against datagrams that exceed the path's size and are lost as fragments.
+TEST_CASE("a datagram never exceeds its limit") {
+  for (std::size_t limit = 256; limit <= DatagramPacker::kMaximumBytes + 100; limit += 61) {
+    DatagramPacker packer(SampleHeader(), limit);
+    packer.Add(SampleMember("entry-1"));
+    int count = 1;
+    while (packer.Add(SampleMember("entry-" + std::to_string(count)))) ++count;
+    const std::string datagram = packer.Finish(Signer());
+    CHECK(datagram.size() == packer.size());
+    CHECK(datagram.size() <= std::min(limit, DatagramPacker::kMaximumBytes));
+    const auto message = DecodeGossip(datagram, "", Signer());
+    REQUIRE(message.ok());
+    CHECK(message->members.size() == static_cast<std::size_t>(count));
+  }
+}
+
+// Guards against a process without the fleet key that acts as a peer.
+TEST_CASE("a datagram under another key or purpose is refused") {
+  const MessageSigner other("another key");
+  const absl::Status status = DecodeGossip(SampleDatagram(), "10.0.0.9:1", other).status();
+  CHECK(status.code() == absl::StatusCode::kPermissionDenied);
+  CHECK(OriginOf(status).step == "decode datagram");
+  CHECK(OriginOf(status).peer == "10.0.0.9:1");
+  CHECK(Signer().Sign("gossip", "x") != Signer().Sign("snapshot request", "x"));
+}
+
+// Guards against a message of a later version that is read as one of this version.
+TEST_CASE("an unknown version is refused by name") {
+  nlohmann::json content = ContentOf(SampleDatagram());
+  content[0] = 2;
+  const absl::Status status = StatusOf(Signed(content));
+  CHECK(status.code() == absl::StatusCode::kUnimplemented);
+  CHECK(MessageOf(status) == "version 2 is not known");
+}
+
+// Guards against out-of-range values of a faulty peer that reach the deciding code.
+TEST_CASE("fields out of range are refused") {
+  const nlohmann::json content = ContentOf(SampleDatagram());
+  struct Fault {
+    const char* pointer;
+    nlohmann::json value;
+  };
+  const Fault faults[] = {
+      {"/1", ""},
+      {"/1", std::string(65, 'a')},
+      {"/1", "two words"},
+      {"/2", 0},
+      {"/3", -5},
+      {"/4", 1ULL << 32},
+      {"/5", "7"},
+      {"/9", 5},
+      {"/9/0/0", "entry-9"},
+      {"/9/0/4", 1ULL << 48},
+      {"/9/0/6", 65'536},
+      {"/9/0/7", 4},
+      {"/9/0/9", 1.5},
+      {"/9/1", nlohmann::json::array({1, 2})},
+      {"/10/0/2", 0},
+      {"/10/0/2", 1'000'001},
+      {"/10/0/3", 1},
+      {"/10/0/4", 10'000'001},
+      {"/11/0/1", nlohmann::json::array()},
+  };
+  for (const Fault& fault : faults) {
+    nlohmann::json changed = content;
+    changed[nlohmann::json::json_pointer(fault.pointer)] = fault.value;
+    INFO(fault.pointer << " = " << fault.value);
+    CHECK(StatusOf(Signed(changed)).code() == absl::StatusCode::kInvalidArgument);
+  }
+  nlohmann::json longer = content;
+  longer.push_back(1);
+  CHECK(StatusOf(Signed(longer)).code() == absl::StatusCode::kInvalidArgument);
+  nlohmann::json without_own = content;
+  without_own[9] = nlohmann::json::array();
+  CHECK(StatusOf(Signed(without_own)).code() == absl::StatusCode::kInvalidArgument);
+}
+
+// ---- hostile input under a valid signature ----
+
+// Guards against a crash or a hang of the decoder. The inputs are signed, since the signature check
+// alone would stop them.
+void CheckSurvives(const std::string& content) {
+  const std::string datagram = content + Signer().Sign(kGossipPurpose, content);
+  const auto message = DecodeGossip(datagram, "", Signer());
+  if (!message.ok()) CHECK(OriginOf(message.status()).step == "decode datagram");
+}
+
+std::string SampleContent() {
+  const std::string datagram = SampleDatagram();
+  return datagram.substr(0, datagram.size() - MessageSigner::kSignatureBytes);
+}
+
+TEST_CASE("the decoder survives flipped bits") {
+  Random random(20'261'204);
+  for (int i = 0; i < 20'000; ++i) {
+    std::string content = SampleContent();
+    const std::uint64_t flips = 1 + random.Below(8);
+    for (std::uint64_t flip = 0; flip < flips; ++flip) {
+      const std::uint64_t bit = random.Below(content.size() * 8);
+      content[bit / 8] = static_cast<char>(content[bit / 8] ^ (1 << (bit % 8)));
+    }
+    CheckSurvives(content);
+  }
+}
+
+TEST_CASE("the decoder refuses every truncation") {
+  const std::string content = SampleContent();
+  for (std::size_t length = 1; length < content.size(); ++length) {
+    const std::string part = content.substr(0, length);
+    CHECK(!DecodeGossip(part + Signer().Sign(kGossipPurpose, part), "", Signer()).ok());
+  }
+}
+
+TEST_CASE("the decoder survives random bytes") {
+  Random random(7);
+  for (int i = 0; i < 20'000; ++i) {
+    std::string content(1 + random.Below(1'180), '\0');
+    for (char& c : content) c = static_cast<char>(random.Below(256));
+    CheckSurvives(content);
+  }
+}
+
+TEST_CASE("the decoder survives deep nesting and false lengths") {
+  CheckSurvives(std::string(1'184, '\x91'));
+  CheckSurvives(std::string(1'184, '\x81'));
+  CheckSurvives(std::string("\xdd\xff\xff\xff\xff", 5));
+  CheckSurvives(std::string("\xdb\xff\xff\xff\xff", 5));
+  CheckSurvives("\x9c" + std::string(1'183, '\x91'));
+}
+
+TEST_CASE("an oversized datagram is refused before its signature is checked") {
+  CHECK(StatusOf(std::string(2'000, 'x')).code() == absl::StatusCode::kInvalidArgument);
+  CHECK(StatusOf("").code() == absl::StatusCode::kInvalidArgument);
+}
+
+}  // namespace
+}  // namespace primroseweir
