Add the limits, the upstream state and the Router on top of them

Cause: the first Router chose by local calls only and knew no cold starts, shares, queues or crash guard. Change: limits (ConnectionShare, ProbeBudget, RetryBudget, HedgePolicy, CrashGuard, Admission), upstream (UpstreamState, WarmUpWindow, CollapseDetector, ReportCell) and routing (RoutingTable in an RcuCell, Placement, Explain). Interface changes: CrashStrike carries 'succeeded'; UpstreamLease takes LeaseTerms and an owner; Router gets AcquireProbe, Limits, RetryAfter, crash_guard, NoteHeard, SetUrgentSender and Explain. Tests of the single classes follow.

--- /dev/null
+++ b/include/primroseweir/routing/detail/placement.h
@@ -0,0 +1,60 @@
+#ifndef PRIMROSEWEIR_ROUTING_DETAIL_PLACEMENT_H_
+#define PRIMROSEWEIR_ROUTING_DETAIL_PLACEMENT_H_
+
+#include <absl/status/statusor.h>
+
+#include <cstdint>
+#include <memory>
+
+#include "primroseweir/base/time.h"
+#include "primroseweir/limits/crash_guard.h"
+#include "primroseweir/routing/call_request.h"
+#include "primroseweir/routing/detail/scratch_pool.h"
+#include "primroseweir/routing/detail/service_runtime.h"
+#include "primroseweir/routing/routing_table.h"
+#include "primroseweir/routing/upstream_lease.h"
+
+namespace primroseweir {
+namespace detail {
+
+// One attempt to place a call at an upstream by one table. Used within one thread and one moment.
+class Placement {
+ public:
+  struct Rules {
+    // Limits above one call are not trusted: the instance heard no peer for long.
+    bool cautious = false;
+    // Windows of silent owners may be claimed.
+    bool may_claim = false;
+    // The call's turn in the queue has come; else it must not overtake waiting calls.
+    bool from_queue = false;
+  };
+
+  Placement(const ServiceEntry& entry, RouterShared* shared, ScratchPool* pool, const Rules& rules)
+      : entry_(entry), shared_(shared), pool_(pool), rules_(rules) {}
+
+  // A lease, or why there is none. ResourceExhausted means that waiting may help; the other errors
+  // are final.
+  absl::StatusOr<UpstreamLease> Place(const CallRequest& request, Instant now);
+
+ private:
+  enum class Found { kSome, kAllBusy, kNone };
+
+  Found Collect(const CallRequest& request, bool suspect, Scratch* scratch, Instant now) const;
+  void KeepAssigned(const CallRequest& request, Scratch* scratch, Instant now) const;
+  Candidate View(const ServiceEntry::Use& use, std::uint32_t limit, Instant now) const;
+  std::uint32_t LimitOf(const UpstreamState& state) const;
+  std::shared_ptr<UpstreamState> Choose(const CallRequest& request, bool suspect, Scratch* scratch,
+                                        Instant now);
+  bool Start(const CallRequest& request, bool suspect, const ServiceEntry::Use& use, Instant now);
+  bool ClaimOne(const CallRequest& request, Instant now);
+
+  const ServiceEntry& entry_;
+  RouterShared* shared_;
+  ScratchPool* pool_;
+  const Rules rules_;
+};
+
+}  // namespace detail
+}  // namespace primroseweir
+
+#endif  // PRIMROSEWEIR_ROUTING_DETAIL_PLACEMENT_H_
--- a/include/primroseweir/routing/upstream_lease.h
+++ b/include/primroseweir/routing/upstream_lease.h
@@ -6,6 +6,7 @@
 #include "primroseweir/base/time.h"
 #include "primroseweir/configuration/upstream_record.h"
 #include "primroseweir/routing/call_result.h"
+#include "primroseweir/routing/lease_owner.h"
 
 namespace primroseweir {
 
@@ -15,7 +16,10 @@
 // is finished; a lease destroyed unfinished counts as cancelled.
 class UpstreamLease {
  public:
-  // Takes over a call that UpstreamState::TryStart counted.
+  // Takes over a call that UpstreamState::TryStart counted. `owner` may be null: then only the
+  // upstream's state learns of the end.
+  UpstreamLease(LeaseTerms terms, std::shared_ptr<LeaseOwner> owner);
+  // As above, for a call without an owner.
   UpstreamLease(std::shared_ptr<UpstreamState> state, Instant started);
   ~UpstreamLease();
   UpstreamLease(UpstreamLease&& other) noexcept;
@@ -24,14 +28,14 @@
   UpstreamLease& operator=(const UpstreamLease&) = delete;
 
   const UpstreamRecord& record() const;
-  UpstreamState& state() const { return *state_; }
+  UpstreamState& state() const { return *terms_.state; }
 
   // Ends the attempt and feeds its result into the upstream's observations. Call at most once.
   void Finish(const CallResult& result, Instant now);
 
  private:
-  std::shared_ptr<UpstreamState> state_;
-  Instant started_;
+  LeaseTerms terms_;
+  std::shared_ptr<LeaseOwner> owner_;
 };
 
 }  // namespace primroseweir
--- /dev/null
+++ b/src/limits/crash_guard.cc
@@ -0,0 +1,198 @@
+#include "primroseweir/limits/crash_guard.h"
+
+#include <algorithm>
+#include <iterator>
+#include <tuple>
+#include <utility>
+
+#include "primroseweir/base/rendezvous.h"
+
+namespace primroseweir {
+
+// ---- events ----
+
+void CrashGuard::AddStrike(std::uint64_t fingerprint, const UpstreamId& upstream, Instant now) {
+  if (fingerprint == 0) return;
+  Sender sender;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    Record& record = Known(fingerprint, now);
+    record.strikes[upstream] = now;
+    record.newest = now;
+    sender = sender_;
+  }
+  if (sender) sender({fingerprint, upstream, Duration::zero(), false});
+}
+
+void CrashGuard::NoteSuccess(std::uint64_t fingerprint, const UpstreamId& upstream, Instant now) {
+  if (!MayBeKnown(fingerprint)) return;
+  Sender sender;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (!Clear(fingerprint, upstream, now)) return;
+    sender = sender_;
+  }
+  if (sender) sender({fingerprint, upstream, Duration::zero(), true});
+}
+
+void CrashGuard::Merge(const std::vector<CrashStrike>& strikes, Instant now) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  for (const CrashStrike& strike : strikes) {
+    if (strike.age >= Duration::zero() && strike.age < kQuarantine) MergeOne(strike, now);
+  }
+}
+
+void CrashGuard::SetSender(Sender sender) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  sender_ = std::move(sender);
+}
+
+// ---- decisions ----
+
+CrashGuard::Verdict CrashGuard::Check(std::uint64_t fingerprint, Instant now) const {
+  if (!MayBeKnown(fingerprint)) return Verdict::kClear;
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const auto found = records_.find(fingerprint);
+  return found == records_.end() ? Verdict::kClear : Judge(found->second, now);
+}
+
+UpstreamId CrashGuard::Assign(std::uint64_t fingerprint, const std::vector<UpstreamId>& candidates,
+                              Instant now) const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  std::set<UpstreamId> taken;
+  for (const std::uint64_t suspect : Reserving(fingerprint, now)) {
+    if (taken.size() == candidates.size()) taken.clear();
+    UpstreamId best = Best(suspect, candidates, taken);
+    if (suspect == fingerprint) return best;
+    taken.insert(std::move(best));
+  }
+  return candidates.front();
+}
+
+UpstreamId CrashGuard::Best(std::uint64_t suspect, const std::vector<UpstreamId>& candidates,
+                            const std::set<UpstreamId>& taken) const {
+  const auto record = records_.find(suspect);
+  // Free upstreams first, then those that the suspect did not crash, then by rendezvous.
+  const auto rank = [&](const UpstreamId& id) {
+    const bool crashed = record != records_.end() && record->second.strikes.count(id) != 0;
+    return std::make_tuple(taken.count(id) == 0, !crashed, RendezvousScore(id.value(), suspect));
+  };
+  return *std::max_element(
+      candidates.begin(), candidates.end(),
+      [&rank](const UpstreamId& a, const UpstreamId& b) { return rank(a) < rank(b); });
+}
+
+bool CrashGuard::TryStart(std::uint64_t fingerprint, const UpstreamId& upstream) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  if (running_.count(fingerprint) != 0 || busy_.count(upstream) != 0) return false;
+  running_.emplace(fingerprint, upstream);
+  busy_.insert(upstream);
+  return true;
+}
+
+void CrashGuard::End(std::uint64_t fingerprint, const UpstreamId& upstream) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  running_.erase(fingerprint);
+  busy_.erase(upstream);
+}
+
+std::vector<CrashStrike> CrashGuard::Strikes(Instant now) const {
+  std::vector<CrashStrike> all;
+  const std::lock_guard<std::mutex> lock(mutex_);
+  for (const auto& [fingerprint, record] : records_) {
+    for (const auto& [upstream, at] : record.strikes) {
+      if (now - at < kQuarantine) all.push_back({fingerprint, upstream, now - at, false});
+    }
+    if (record.cleared != Instant::min() && now - record.cleared < kQuarantine) {
+      all.push_back({fingerprint, record.cleared_by, now - record.cleared, true});
+    }
+  }
+  std::sort(all.begin(), all.end(),
+            [](const CrashStrike& a, const CrashStrike& b) { return a.age < b.age; });
+  return all;
+}
+
+// ---- records, under the mutex ----
+
+CrashGuard::Record& CrashGuard::Known(std::uint64_t fingerprint, Instant now) {
+  if (records_.count(fingerprint) == 0) {
+    DropOld(now);
+    Mark(fingerprint, 1);
+  }
+  return records_[fingerprint];
+}
+
+void CrashGuard::MergeOne(const CrashStrike& strike, Instant now) {
+  const Instant at = now - strike.age;
+  const auto found = records_.find(strike.fingerprint);
+  if (strike.succeeded) {
+    const bool known = found != records_.end() && found->second.cleared != Instant::min() &&
+                       at - found->second.cleared < kSameEvent;
+    if (!known) Clear(strike.fingerprint, strike.upstream, at);
+    return;
+  }
+  if (found != records_.end() && found->second.cleared != Instant::min() &&
+      at - found->second.cleared < kSameEvent) {
+    return;
+  }
+  Record& record = Known(strike.fingerprint, now);
+  record.newest = std::max(record.newest, at);
+  const auto [place, added] = record.strikes.emplace(strike.upstream, at);
+  if (!added && at - place->second >= kSameEvent) place->second = at;
+}
+
+bool CrashGuard::Clear(std::uint64_t fingerprint, const UpstreamId& upstream, Instant at) {
+  const auto found = records_.find(fingerprint);
+  if (found == records_.end() || at <= found->second.cleared) return false;
+  Record& record = found->second;
+  record.cleared = at;
+  record.cleared_by = upstream;
+  for (auto strike = record.strikes.begin(); strike != record.strikes.end();) {
+    strike = strike->second <= at ? record.strikes.erase(strike) : std::next(strike);
+  }
+  return true;
+}
+
+CrashGuard::Verdict CrashGuard::Judge(const Record& record, Instant now) const {
+  Instant newest = Instant::min();
+  for (const auto& [upstream, at] : record.strikes) newest = std::max(newest, at);
+  if (record.strikes.empty() || now - newest >= kQuarantine) return Verdict::kClear;
+  return record.strikes.size() >= 2 ? Verdict::kQuarantined : Verdict::kSuspect;
+}
+
+void CrashGuard::DropOld(Instant now) {
+  auto oldest = records_.end();
+  for (auto record = records_.begin(); record != records_.end();) {
+    if (now - record->second.newest >= kQuarantine) {
+      Mark(record->first, -1);
+      record = records_.erase(record);
+      continue;
+    }
+    if (oldest == records_.end() || record->second.newest < oldest->second.newest) oldest = record;
+    ++record;
+  }
+  if (records_.size() < kMaximumFingerprints) return;
+  Mark(oldest->first, -1);
+  records_.erase(oldest);
+}
+
+void CrashGuard::Mark(std::uint64_t fingerprint, int change) {
+  filter_[fingerprint % kFilterSize].fetch_add(static_cast<std::uint16_t>(change),
+                                               std::memory_order_release);
+}
+
+bool CrashGuard::MayBeKnown(std::uint64_t fingerprint) const {
+  return filter_[fingerprint % kFilterSize].load(std::memory_order_acquire) != 0;
+}
+
+std::vector<std::uint64_t> CrashGuard::Reserving(std::uint64_t own, Instant now) const {
+  std::vector<std::uint64_t> suspects;
+  for (const auto& [fingerprint, record] : records_) {
+    const bool recent = now - record.newest < kReservation;
+    const bool suspect = Judge(record, now) == Verdict::kSuspect;
+    if (fingerprint == own || (recent && suspect)) suspects.push_back(fingerprint);
+  }
+  return suspects;
+}
+
+}  // namespace primroseweir
--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -1,121 +1,301 @@
 #include "primroseweir/routing/router.h"
 
-#include <map>
+#include <algorithm>
+#include <atomic>
 #include <memory>
+#include <mutex>
 #include <utility>
 #include <vector>
 
 #include "primroseweir/base/error.h"
+#include "primroseweir/base/event_log.h"
 #include "primroseweir/base/rcu_cell.h"
 #include "primroseweir/configuration/snapshot.h"
+#include "primroseweir/limits/crash_guard.h"
 #include "primroseweir/routing/call_request.h"
+#include "primroseweir/routing/detail/explain.h"
+#include "primroseweir/routing/detail/least_in_flight_policy.h"
+#include "primroseweir/routing/detail/placement.h"
+#include "primroseweir/routing/detail/scratch_pool.h"
+#include "primroseweir/routing/detail/service_runtime.h"
+#include "primroseweir/routing/routing_table.h"
 #include "primroseweir/upstream/upstream_state.h"
 
 namespace primroseweir {
 namespace {
 
-using UpstreamList = std::vector<std::shared_ptr<UpstreamState>>;
+constexpr Duration::rep kNever = INT64_MIN;
 
-struct Table {
-  std::map<ServiceName, UpstreamList> services;
-  std::map<UpstreamId, std::shared_ptr<UpstreamState>> upstreams;
-  std::set<DataCentre> out;
-};
+std::uint64_t NextServiceNumber() {
+  static std::atomic<std::uint64_t> next{1};
+  return next.fetch_add(1, std::memory_order_relaxed);
+}
 
 absl::Status NotRun(absl::StatusCode code, const std::string& message) {
   return MakeError(code, {"admission", ""}, message);
 }
 
+detail::ScratchPool::PolicyMaker MakerOf(const Router::Options& options) {
+  if (options.make_policy) return options.make_policy;
+  return [] { return std::make_unique<detail::LeastInFlightPolicy>(); };
+}
+
 }  // namespace
 
 class Router::Implementation {
  public:
-  explicit Implementation(Options options)
-      : options_(std::move(options)), table_(std::make_shared<const Table>()) {}
+  Implementation(const Options& options, EventLog* events)
+      : options_(options),
+        events_(events),
+        shared_(std::make_shared<detail::RouterShared>()),
+        pool_(options.random_seed, MakerOf(options)),
+        table_(std::make_shared<const RoutingTable>()) {}
 
-  absl::StatusOr<UpstreamLease> TryAcquire(const CallRequest& request, Instant now) const {
-    const std::shared_ptr<const Table> table = table_.Load();
-    const auto service = table->services.find(request.service);
-    if (service == table->services.end()) {
+  // ---- calls ----
+
+  absl::StatusOr<UpstreamLease> TryAcquire(const CallRequest& request, Instant now,
+                                           bool from_queue) {
+    // Loaded for each attempt: a call that waited must not be sent by an old table.
+    const std::shared_ptr<const RoutingTable> table = table_.Load();
+    const auto entry = table->services.find(request.service);
+    if (entry == table->services.end()) {
       return NotRun(absl::StatusCode::kNotFound, "no such service");
     }
-    std::shared_ptr<UpstreamState> best;
-    for (const auto& state : service->second) {
-      if (!Usable(*table, *state, request)) continue;
-      if (best == nullptr || Before(*state, *best)) best = state;
+    const detail::Placement::Rules rules{Cautious(now), MayClaim(now), from_queue};
+    return detail::Placement(entry->second, shared_.get(), &pool_, rules).Place(request, now);
+  }
+
+  absl::StatusOr<UpstreamLease> Acquire(const CallRequest& request, Instant now) {
+    auto result = TryAcquire(request, now, false);
+    if (result.ok() || result.status().code() != absl::StatusCode::kResourceExhausted) {
+      return result;
     }
-    if (best == nullptr) return NotRun(absl::StatusCode::kUnavailable, "no upstream in service");
-    if (!best->TryStart(best->record().slots)) {
-      return NotRun(absl::StatusCode::kResourceExhausted, "all upstreams are at their limits");
+    const std::shared_ptr<detail::ServiceRuntime> runtime = RuntimeOf(request.service);
+    if (runtime == nullptr) return result;
+    Admission& admission = runtime->limits().admission;
+    if (now + admission.ExpectedWait(request.priority) > request.deadline) {
+      return NotRun(absl::StatusCode::kResourceExhausted, "the expected wait exceeds the deadline");
     }
-    return UpstreamLease(std::move(best), now);
+    const bool suspect =
+        shared_->guard->Check(request.fingerprint, now) == CrashGuard::Verdict::kSuspect;
+    const Admission::Turn turn{request.priority, request.deadline,
+                               !suspect && request.excluded.empty()};
+    admission.Wait(turn, now, [&](Instant present) {
+      result = TryAcquire(request, present, true);
+      return result.ok() || result.status().code() != absl::StatusCode::kResourceExhausted;
+    });
+    return result;
+  }
+
+  absl::StatusOr<UpstreamLease> AcquireProbe(const UpstreamId& id, Instant now) {
+    const std::shared_ptr<const RoutingTable> table = table_.Load();
+    const auto found = table->upstreams.find(id);
+    if (found == table->upstreams.end()) {
+      return MakeError(absl::StatusCode::kUnavailable, {"probe", id.value()}, "not listed");
+    }
+    const std::shared_ptr<UpstreamState>& state = found->second;
+    const auto service = table->services.find(state->record().service);
+    if (service == table->services.end() || state->leaving() ||
+        table->out.count(state->record().data_centre) != 0) {
+      return MakeError(absl::StatusCode::kUnavailable, {"probe", id.value()}, "not in use");
+    }
+    if (!state->TryStart(state->window().limit(), now)) {
+      return MakeError(absl::StatusCode::kUnavailable, {"probe", id.value()}, "at its limit");
+    }
+    return UpstreamLease(LeaseTerms{state, now, 0, false, true}, service->second.runtime);
+  }
+
+  std::shared_ptr<detail::ServiceRuntime> RuntimeOf(const ServiceName& service) const {
+    const std::shared_ptr<const RoutingTable> table = table_.Load();
+    const auto entry = table->services.find(service);
+    return entry == table->services.end() ? nullptr : entry->second.runtime;
   }
 
+  CrashGuard& guard() { return *shared_->guard; }
+
+  // ---- state ----
+
   void Apply(const ConfigurationSnapshot& snapshot, Instant now) {
-    const std::shared_ptr<const Table> old = table_.Load();
-    auto table = std::make_shared<Table>();
-    table->out = snapshot.out;
-    for (const Service& service : snapshot.services) table->services[service.name];
-    for (const UpstreamRecord& record : snapshot.upstreams) {
-      const auto known = old->upstreams.find(record.id);
-      auto state = known != old->upstreams.end() && known->second->record().state == record.state
-                       ? known->second
-                       : std::make_shared<UpstreamState>(record, now);
-      table->upstreams[record.id] = state;
-      table->services[record.service].push_back(std::move(state));
+    std::shared_ptr<const RoutingTable> table;
+    {
+      const std::lock_guard<std::mutex> lock(writers_);
+      if (started_.load() == kNever) started_.store(now.time_since_epoch().count());
+      const std::shared_ptr<const RoutingTable> before = table_.Load();
+      table = RoutingTableBuilder(*before, BuilderSettings(), now).Build(snapshot);
+      for (const auto& [name, entry] : table->services) SetUpstreams(entry);
+      table_.Store(table);
+      WakeRemoved(*before, *table);
     }
-    table_.Store(std::move(table));
+    for (const auto& [name, entry] : table->services) entry.runtime->Refresh();
+    for (const auto& state : table->restarted) shared_->Send(*state, now);
+    Report(*table, snapshot);
   }
 
-  UpstreamList All() const {
-    UpstreamList all;
-    for (const auto& [id, state] : table_.Load()->upstreams) all.push_back(state);
-    return all;
+  void SetLiveSeats(const std::set<Seat>& seats, Instant now) {
+    const std::lock_guard<std::mutex> lock(writers_);
+    auto live = std::make_shared<std::vector<std::uint64_t>>();
+    for (const Seat seat : seats) live->push_back(seat.value());
+    if (seats.count(options_.seat) == 0) live->push_back(options_.seat.value());
+    if (live_ != nullptr && *live_ == *live) return;
+    live_ = std::move(live);
+    shared_->live.store(live_->size(), std::memory_order_release);
+    const std::shared_ptr<const RoutingTable> table = table_.Load();
+    for (const auto& [id, state] : table->upstreams) state->window().SetLiveSeats(live_);
+    for (const auto& [name, entry] : table->services) entry.runtime->Refresh();
+  }
+
+  void Merge(const std::vector<UpstreamObservation>& observations, Instant now) {
+    const std::lock_guard<std::mutex> lock(writers_);
+    const std::shared_ptr<const RoutingTable> table = table_.Load();
+    std::set<ServiceName> changed;
+    for (const UpstreamObservation& observation : observations) {
+      const auto gone = table->gone.find(observation.id);
+      if (gone != table->gone.end()) gone->second.state->Merge(observation, now);
+      const auto found = table->upstreams.find(observation.id);
+      if (found == table->upstreams.end()) continue;
+      if (found->second->Merge(observation, now)) changed.insert(found->second->record().service);
+    }
+    for (const ServiceName& name : changed) {
+      const auto entry = table->services.find(name);
+      if (entry != table->services.end()) entry->second.runtime->Refresh();
+    }
+    NoteHeard(now);
   }
 
+  // Calls that wait with no trusted window try again at their next recheck.
+  void NoteHeard(Instant now) {
+    heard_.store(now.time_since_epoch().count(), std::memory_order_release);
+  }
+
+  void SetUrgentSender(std::function<void(const UpstreamObservation&)> sender) {
+    const std::lock_guard<std::mutex> lock(shared_->sender_mutex);
+    shared_->sender = std::move(sender);
+  }
+
+  std::shared_ptr<const RoutingTable> table() const { return table_.Load(); }
+
  private:
-  static bool Usable(const Table& table, const UpstreamState& state, const CallRequest& request) {
-    return !state.leaving() && table.out.count(state.record().data_centre) == 0 &&
-           request.excluded.count(state.record().id) == 0;
+  RoutingTableBuilder::Settings BuilderSettings() const {
+    return {options_.data_centre, {options_.seat, options_.seats, live_}, [this] {
+              return std::make_shared<detail::ServiceRuntime>(NextServiceNumber(), shared_);
+            }};
+  }
+
+  static void SetUpstreams(const ServiceEntry& entry) {
+    std::vector<std::shared_ptr<UpstreamState>> states;
+    for (const ServiceEntry::Use& use : entry.in_use) states.push_back(use.state);
+    entry.runtime->SetUpstreams(std::move(states));
+  }
+
+  // Calls that wait for a service that is gone learn of it.
+  static void WakeRemoved(const RoutingTable& before, const RoutingTable& after) {
+    for (const auto& [name, entry] : before.services) {
+      if (after.services.count(name) == 0) entry.runtime->limits().admission.Wake();
+    }
   }
 
-  // Own data centre first, then the least calls in flight.
-  bool Before(const UpstreamState& a, const UpstreamState& b) const {
-    const bool own_a = a.record().data_centre == options_.data_centre;
-    const bool own_b = b.record().data_centre == options_.data_centre;
-    return own_a != own_b ? own_a : a.in_flight() < b.in_flight();
+  void Report(const RoutingTable& table, const ConfigurationSnapshot& snapshot) const {
+    if (events_ == nullptr) return;
+    events_->Emit("routing_table_changed", {{"revision", std::to_string(snapshot.revision.value())},
+                                            {"services", std::to_string(table.services.size())},
+                                            {"upstreams", std::to_string(table.upstreams.size())},
+                                            {"out", std::to_string(table.out.size())},
+                                            {"restarted", std::to_string(table.restarted.size())}});
+  }
+
+  bool Cautious(Instant now) const {
+    const Duration::rep heard = heard_.load(std::memory_order_acquire);
+    if (heard == kNever || shared_->live.load(std::memory_order_acquire) <= 1) return false;
+    return now.time_since_epoch().count() - heard > kUnheard.count();
+  }
+
+  bool MayClaim(Instant now) const {
+    if (heard_.load(std::memory_order_acquire) != kNever) return !Cautious(now);
+    const Duration::rep started = started_.load(std::memory_order_relaxed);
+    return started != kNever && now.time_since_epoch().count() - started > kClaimDelay.count();
   }
 
   const Options options_;
-  RcuCell<Table> table_;
+  EventLog* const events_;
+  const std::shared_ptr<detail::RouterShared> shared_;
+  detail::ScratchPool pool_;
+  RcuCell<RoutingTable> table_;
+  std::mutex writers_;
+  WarmUpWindow::Seats live_;
+  std::atomic<Duration::rep> heard_{kNever};
+  std::atomic<Duration::rep> started_{kNever};
 };
 
+// ---- calls ----
+
 Router::Router(const Options& options, EventLog* events)
-    : implementation_(std::make_unique<Implementation>(options)) {}
+    : implementation_(std::make_unique<Implementation>(options, events)) {}
 
 Router::~Router() = default;
 
 absl::StatusOr<UpstreamLease> Router::Acquire(const CallRequest& request, Instant now) {
-  return implementation_->TryAcquire(request, now);
+  return implementation_->Acquire(request, now);
 }
 
 absl::StatusOr<UpstreamLease> Router::TryAcquire(const CallRequest& request, Instant now) {
-  return implementation_->TryAcquire(request, now);
+  return implementation_->TryAcquire(request, now, false);
+}
+
+absl::StatusOr<UpstreamLease> Router::AcquireProbe(const UpstreamId& upstream, Instant now) {
+  return implementation_->AcquireProbe(upstream, now);
+}
+
+Duration Router::RetryAfter(const ServiceName& service) const {
+  const auto runtime = implementation_->RuntimeOf(service);
+  if (runtime == nullptr) return Duration::zero();
+  return runtime->limits().admission.ExpectedWait(Priority::kRefreshable);
 }
 
+std::shared_ptr<ServiceLimits> Router::Limits(const ServiceName& service) const {
+  const auto runtime = implementation_->RuntimeOf(service);
+  if (runtime == nullptr) return nullptr;
+  return {runtime, &runtime->limits()};
+}
+
+CrashGuard& Router::crash_guard() { return implementation_->guard(); }
+
+// ---- state ----
+
 void Router::Apply(std::shared_ptr<const ConfigurationSnapshot> snapshot, Instant now) {
   const std::shared_ptr<const ConfigurationSnapshot> held = std::move(snapshot);
   implementation_->Apply(*held, now);
 }
 
-void Router::SetLiveSeats(const std::set<Seat>& seats, Instant now) {}
+void Router::SetLiveSeats(const std::set<Seat>& seats, Instant now) {
+  implementation_->SetLiveSeats(seats, now);
+}
 
-void Router::Merge(const std::vector<UpstreamObservation>& observations, Instant now) {}
+void Router::Merge(const std::vector<UpstreamObservation>& observations, Instant now) {
+  implementation_->Merge(observations, now);
+}
 
-std::vector<UpstreamObservation> Router::Observations(Instant now) const { return {}; }
+void Router::NoteHeard(Instant now) { implementation_->NoteHeard(now); }
+
+void Router::SetUrgentSender(std::function<void(const UpstreamObservation&)> sender) {
+  implementation_->SetUrgentSender(std::move(sender));
+}
+
+std::vector<UpstreamObservation> Router::Observations(Instant now) const {
+  std::vector<UpstreamObservation> all;
+  for (const auto& [id, state] : implementation_->table()->upstreams) {
+    all.push_back(state->Observation(now));
+  }
+  return all;
+}
 
 std::vector<std::shared_ptr<UpstreamState>> Router::Upstreams() const {
-  return implementation_->All();
+  std::vector<std::shared_ptr<UpstreamState>> all;
+  for (const auto& [id, state] : implementation_->table()->upstreams) all.push_back(state);
+  return all;
+}
+
+absl::StatusOr<ServiceExplanation> Router::Explain(const ServiceName& service, Instant now) const {
+  return detail::Explain(*implementation_->table(), service, now);
 }
 
 }  // namespace primroseweir
--- a/src/routing/upstream_lease.cc
+++ b/src/routing/upstream_lease.cc
@@ -6,32 +6,41 @@
 
 namespace primroseweir {
 
+UpstreamLease::UpstreamLease(LeaseTerms terms, std::shared_ptr<LeaseOwner> owner)
+    : terms_(std::move(terms)), owner_(std::move(owner)) {}
+
 UpstreamLease::UpstreamLease(std::shared_ptr<UpstreamState> state, Instant started)
-    : state_(std::move(state)), started_(started) {}
+    : terms_{std::move(state), started, 0, false, false} {}
 
 UpstreamLease::~UpstreamLease() {
-  if (state_ == nullptr) return;
+  if (terms_.state == nullptr) return;
   CallResult result;
   result.end = AttemptEnd::kCancelled;
-  Finish(result, started_);
+  Finish(result, terms_.started);
 }
 
 UpstreamLease::UpstreamLease(UpstreamLease&& other) noexcept
-    : state_(std::move(other.state_)), started_(other.started_) {}
+    : terms_(std::move(other.terms_)), owner_(std::move(other.owner_)) {}
 
 UpstreamLease& UpstreamLease::operator=(UpstreamLease&& other) noexcept {
-  std::swap(state_, other.state_);
-  std::swap(started_, other.started_);
+  std::swap(terms_, other.terms_);
+  std::swap(owner_, other.owner_);
   return *this;
 }
 
-const UpstreamRecord& UpstreamLease::record() const { return state_->record(); }
+const UpstreamRecord& UpstreamLease::record() const { return terms_.state->record(); }
 
 void UpstreamLease::Finish(const CallResult& result, Instant now) {
-  const std::shared_ptr<UpstreamState> state = std::move(state_);
-  state_ = nullptr;
-  if (result.leaving) state->MarkLeaving();
-  state->End();
+  const LeaseTerms terms = std::move(terms_);
+  terms_.state = nullptr;
+  const std::shared_ptr<LeaseOwner> owner = std::move(owner_);
+  if (owner != nullptr) {
+    owner->Ended(terms, result, now);
+  } else if (terms.probe) {
+    terms.state->EndProbe(result, now);
+  } else {
+    terms.state->End(result, terms.started, now);
+  }
 }
 
 }  // namespace primroseweir
--- a/src/upstream/upstream_state.cc
+++ b/src/upstream/upstream_state.cc
@@ -1,21 +1,150 @@
 #include "primroseweir/upstream/upstream_state.h"
 
+#include <algorithm>
+
 namespace primroseweir {
+namespace {
+
+ProbeBudget::Upstream ProbeCost(const UpstreamRecord& record) {
+  if (record.probe.empty()) return {0, Duration::zero()};
+  return {record.slots, record.probe_cost};
+}
+
+bool SameBudget(const UpstreamRecord& a, const UpstreamRecord& b) {
+  return a.slots == b.slots && a.probe_cost == b.probe_cost && a.probe == b.probe;
+}
+
+}  // namespace
+
+UpstreamState::UpstreamState(const UpstreamRecord& record, const Fleet& fleet, Instant now)
+    : records_{record},
+      record_(&records_.front()),
+      window_(record.id, record.slots, fleet.seat, fleet.live, now),
+      connections_(record.id.value(), fleet.seat, std::max<std::uint64_t>(fleet.seats, 1),
+                   record.connections),
+      probes_(ProbeCost(record), fleet.seats, now) {}
+
+void UpstreamState::SetRecord(const UpstreamRecord& record, Instant now) {
+  const std::lock_guard<std::mutex> lock(records_mutex_);
+  const UpstreamRecord& before = this->record();
+  if (!SameBudget(before, record)) probes_.SetUpstream(ProbeCost(record), now);
+  records_.push_back(record);
+  record_.store(&records_.back(), std::memory_order_release);
+  window_.SetSlots(record.slots);
+  connections_.SetConnections(record.connections);
+}
 
-UpstreamState::UpstreamState(const UpstreamRecord& record, Instant now) : record_(record) {}
+// ---- calls ----
 
-bool UpstreamState::TryStart(std::uint32_t limit) {
-  std::uint32_t present = in_flight_.load(std::memory_order_relaxed);
+bool UpstreamState::TryStart(std::uint32_t limit, Instant now) {
+  std::uint32_t present = in_flight_.load(std::memory_order_seq_cst);
   while (present < limit) {
-    if (in_flight_.compare_exchange_weak(present, present + 1, std::memory_order_acq_rel)) {
+    if (in_flight_.compare_exchange_weak(present, present + 1, std::memory_order_seq_cst)) {
+      report_.Sample(sent(), ended(), now);
+      sent_.fetch_add(1, std::memory_order_relaxed);
       return true;
     }
   }
   return false;
 }
 
-bool UpstreamState::leaving() const {
-  return record_.state == ListedState::kLeaving || leaving_.load(std::memory_order_acquire);
+void UpstreamState::Undo() {
+  ended_.fetch_add(1, std::memory_order_relaxed);
+  in_flight_.fetch_sub(1, std::memory_order_seq_cst);
+}
+
+UpstreamState::Effect UpstreamState::End(const CallResult& result, Instant started, Instant now) {
+  if (result.leaving) MarkLeaving(now);
+  const bool share_used = in_flight() >= window_.limit();
+  ended_.fetch_add(1, std::memory_order_relaxed);
+  if (result.report) report_.Offer(*result.report, sent(), ended(), now);
+  if (result.end == AttemptEnd::kRefused) {
+    last_refusal_.store(now.time_since_epoch().count(), std::memory_order_relaxed);
+  }
+  const std::uint32_t left = in_flight_.fetch_sub(1, std::memory_order_seq_cst) - 1;
+  const bool answered = result.end == AttemptEnd::kAnswered;
+  const EndedCall call{result.end, answered ? result.time_to_head : now - started,
+                       ReportedPerSlot(now), left, window_.open()};
+  const auto verdict = collapse_.Observe(call, now);
+  // A call from before the last change ran under another window: it tells nothing about this one.
+  const bool current = started >= window_.changed_at();
+  if (verdict == CollapseDetector::Verdict::kCollapse && current) {
+    return window_.Raise(now) ? Effect::kCollapsed : Effect::kNone;
+  }
+  if (verdict == CollapseDetector::Verdict::kNormal && share_used) {
+    return window_.Grow(started, now) ? Effect::kWindowGrew : Effect::kNone;
+  }
+  return Effect::kNone;
+}
+
+void UpstreamState::EndProbe(const CallResult& result, Instant now) {
+  if (result.leaving) MarkLeaving(now);
+  ended_.fetch_add(1, std::memory_order_relaxed);
+  if (result.report) report_.Offer(*result.report, sent(), ended(), now);
+  in_flight_.fetch_sub(1, std::memory_order_seq_cst);
+  if (result.end == AttemptEnd::kConnectFailed) window_.Raise(now);
+}
+
+// ---- observations ----
+
+void UpstreamState::TakeReport(const LoadReport& report, Instant now) {
+  LoadReport checked = report;
+  checked.age = std::max(report.age, Duration::zero());
+  report_.Offer(checked, sent(), ended(), now);
+}
+
+Duration UpstreamState::since_refusal(Instant now) const {
+  const Duration::rep last = last_refusal_.load(std::memory_order_relaxed);
+  if (last == INT64_MIN) return Duration::max();
+  return std::max(now - Instant(Duration(last)), Duration::zero());
+}
+
+// ---- leaving and peers ----
+
+void UpstreamState::MarkLeaving(Instant now) {
+  if (word_.exchange(Word::kOwn, std::memory_order_acq_rel) == Word::kOwn) return;
+  window_.Restart(now);
+  leaving_epoch_.store(window_.pair().epoch.value(), std::memory_order_release);
+}
+
+bool UpstreamState::Merge(const UpstreamObservation& observation, Instant now) {
+  const Epoch own = window_.pair().epoch;
+  if (observation.report) TakeReport(*observation.report, now);
+  bool changed = window_.Merge(observation.epoch, observation.window, now);
+  Word word = word_.load(std::memory_order_acquire);
+  if (observation.leaving && observation.epoch >= own && word == Word::kNone) {
+    leaving_epoch_.store(observation.epoch.value(), std::memory_order_release);
+    changed |= word_.compare_exchange_strong(word, Word::kByPeer, std::memory_order_acq_rel);
+  }
+  const Epoch marked(leaving_epoch_.load(std::memory_order_acquire));
+  if (!observation.leaving && observation.epoch > marked && word == Word::kByPeer) {
+    changed |= word_.compare_exchange_strong(word, Word::kNone, std::memory_order_acq_rel);
+  }
+  return changed;
+}
+
+UpstreamObservation UpstreamState::Observation(Instant now) const {
+  UpstreamObservation observation;
+  observation.id = record().id;
+  const WarmUpWindow::Pair pair = window_.pair();
+  observation.epoch = pair.epoch;
+  observation.window = pair.window;
+  observation.leaving = leaving_by_word();
+  if (observation.leaving) {
+    observation.epoch = Epoch(leaving_epoch_.load(std::memory_order_acquire));
+    observation.window = 1;
+  }
+  if (const auto report = report_.Get()) {
+    observation.report = LoadReport{report->in_flight, report->latency,
+                                    std::max(now - report->written, Duration::zero())};
+  }
+  return observation;
+}
+
+double UpstreamState::ReportedPerSlot(Instant now) const {
+  const auto report = report_.Get();
+  if (!report || now - report->written > CollapseDetector::kFreshReport) return 0;
+  return static_cast<double>(report->in_flight) / std::max(record().slots, 1U);
 }
 
 }  // namespace primroseweir
