Add the stand-in upstream and the stand-in caller

Change: standins/wire has blocking sockets and HTTP on http-parser, independent of the module http, so that a fault in that module doesn't hide itself. standin-upstream has slots and a queue, a cold start, drain, shedding, straggling, lost and cut answers, connections that go silent, generated downloads with Range and If-Range, and a ledger of executed bookings; its test-only port changes the modes and shows the counters. standin-caller sends a mix of reads, bookings and downloads, checks every byte and never sends a booking of unknown outcome under a new key.

--- /dev/null
+++ b/standins/caller/address_book.h
@@ -0,0 +1,50 @@
+#ifndef STANDINS_CALLER_ADDRESS_BOOK_H_
+#define STANDINS_CALLER_ADDRESS_BOOK_H_
+
+#include <absl/status/status.h>
+#include <absl/status/statusor.h>
+
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "primroseweir/base/socket_address.h"
+#include "primroseweir/base/time.h"
+
+namespace primroseweir::standins {
+
+// The answer to an address request.
+struct AddressAnswer {
+  std::vector<SocketAddress> addresses;
+  Instant valid_until;
+  std::string call_key_prefix;
+  Instant call_key_valid_until;
+};
+
+// Asks the system which addresses to use and keeps the answer as long as it is valid. Safe for
+// several threads.
+class AddressBook {
+ public:
+  // `known` are the addresses that the caller asks at first, before it has an answer.
+  explicit AddressBook(std::vector<SocketAddress> known) : known_(std::move(known)) {}
+
+  // The kept answer, or a new one when none is valid. Errors: Unavailable, no address answered.
+  absl::StatusOr<AddressAnswer> Current();
+
+  // A new answer although the kept one is valid, for a new call key prefix.
+  absl::StatusOr<AddressAnswer> Renew();
+
+ private:
+  absl::StatusOr<AddressAnswer> AskAll();
+
+  std::mutex mutex_;
+  std::vector<SocketAddress> known_;
+  AddressAnswer kept_;
+};
+
+// Reads the JSON body of an address answer. DataLoss names what is wrong.
+absl::StatusOr<AddressAnswer> ParseAddressAnswer(const std::string& body, Instant now);
+
+}  // namespace primroseweir::standins
+
+#endif  // STANDINS_CALLER_ADDRESS_BOOK_H_
--- /dev/null
+++ b/standins/caller/load.cc
@@ -0,0 +1,153 @@
+#include "caller/load.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <thread>
+#include <utility>
+
+#include "caller/caller.h"
+#include "primroseweir/base/random.h"
+
+namespace primroseweir::standins {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::size_t kKeptFailures = 10;
+constexpr auto kStopCheckPeriod = std::chrono::milliseconds(20);
+constexpr CallEnd kEnds[] = {CallEnd::kRight, CallEnd::kNotRun, CallEnd::kUnknown,
+                             CallEnd::kCut,   CallEnd::kWrong,  CallEnd::kUnreachable};
+
+// State that the threads of one load share.
+struct Shared {
+  const LoadPlan& plan;
+  const std::atomic<bool>& stop;
+  AddressBook book;
+  Instant started;
+  std::atomic<std::uint64_t> next{0};
+  std::mutex mutex;
+  LoadResult result;
+};
+
+double Milliseconds(Duration duration) {
+  return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+void Add(const std::string& kind, const CallReport& report, Duration latency, Shared* shared) {
+  const std::lock_guard<std::mutex> lock(shared->mutex);
+  KindResult& result = shared->result[kind];
+  ++result.ends[report.end];
+  if (report.attempts > 1) ++result.retried;
+  result.body_bytes += report.body_bytes;
+  result.latencies.push_back(latency);
+  if (report.end == CallEnd::kRight || result.failures.size() >= kKeptFailures) return;
+  result.failures.push_back(NameOf(report.end) + " " + report.detail);
+}
+
+// Sends one call of a random kind.
+void Call(Caller* caller, Random* random, const std::string& booking, Instant due, Shared* shared) {
+  const LoadPlan& plan = shared->plan;
+  const double draw = random->Unit();
+  std::string kind = "read";
+  CallReport report;
+  if (draw < plan.booking_share) {
+    kind = "booking";
+    report = caller->Book(plan.booking_service, booking);
+  } else if (draw < plan.booking_share + plan.download_share) {
+    kind = "download";
+    report =
+        caller->Download(plan.download_service, booking, plan.download_bytes, plan.download_rate);
+  } else {
+    report = caller->Read(plan.read_service);
+  }
+  Add(kind, report, MonotonicNow() - due, shared);
+}
+
+// Waits until `due`; false when the load stops before.
+bool WaitUntil(Instant due, const std::atomic<bool>& stop) {
+  while (!stop) {
+    const Instant now = MonotonicNow();
+    if (now >= due) return true;
+    std::this_thread::sleep_for(std::min<Duration>(due - now, kStopCheckPeriod));
+  }
+  return false;
+}
+
+void RunThread(int thread, Shared* shared) {
+  const LoadPlan& plan = shared->plan;
+  const std::string name = plan.name + "-" + std::to_string(thread);
+  Caller caller(name, &shared->book);
+  caller.set_patience(plan.patience);
+  Random random(plan.seed * 1000 + static_cast<std::uint64_t>(thread));
+  for (int call = 0;; ++call) {
+    Instant due = MonotonicNow();
+    if (plan.rate > 0) {
+      const double seconds = static_cast<double>(shared->next++) / plan.rate;
+      due = shared->started +
+            std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+    }
+    if (due >= shared->started + plan.duration || !WaitUntil(due, shared->stop)) return;
+    Call(&caller, &random, name + "-" + std::to_string(call), due, shared);
+  }
+}
+
+Json ToJson(const KindResult& result) {
+  Json json{{"count", result.Count()},
+            {"retried", result.retried},
+            {"body_bytes", result.body_bytes},
+            {"p50_ms", Milliseconds(result.Percentile(0.5))},
+            {"p99_ms", Milliseconds(result.Percentile(0.99))},
+            {"p999_ms", Milliseconds(result.Percentile(0.999))},
+            {"max_ms", Milliseconds(result.Percentile(1))},
+            {"failures", result.failures}};
+  for (const CallEnd end : kEnds) json[NameOf(end)] = result.Of(end);
+  return json;
+}
+
+}  // namespace
+
+std::uint64_t KindResult::Of(CallEnd end) const {
+  const auto found = ends.find(end);
+  return found == ends.end() ? 0 : found->second;
+}
+
+Duration KindResult::Percentile(double quantile) const {
+  if (latencies.empty()) return {};
+  std::vector<Duration> sorted = latencies;
+  std::sort(sorted.begin(), sorted.end());
+  const double rank = quantile * static_cast<double>(sorted.size());
+  return sorted[std::min(sorted.size() - 1, static_cast<std::size_t>(rank))];
+}
+
+LoadResult RunLoad(const LoadPlan& plan, const std::atomic<bool>& stop) {
+  Shared shared{plan, stop, AddressBook(plan.addresses), MonotonicNow(), {}, {}, {}};
+  std::vector<std::thread> threads;
+  threads.reserve(static_cast<std::size_t>(plan.concurrency));
+  for (int i = 0; i < plan.concurrency; ++i) threads.emplace_back(RunThread, i, &shared);
+  for (std::thread& thread : threads) thread.join();
+  return std::move(shared.result);
+}
+
+std::string FormatKind(const std::string& kind, const KindResult& result) {
+  std::string line = "kind=" + kind + " count=" + std::to_string(result.Count());
+  for (const CallEnd end : kEnds) {
+    line += " " + NameOf(end) + "=" + std::to_string(result.Of(end));
+  }
+  char times[160];
+  std::snprintf(times, sizeof(times),
+                " retried=%llu p50_ms=%.2f p99_ms=%.2f p999_ms=%.2f max_ms=%.2f",
+                static_cast<unsigned long long>(result.retried),  // NOLINT(google-runtime-int)
+                Milliseconds(result.Percentile(0.5)), Milliseconds(result.Percentile(0.99)),
+                Milliseconds(result.Percentile(0.999)), Milliseconds(result.Percentile(1)));
+  return line + times;
+}
+
+std::string FormatJson(const LoadResult& result) {
+  Json json = Json::object();
+  for (const auto& [kind, kind_result] : result) json[kind] = ToJson(kind_result);
+  return json.dump();
+}
+
+}  // namespace primroseweir::standins
--- /dev/null
+++ b/standins/caller/main.cc
@@ -0,0 +1,111 @@
+// Load generator that checks every answer. Prints one key=value line a kind of call and, at the
+// end, one line of JSON. Exit code 0: every call ended right; 1: some did not; 2: usage.
+#include <tclap/CmdLine.h>
+
+#include <csignal>
+#include <iostream>
+#include <sstream>
+
+#include "caller/load.h"
+#include "primroseweir/base/error.h"
+
+namespace primroseweir::standins {
+namespace {
+
+constexpr int kExitFailed = 1;
+constexpr int kExitUsage = 2;
+
+std::atomic<bool> stop_requested{false};
+
+void RequestStop(int /*signal*/) { stop_requested = true; }
+
+std::vector<SocketAddress> ParseAddresses(const std::string& text) {
+  std::vector<SocketAddress> addresses;
+  std::istringstream stream(text);
+  for (std::string one; std::getline(stream, one, ',');) {
+    const auto address = ParseSocketAddress(one);
+    if (!address.ok()) throw TCLAP::CmdLineParseException(MessageOf(address.status()), "addresses");
+    addresses.push_back(*address);
+  }
+  return addresses;
+}
+
+template <typename T>
+using Argument = TCLAP::ValueArg<T>;
+
+LoadPlan ParsePlan(int argc, char** argv) {
+  TCLAP::CmdLine command("Load generator that checks every answer", ' ', "0.1.0");
+  command.setExceptionHandling(false);
+  LoadPlan plan;
+  Argument<std::string> addresses("a", "addresses", "first addresses to ask, divided by commas",
+                                  true, "", "IP:PORT,...", command);
+  Argument<std::string> name("", "name", "first part of booking ids", false, plan.name, "NAME",
+                             command);
+  Argument<std::string> reads("", "reads", "service of the reads", false, "ice-board", "SERVICE",
+                              command);
+  Argument<std::string> bookings("", "bookings", "service of the bookings", false, "booking-ledger",
+                                 "SERVICE", command);
+  Argument<std::string> downloads("", "downloads", "service of the downloads", false,
+                                  "chart-distribution", "SERVICE", command);
+  Argument<double> booking_share("", "booking-share", "share of bookings", false, 0, "0..1",
+                                 command);
+  Argument<double> download_share("", "download-share", "share of downloads", false, 0, "0..1",
+                                  command);
+  Argument<std::uint64_t> bytes("", "download-bytes", "size of a download", false,
+                                plan.download_bytes, "BYTES", command);
+  Argument<std::uint64_t> download_rate("", "download-rate", "bytes a second of a download, 0: any",
+                                        false, 0, "BYTES", command);
+  Argument<double> rate("r", "rate", "calls a second, 0: without pause", false, plan.rate, "N",
+                        command);
+  Argument<int> concurrency("c", "concurrency", "calls at a time", false, plan.concurrency, "N",
+                            command);
+  Argument<int> duration("d", "duration-ms", "time for which calls start", false, 5000, "MS",
+                         command);
+  Argument<std::uint64_t> seed("s", "seed", "seed of the random choices", false, plan.seed, "N",
+                               command);
+  command.parse(argc, argv);
+  plan.addresses = ParseAddresses(addresses.getValue());
+  plan.name = name.getValue();
+  plan.read_service = reads.getValue();
+  plan.booking_service = bookings.getValue();
+  plan.download_service = downloads.getValue();
+  plan.booking_share = booking_share.getValue();
+  plan.download_share = download_share.getValue();
+  plan.download_bytes = bytes.getValue();
+  plan.download_rate = download_rate.getValue();
+  plan.rate = rate.getValue();
+  plan.concurrency = concurrency.getValue();
+  plan.duration = std::chrono::milliseconds(duration.getValue());
+  plan.seed = seed.getValue();
+  return plan;
+}
+
+int Run(const LoadPlan& plan) {
+  std::signal(SIGTERM, RequestStop);
+  std::signal(SIGINT, RequestStop);
+  const LoadResult result = RunLoad(plan, stop_requested);
+  std::uint64_t failed = 0;
+  for (const auto& [kind, kind_result] : result) {
+    std::cout << FormatKind(kind, kind_result) << "\n";
+    failed += kind_result.Count() - kind_result.Of(CallEnd::kRight);
+    for (const std::string& failure : kind_result.failures) {
+      std::cerr << "kind=" << kind << " failure=\"" << failure << "\"\n";
+    }
+  }
+  std::cout << FormatJson(result) << "\n";
+  return failed == 0 ? 0 : kExitFailed;
+}
+
+}  // namespace
+}  // namespace primroseweir::standins
+
+int main(int argc, char** argv) {
+  try {
+    return primroseweir::standins::Run(primroseweir::standins::ParsePlan(argc, argv));
+  } catch (const TCLAP::ExitException& exit) {
+    return exit.getExitStatus();
+  } catch (const TCLAP::ArgException& error) {
+    std::cerr << "error: " << error.error() << " " << error.argId() << "\n";
+    return primroseweir::standins::kExitUsage;
+  }
+}
--- /dev/null
+++ b/standins/upstream/request_handler.cc
@@ -0,0 +1,199 @@
+#include "upstream/request_handler.h"
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "upstream/byte_range.h"
+#include "wire/fetch.h"
+#include "wire/generated_content.h"
+#include "wire/target.h"
+
+namespace primroseweir::standins {
+namespace {
+
+constexpr auto kIdleLimit = std::chrono::hours(1);
+constexpr auto kWriteLimit = std::chrono::minutes(10);
+constexpr auto kNestedLimit = std::chrono::seconds(10);
+constexpr std::uint64_t kPieceBytes = 65536;
+constexpr int kCrashExitCode = 3;
+
+bool StartsWith(const std::string& text, const char* prefix) { return text.rfind(prefix, 0) == 0; }
+
+}  // namespace
+
+RequestHandler::RequestHandler(Upstream* upstream, std::shared_ptr<Connection> connection)
+    : upstream_(upstream),
+      connection_(std::move(connection)),
+      reader_(&connection_->socket, HttpReader::Kind::kRequests) {}
+
+void RequestHandler::Run() {
+  while (true) {
+    const auto request = reader_.ReadHead(MonotonicNow() + kIdleLimit);
+    if (connection_->silent_in) {
+      HoldSilently();
+      return;
+    }
+    if (!request.ok() || !Serve(*request)) return;
+  }
+}
+
+bool RequestHandler::Serve(const HttpHead& request) {
+  const auto body = reader_.ReadBody(MonotonicNow() + kIdleLimit);
+  if (!body.ok()) return false;
+  if (PathOf(request.target) == "/probe") return ServeProbe();
+  const UpstreamModes modes = upstream_->modes();
+  if (modes.refuse || upstream_->Draw(modes.shed)) return Refuse();
+  switch (upstream_->slots().Enter(connection_->socket)) {
+    case Admission::kRefused:
+      return Refuse();
+    case Admission::kCancelled:
+      return false;
+    case Admission::kAdmitted:
+      break;
+  }
+  const bool keep = ServeAdmitted(request, *body);
+  upstream_->slots().Leave();
+  return keep;
+}
+
+bool RequestHandler::ServeAdmitted(const HttpHead& request, const std::string& body) {
+  const std::string path = PathOf(request.target);
+  if (StartsWith(path, "/crash")) {
+    upstream_->events().Emit("crashed", {{"target", request.target}});
+    _exit(kCrashExitCode);
+  }
+  if (StartsWith(path, "/book/")) return ServeBooking(request);
+  if (!Work(upstream_->DrawServiceTime())) return false;
+  if (upstream_->TakeLostAnswer()) return false;
+  if (upstream_->Draw(upstream_->modes().fail)) return Answer(503, {}, "failed\n");
+  if (StartsWith(path, "/download/")) return ServeDownload(request);
+  if (StartsWith(path, "/nested")) return ServeNested(request);
+  if (path == "/echo") return Answer(200, {{"Content-Type", "application/octet-stream"}}, body);
+  const std::string text = "upstream=" + upstream_->settings().id + " target=" + request.target +
+                           " nonce=" + request.Value("X-Nonce") + "\n";
+  if (request.method != "HEAD") return Answer(200, {{"Content-Type", "text/plain"}}, text);
+  HttpHead head = MakeHead(200, {{"Content-Length", std::to_string(text.size())}});
+  return Send(FormatAnswer(head)) && reader_.keep_alive();
+}
+
+bool RequestHandler::ServeProbe() {
+  upstream_->CountProbe();
+  if (upstream_->slots().EnterProbe(connection_->socket) != Admission::kAdmitted) return Refuse();
+  const auto cost = std::chrono::duration<double, std::milli>(upstream_->settings().probe_cost_ms);
+  const bool waiting = Work(std::chrono::duration_cast<Duration>(cost));
+  upstream_->slots().Leave();
+  return waiting && Answer(200, {}, "ready\n");
+}
+
+bool RequestHandler::ServeBooking(const HttpHead& request) {
+  const std::string booking = PathOf(request.target).substr(sizeof("/book/") - 1);
+  const std::uint32_t execution = upstream_->ledger().Start(booking);
+  // A booking that has begun runs to its end, whether or not its caller waits.
+  const Instant end = MonotonicNow() + upstream_->DrawServiceTime();
+  while (MonotonicNow() < end) usleep(500);
+  upstream_->ledger().Finish(booking);
+  if (upstream_->TakeLostAnswer()) return false;
+  return Answer(200, {{"Content-Type", "text/plain"}},
+                "booking=" + booking + " execution=" + std::to_string(execution) +
+                    " upstream=" + upstream_->settings().id + "\n");
+}
+
+bool RequestHandler::ServeDownload(const HttpHead& request) {
+  const std::string name = PathOf(request.target).substr(sizeof("/download/") - 1);
+  const std::uint64_t size = NumberInQuery(request.target, "size");
+  const std::string etag = "\"" + std::to_string(upstream_->modes().version) + "\"";
+  const auto range = ParseRange(request.Value("Range"), size);
+  const std::string condition = request.Value("If-Range");
+  const bool partial = range.has_value() && (condition.empty() || condition == etag);
+  const ByteRange sent = partial ? *range : ByteRange{0, size};
+  std::vector<HeaderField> fields{{"ETag", etag},
+                                  {"Accept-Ranges", "bytes"},
+                                  {"Content-Type", "application/octet-stream"},
+                                  {"Content-Length", std::to_string(sent.end - sent.first)}};
+  if (partial) fields.push_back({"Content-Range", FormatContentRange(sent, size)});
+  if (!Send(FormatAnswer(MakeHead(partial ? 206 : 200, std::move(fields))))) return false;
+  if (request.method == "HEAD") return reader_.keep_alive();
+  const std::uint64_t rate = NumberInQuery(request.target, "rate");
+  return SendContent(name, sent.first, sent.end, rate) && reader_.keep_alive();
+}
+
+bool RequestHandler::SendContent(const std::string& name, std::uint64_t first, std::uint64_t end,
+                                 std::uint64_t rate) {
+  const UpstreamModes modes = upstream_->modes();
+  const bool cut = end - first > modes.cut_at && upstream_->TakeCut();
+  const std::uint64_t stop = cut ? first + modes.cut_at : end;
+  const Instant started = MonotonicNow();
+  for (std::uint64_t at = first; at < stop;) {
+    const std::uint64_t size = std::min(kPieceBytes, stop - at);
+    if (!Send(GenerateContent(name, modes.version, at, size))) return false;
+    at += size;
+    if (rate == 0) continue;
+    const auto due = std::chrono::microseconds((at - first) * 1'000'000 / rate);
+    if (connection_->socket.WaitForPeerClose(started + due)) return false;
+  }
+  if (cut) connection_->socket.Reset();
+  return !cut;
+}
+
+bool RequestHandler::ServeNested(const HttpHead& request) {
+  const auto via = ParseSocketAddress(ValueInQuery(request.target, "via"));
+  const std::string chain = ValueInQuery(request.target, "chain");
+  if (!via.ok() || chain.empty()) return Answer(200, {}, upstream_->settings().id + "\n");
+  const std::size_t slash = chain.find('/');
+  const std::string rest = slash == std::string::npos ? "" : chain.substr(slash + 1);
+  HttpHead nested;
+  nested.method = "GET";
+  nested.target =
+      "/" + chain.substr(0, slash) + "/nested?via=" + via->ToString() + "&chain=" + rest;
+  for (const char* name :
+       {"Primroseweir-Depth", "Primroseweir-Deadline-Ms", "Primroseweir-Request-Id"}) {
+    const std::string value = request.Value(name);
+    if (!value.empty()) nested.fields.push_back({name, value});
+  }
+  const auto answer = Fetch(*via, std::move(nested), "", kNestedLimit);
+  if (!answer.ok()) return Answer(502, {}, "nested call failed\n");
+  return Answer(answer->head.status, {}, upstream_->settings().id + " " + answer->body);
+}
+
+bool RequestHandler::Work(Duration time) {
+  if (!connection_->socket.WaitForPeerClose(MonotonicNow() + time)) return true;
+  upstream_->slots().CountCancelled();
+  return false;
+}
+
+bool RequestHandler::Refuse() { return Answer(503, {{"X-Refused", "not-run"}}, "refused\n"); }
+
+HttpHead RequestHandler::MakeHead(int status, std::vector<HeaderField> fields) {
+  const UpstreamModes modes = upstream_->modes();
+  const auto lag = std::chrono::duration<double, std::milli>(modes.report_lag_ms);
+  const std::uint32_t load =
+      upstream_->slots().ReportedLoad(std::chrono::duration_cast<Duration>(lag), MonotonicNow());
+  fields.push_back({"X-Load", "in_flight=" + std::to_string(load)});
+  if (modes.leaving) fields.push_back({"X-Leaving", "1"});
+  if (modes.leaving && modes.refuse) fields.push_back({"Connection", "close"});
+  HttpHead head;
+  head.status = status;
+  head.fields = std::move(fields);
+  return head;
+}
+
+bool RequestHandler::Answer(int status, std::vector<HeaderField> fields, const std::string& body) {
+  fields.push_back({"Content-Length", std::to_string(body.size())});
+  const HttpHead head = MakeHead(status, std::move(fields));
+  const bool keep = reader_.keep_alive() && head.Value("Connection") != "close";
+  return Send(FormatAnswer(head) + body) && keep;
+}
+
+bool RequestHandler::Send(const std::string& data) {
+  if (connection_->silent_out) return HoldSilently();
+  return connection_->socket.WriteAll(data, MonotonicNow() + kWriteLimit).ok();
+}
+
+bool RequestHandler::HoldSilently() {
+  connection_->socket.WaitForPeerClose(MonotonicNow() + kIdleLimit);
+  return false;
+}
+
+}  // namespace primroseweir::standins
