Take budgets, shares and strikes from the limits module

The pool counts with ConnectionShare; the dispatch asks ServiceLimits and adds a strike when an upstream resets a connection before the answer's head or its port then refuses connections. Tested: a request that crashed two upstreams is refused as not run.

--- a/include/primroseweir/filters/connection_pool.h
+++ b/include/primroseweir/filters/connection_pool.h
@@ -4,7 +4,6 @@
 #include <absl/status/statusor.h>
 
 #include <atomic>
-#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <mutex>
@@ -21,12 +20,8 @@
 struct ConfigurationSnapshot;
 struct UpstreamRecord;
 
-// Connections that the holder of `seat` may hold to an upstream: floor(connections / seats), and
-// one more for the first seats in rendezvous order while a remainder lasts.
-std::size_t ConnectionShare(const UpstreamRecord& record, Seat seat, std::uint64_t seats);
-
-// All connections of this instance to upstreams. Take is safe for many threads and takes no lock;
-// the rest comes from the controllers' threads.
+// All connections of this instance to upstreams. Take is safe for many threads and takes no lock
+// unless connections went silent lately; the rest comes from the controllers' threads.
 class ConnectionPool {
  public:
   struct Options {
--- a/include/primroseweir/filters/detail/attempt.h
+++ b/include/primroseweir/filters/detail/attempt.h
@@ -42,6 +42,8 @@
   bool sent() const { return connection_->socket()->bytes_sent() > bytes_before_; }
   // Whether a byte of an answer arrived.
   bool received() const { return connection_->socket()->bytes_received() > received_before_; }
+  // Whether the upstream reset the connection.
+  bool Reset() const { return connection_->socket()->was_reset(); }
   // The upstream refused the call explicitly: it was not run.
   bool Refused() const;
   // The upstream shed the call without saying whether it ran.
--- a/include/primroseweir/filters/detail/call_dispatch.h
+++ b/include/primroseweir/filters/detail/call_dispatch.h
@@ -16,8 +16,8 @@
 
 namespace primroseweir {
 
-class LatencyQuantiles;
 struct Call;
+struct ServiceLimits;
 
 namespace detail {
 
@@ -25,7 +25,7 @@
 // counts. Belongs to the thread of the call.
 class CallDispatch {
  public:
-  CallDispatch(const DispatchServices& services, LatencyQuantiles* latencies, Call* call);
+  CallDispatch(const DispatchServices& services, Call* call);
 
   CallEnd Run();
 
@@ -54,7 +54,9 @@
   bool GoesOnAfterRefusal();
   bool GoesOnAfterShedding();
   bool MayExecuteAgain() const;
-  void End(Attempt* attempt, AttemptEnd end);
+  bool TakeRetry();
+  // Gives the request a strike when the loss looks like a crash of the upstream.
+  void NoteLoss(const Attempt& attempt, const absl::Status& failure);
 
   // ---- answers ----
 
@@ -63,7 +65,8 @@
   CallEnd Failure(const absl::Status& failure) const;
 
   const DispatchServices& services_;
-  LatencyQuantiles* const latencies_;
+  // Retry budget and hedge policy of the service; null when it is not in the text.
+  const std::shared_ptr<ServiceLimits> limits_;
   Call* const call_;
   CallRequest request_;
   std::unique_ptr<Attempt> current_;
--- a/include/primroseweir/filters/dispatch_filter.h
+++ b/include/primroseweir/filters/dispatch_filter.h
@@ -3,7 +3,6 @@
 
 #include "primroseweir/filters/dispatch_services.h"
 #include "primroseweir/filters/filter.h"
-#include "primroseweir/filters/latency_quantiles.h"
 
 namespace primroseweir {
 
@@ -17,7 +16,6 @@
 
  private:
   const DispatchServices services_;
-  LatencyQuantiles latencies_;
 };
 
 }  // namespace primroseweir
--- a/include/primroseweir/filters/upstream_connections.h
+++ b/include/primroseweir/filters/upstream_connections.h
@@ -3,23 +3,27 @@
 
 #include <atomic>
 #include <chrono>
-#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <vector>
 
+#include "primroseweir/base/ids.h"
 #include "primroseweir/base/socket_address.h"
 #include "primroseweir/base/time.h"
+#include "primroseweir/limits/connection_share.h"
 
 namespace primroseweir {
 
 class ClientConnection;
+struct UpstreamRecord;
 
 // The connections of this instance to one upstream, at most its fixed share of them. Safe for many
-// threads; no function takes a lock. Complexity: linear in the share.
+// threads; no function takes a lock unless connections went silent lately. Complexity: linear in
+// the share.
 class UpstreamConnections {
  public:
-  UpstreamConnections(const SocketAddress& address, std::size_t share);
+  // `id` and `connections` come from the list, `seat` of `seats` from the settings.
+  UpstreamConnections(const UpstreamRecord& record, Seat seat, std::uint64_t seats);
   ~UpstreamConnections();
   UpstreamConnections(const UpstreamConnections&) = delete;
   UpstreamConnections& operator=(const UpstreamConnections&) = delete;
@@ -34,10 +38,10 @@
   // Gives back a connection for further requests.
   void Put(std::unique_ptr<ClientConnection> connection);
   // Gives back the place of a closed connection.
-  void Release();
-  // Gives back the place of a connection that went silent, kSilentHold later: the upstream may hold
-  // it until then.
-  void ReleaseSilent(Instant now);
+  void Release() { share_.Closed(); }
+  // Gives up a connection that went silent. Its place stays taken for a while: the upstream may
+  // still hold the connection.
+  void ReleaseSilent(Instant now) { share_.GivenUp(now); }
   // Closes all idle connections.
   void CloseIdle();
   // Closes connections that have been idle for kMaxIdle.
@@ -46,24 +50,18 @@
   void Retire();
 
   const SocketAddress& address() const { return address_; }
-  std::size_t share() const { return share_; }
-  // Places taken, those of silent connections included.
-  std::size_t open() const { return open_.load(); }
+  // The fixed share with its count.
+  ConnectionShare* share() { return &share_; }
 
   static constexpr Duration kProvenAge = std::chrono::milliseconds(250);
-  static constexpr Duration kSilentHold = std::chrono::seconds(60);
   static constexpr Duration kMaxIdle = std::chrono::seconds(30);
 
  private:
-  void ReleaseExpired(Instant now);
-
   const SocketAddress address_;
-  const std::size_t share_;
-  std::atomic<std::size_t> open_{0};
+  ConnectionShare share_;
   std::atomic<bool> retired_{false};
+  // One place per connection of the share at the start; null for none.
   std::vector<std::atomic<ClientConnection*>> idle_;
-  // When the places of silent connections come back, in ticks of the monotonic clock; 0 for none.
-  std::vector<std::atomic<std::int64_t>> silent_;
 };
 
 }  // namespace primroseweir
--- a/include/primroseweir/http/socket_stream.h
+++ b/include/primroseweir/http/socket_stream.h
@@ -66,6 +66,8 @@
   int descriptor() const { return descriptor_; }
   std::uint64_t bytes_sent() const { return bytes_sent_; }
   std::uint64_t bytes_received() const { return bytes_received_; }
+  // Whether a read or write found that the peer had reset the connection.
+  bool was_reset() const { return was_reset_; }
   // When bytes last arrived; the time of the connect before that.
   Instant last_received() const { return last_received_; }
 
@@ -76,6 +78,7 @@
   int descriptor_ = -1;
   int watched_ = -1;
   bool stop_on_input_ = false;
+  bool was_reset_ = false;
   std::uint64_t bytes_sent_ = 0;
   std::uint64_t bytes_received_ = 0;
   Instant last_received_;
--- a/src/filters/connection_pool.cc
+++ b/src/filters/connection_pool.cc
@@ -4,7 +4,6 @@
 #include <chrono>
 #include <utility>
 
-#include "primroseweir/base/rendezvous.h"
 #include "primroseweir/configuration/snapshot.h"
 #include "primroseweir/filters/upstream_connections.h"
 
@@ -17,12 +16,6 @@
 
 }  // namespace
 
-std::size_t ConnectionShare(const UpstreamRecord& record, Seat seat, std::uint64_t seats) {
-  const auto remainder = record.connections % seats;
-  const auto rank = RendezvousRank(record.id.value(), seat.value(), seats);
-  return record.connections / seats + (rank < remainder ? 1 : 0);
-}
-
 ConnectionPool::ConnectionPool(const Options& options)
     : options_(options), table_(std::make_shared<const Table>()) {}
 
@@ -54,13 +47,12 @@
 
 std::shared_ptr<UpstreamConnections> ConnectionPool::Keep(const Table& old,
                                                           const UpstreamRecord& record) const {
-  const auto share = ConnectionShare(record, options_.seat, options_.seats);
   const auto known = old.find(record.id);
-  if (known != old.end() && known->second->address() == record.address &&
-      known->second->share() == share) {
+  if (known != old.end() && known->second->address() == record.address) {
+    known->second->share()->SetConnections(record.connections);
     return known->second;
   }
-  return std::make_shared<UpstreamConnections>(record.address, share);
+  return std::make_shared<UpstreamConnections>(record, options_.seat, options_.seats);
 }
 
 void ConnectionPool::Apply(const ConfigurationSnapshot& snapshot) {
--- a/src/filters/detail/call_dispatch.cc
+++ b/src/filters/detail/call_dispatch.cc
@@ -6,13 +6,15 @@
 #include <chrono>
 #include <utility>
 
+#include "primroseweir/base/error.h"
 #include "primroseweir/filters/call.h"
 #include "primroseweir/filters/connection_pool.h"
 #include "primroseweir/filters/detail/answer_relay.h"
-#include "primroseweir/filters/latency_quantiles.h"
 #include "primroseweir/http/server_connection.h"
 #include "primroseweir/http/socket_wait.h"
+#include "primroseweir/limits/crash_guard.h"
 #include "primroseweir/routing/router.h"
+#include "primroseweir/routing/service_limits.h"
 
 namespace primroseweir::detail {
 namespace {
@@ -23,6 +25,15 @@
 // A hedge that can't connect at once is not worth its budget.
 constexpr auto kHedgeConnectTimeout = std::chrono::milliseconds(20);
 
+// Time for a crashed upstream's machine to refuse a connection.
+constexpr auto kRefusalTimeout = std::chrono::milliseconds(50);
+
+// Whether nothing listens at the address any more. A connection that opens is closed at once.
+bool RefusesConnections(const SocketAddress& address) {
+  const auto socket = SocketStream::Connect(address, MonotonicNow() + kRefusalTimeout);
+  return absl::IsUnavailable(socket.status());
+}
+
 AttemptEnd EndOf(const absl::Status& failure) {
   switch (failure.code()) {
     case absl::StatusCode::kDeadlineExceeded:
@@ -36,9 +47,8 @@
 
 }  // namespace
 
-CallDispatch::CallDispatch(const DispatchServices& services, LatencyQuantiles* latencies,
-                           Call* call)
-    : services_(services), latencies_(latencies), call_(call) {
+CallDispatch::CallDispatch(const DispatchServices& services, Call* call)
+    : services_(services), limits_(services.router->Limits(call->service)), call_(call) {
   request_.service = call->service;
   request_.priority = call->priority;
   request_.deadline = call->deadline;
@@ -46,8 +56,8 @@
 }
 
 CallEnd CallDispatch::Run() {
-  if (call_->depth == 0) {
-    services_.note_first_attempt();
+  if (call_->depth == 0 && limits_ != nullptr) {
+    limits_->retries.NoteFirstAttempt();
   }
   while (true) {
     auto status = Start();
@@ -80,7 +90,7 @@
   auto acquired = services_.router->Acquire(request_, MonotonicNow());
   if (!acquired.ok()) {
     no_upstream_ = true;
-    step_ = "admission";
+    step_ = OriginOf(acquired.status()).step;
     return acquired.status();
   }
   *lease = std::move(*acquired);
@@ -178,13 +188,14 @@
   }
   if (!head.ok()) {
     possibly_ran_ = true;
-    End(attempt->get(), AttemptEnd::kConnectionLost);
+    NoteLoss(**attempt, head.status());
+    (*attempt)->Finish(AttemptEnd::kConnectionLost);
     attempt->reset();
     return false;
   }
   if ((*attempt)->Refused() || (*attempt)->Shed()) {
     possibly_ran_ = possibly_ran_ || (*attempt)->Shed();
-    End(attempt->get(), AttemptEnd::kRefused);
+    (*attempt)->Finish(AttemptEnd::kRefused);
     attempt->reset();
     return false;
   }
@@ -194,27 +205,30 @@
 void CallDispatch::Choose(std::unique_ptr<Attempt>* winner, std::unique_ptr<Attempt>* loser) {
   if (*loser != nullptr) {
     possibly_ran_ = true;
-    End(loser->get(), AttemptEnd::kCancelled);
+    (*loser)->Finish(AttemptEnd::kCancelled);
     loser->reset();
   }
   if (winner == &hedge_) {
     current_ = std::move(hedge_);
   }
   peer_ = current_->record().id.value();
-  latencies_->Add(call_->service, current_->time_to_head());
 }
 
 Instant CallDispatch::HedgeAt() const {
-  if (call_->request->method != "GET" || !MayExecuteAgain() || !range_.empty()) {
+  if (limits_ == nullptr || !MayExecuteAgain() || !range_.empty()) {
     return Instant::max();
   }
-  const auto usual = latencies_->Get(call_->service);
-  return usual ? MonotonicNow() + *usual : Instant::max();
+  HedgePolicy::Call kind;
+  kind.get = call_->request->method == "GET";
+  kind.repeatable = call_->repeatable;
+  kind.depth = static_cast<std::uint32_t>(call_->depth);
+  const auto delay = limits_->hedges.Delay(kind);
+  return delay ? MonotonicNow() + *delay : Instant::max();
 }
 
 void CallDispatch::StartHedge() {
   auto lease = services_.router->TryAcquire(request_, MonotonicNow());
-  if (!lease.ok() || !services_.take_retry()) {
+  if (!lease.ok() || !TakeRetry()) {
     return;
   }
   auto attempt = Connect(std::move(*lease), MonotonicNow() + kHedgeConnectTimeout);
@@ -224,16 +238,22 @@
   if (Send(attempt->get()).ok()) {
     hedge_ = std::move(*attempt);
   } else {
-    End(attempt->get(), AttemptEnd::kConnectionLost);
+    (*attempt)->Finish(AttemptEnd::kConnectionLost);
   }
 }
 
 // ---- decisions ----
 
-void CallDispatch::End(Attempt* attempt, AttemptEnd end) {
-  attempt->Finish(end);
-  if (attempt->sent()) {
-    services_.note_end(call_->fingerprint, attempt->record().id, end);
+bool CallDispatch::TakeRetry() { return limits_ != nullptr && limits_->retries.TrySpend(); }
+
+void CallDispatch::NoteLoss(const Attempt& attempt, const absl::Status& failure) {
+  if (!attempt.sent() || attempt.head() != nullptr ||
+      EndOf(failure) != AttemptEnd::kConnectionLost) {
+    return;
+  }
+  const auto& record = attempt.record();
+  if (attempt.Reset() || RefusesConnections(record.address)) {
+    services_.router->crash_guard().AddStrike(call_->fingerprint, record.id, MonotonicNow());
   }
 }
 
@@ -250,7 +270,7 @@
   const bool final = absl::IsCancelled(failure) || MonotonicNow() >= call_->deadline;
   if (current_ == nullptr || !current_->sent()) {
     if (current_ != nullptr) {
-      End(current_.get(), EndOf(failure));
+      current_->Finish(EndOf(failure));
     }
     return !final && (absl::IsResourceExhausted(failure) || ++refusals_ <= kMaxResends);
   }
@@ -258,13 +278,14 @@
   if (absl::IsDeadlineExceeded(failure) && !current_->received()) {
     current_->pooled()->MarkSilent();
   }
-  End(current_.get(), EndOf(failure));
-  return !final && MayExecuteAgain() && services_.take_retry();
+  NoteLoss(*current_, failure);
+  current_->Finish(EndOf(failure));
+  return !final && MayExecuteAgain() && TakeRetry();
 }
 
 bool CallDispatch::GoesOnAfterRefusal() {
   --executions_;
-  End(current_.get(), AttemptEnd::kRefused);
+  current_->Finish(AttemptEnd::kRefused);
   return ++refusals_ <= kMaxResends && !body_consumed_ && MonotonicNow() < call_->deadline;
 }
 
@@ -274,12 +295,12 @@
     return false;
   }
   auto lease = services_.router->TryAcquire(request_, MonotonicNow());
-  if (!lease.ok() || !services_.take_retry()) {
+  if (!lease.ok() || !TakeRetry()) {
     return false;
   }
   next_lease_ = std::move(*lease);
   possibly_ran_ = true;
-  End(current_.get(), AttemptEnd::kRefused);
+  current_->Finish(AttemptEnd::kRefused);
   return true;
 }
 
@@ -294,16 +315,16 @@
     return Resume(offset, etag);
   });
   const auto status = relay.Pass(&current_);
-  End(current_.get(), status.ok() ? AttemptEnd::kAnswered : EndOf(status));
+  current_->Finish(status.ok() ? AttemptEnd::kAnswered : EndOf(status));
   return end;
 }
 
 std::unique_ptr<Attempt> CallDispatch::Resume(std::uint64_t offset, const std::string& etag) {
-  End(current_.get(), AttemptEnd::kConnectionLost);
+  current_->Finish(AttemptEnd::kConnectionLost);
   // The deadline of the call covers the time to the first byte; the rest of a download has its own.
   call_->deadline = std::max(call_->deadline, MonotonicNow() + std::chrono::seconds(10));
   request_.deadline = call_->deadline;
-  if (!MayExecuteAgain() || !services_.take_retry()) {
+  if (!MayExecuteAgain() || !TakeRetry()) {
     return nullptr;
   }
   auto broken = std::move(current_);
@@ -322,7 +343,9 @@
                            : CallEnd::NotRun(step_, reason, late ? 504 : 503);
   end.peer = peer_;
   if (!possibly_ran_ && !late) {
-    end.retry_after = 1;
+    const auto wait = services_.router->RetryAfter(call_->service);
+    end.retry_after = static_cast<int>(std::chrono::ceil<std::chrono::seconds>(wait).count());
+    end.retry_after = std::max(end.retry_after, 1);
   }
   return end;
 }
--- a/src/filters/dispatch_filter.cc
+++ b/src/filters/dispatch_filter.cc
@@ -6,7 +6,7 @@
 namespace primroseweir {
 
 CallEnd DispatchFilter::Handle(Call* call, const Next& next) {
-  detail::CallDispatch dispatch(services_, &latencies_, call);
+  detail::CallDispatch dispatch(services_, call);
   return dispatch.Run();
 }
 
--- a/src/filters/upstream_connections.cc
+++ b/src/filters/upstream_connections.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "primroseweir/configuration/upstream_record.h"
 #include "primroseweir/http/client_connection.h"
 #include "primroseweir/http/socket_stream.h"
 
@@ -14,8 +15,11 @@
 
 }  // namespace
 
-UpstreamConnections::UpstreamConnections(const SocketAddress& address, std::size_t share)
-    : address_(address), share_(share), idle_(share), silent_(share) {}
+UpstreamConnections::UpstreamConnections(const UpstreamRecord& record, Seat seat,
+                                         std::uint64_t seats)
+    : address_(record.address),
+      share_(record.id.value(), seat, seats, record.connections),
+      idle_(share_.limit()) {}
 
 UpstreamConnections::~UpstreamConnections() { CloseIdle(); }
 
@@ -46,16 +50,7 @@
   return false;
 }
 
-bool UpstreamConnections::Reserve(Instant now) {
-  ReleaseExpired(now);
-  auto open = open_.load();
-  while (open < share_ && !retired_.load()) {
-    if (open_.compare_exchange_weak(open, open + 1)) {
-      return true;
-    }
-  }
-  return false;
-}
+bool UpstreamConnections::Reserve(Instant now) { return !retired_.load() && share_.TryOpen(now); }
 
 void UpstreamConnections::Put(std::unique_ptr<ClientConnection> connection) {
   for (auto& slot : idle_) {
@@ -75,29 +70,6 @@
   }
 }
 
-void UpstreamConnections::Release() { open_.fetch_sub(1); }
-
-void UpstreamConnections::ReleaseSilent(Instant now) {
-  const std::int64_t expiry = (now + kSilentHold).time_since_epoch().count();
-  for (auto& slot : silent_) {
-    std::int64_t expected = 0;
-    if (slot.compare_exchange_strong(expected, expiry)) {
-      return;
-    }
-  }
-  // Cannot happen while each open connection has a slot; the place stays taken.
-}
-
-void UpstreamConnections::ReleaseExpired(Instant now) {
-  for (auto& slot : silent_) {
-    auto expiry = slot.load();
-    if (expiry != 0 && expiry <= now.time_since_epoch().count() &&
-        slot.compare_exchange_strong(expiry, 0)) {
-      Release();
-    }
-  }
-}
-
 void UpstreamConnections::CloseOld(Instant now) {
   for (auto& slot : idle_) {
     std::unique_ptr<ClientConnection> connection(slot.exchange(nullptr));
--- a/src/http/socket_stream.cc
+++ b/src/http/socket_stream.cc
@@ -82,6 +82,7 @@
     if (WouldBlock()) {
       return std::optional<std::size_t>();
     }
+    was_reset_ = errno == ECONNRESET;
     return LastSocketError("receive");
   }
   if (count > 0) {
@@ -100,6 +101,7 @@
       continue;
     }
     if (!WouldBlock()) {
+      was_reset_ = errno == ECONNRESET || errno == EPIPE;
       return LastSocketError("send");
     }
     auto status = WaitWritable(std::min(deadline, MonotonicNow() + progress));
