--- a/include/primroseweir/filters/call_end.h
+++ b/include/primroseweir/filters/call_end.h
@@ -3,7 +3,7 @@
 
 #include <string>
 
-#include "primroseweir/filters/outcome.h"
+#include "primroseweir/keys/outcome.h"
 
 namespace primroseweir {
 
--- a/include/primroseweir/filters/outcome.h
+++ b/include/primroseweir/keys/outcome.h
@@ -1,5 +1,5 @@
-#ifndef PRIMROSEWEIR_FILTERS_OUTCOME_H_
-#define PRIMROSEWEIR_FILTERS_OUTCOME_H_
+#ifndef PRIMROSEWEIR_KEYS_OUTCOME_H_
+#define PRIMROSEWEIR_KEYS_OUTCOME_H_
 
 namespace primroseweir {
 
@@ -18,4 +18,4 @@
 
 }  // namespace primroseweir
 
-#endif  // PRIMROSEWEIR_FILTERS_OUTCOME_H_
+#endif  // PRIMROSEWEIR_KEYS_OUTCOME_H_
--- /dev/null
+++ b/include/primroseweir/keys/stored_answer.h
@@ -0,0 +1,29 @@
+#ifndef PRIMROSEWEIR_KEYS_STORED_ANSWER_H_
+#define PRIMROSEWEIR_KEYS_STORED_ANSWER_H_
+
+#include <cstddef>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace primroseweir {
+
+// The answer of a call that ran, kept for callers that send the call again.
+struct StoredAnswer {
+  int http_status = 200;
+  std::vector<std::pair<std::string, std::string>> fields;
+  std::string body;
+
+  // Bytes that count against the table's limit.
+  std::size_t Bytes() const {
+    std::size_t bytes = body.size();
+    for (const auto& [name, value] : fields) {
+      bytes += name.size() + value.size();
+    }
+    return bytes;
+  }
+};
+
+}  // namespace primroseweir
+
+#endif  // PRIMROSEWEIR_KEYS_STORED_ANSWER_H_
--- a/src/filters/outcome.cc
+++ b/src/keys/outcome.cc
@@ -1,4 +1,4 @@
-#include "primroseweir/filters/outcome.h"
+#include "primroseweir/keys/outcome.h"
 
 namespace primroseweir {
 
