--- /dev/null
+++ b/bench/site/overload.cc
@@ -0,0 +1,87 @@
+#include <atomic>
+#include <chrono>
+#include <cstdio>
+#include <string>
+#include <thread>
+
+#include "bench/site/experiments.h"
+#include "caller/load.h"
+#include "support/site.h"
+
+namespace primroseweir::bench {
+namespace {
+
+using standins::CallEnd;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr int kUpstreams = 6;
+constexpr int kSlots = 6;
+constexpr double kServiceMilliseconds = 20;
+// Calls a second that the upstreams of one service can execute.
+constexpr double kCapacity = kUpstreams * kSlots * 1000.0 / kServiceMilliseconds;
+
+testing::SitePlan Plan() {
+  testing::SitePlan plan = testing::DonaueisPlan("bench-overload");
+  for (testing::ServicePlan& service : plan.services) {
+    service.upstreams = kUpstreams;
+    service.slots = kSlots;
+    service.service_ms = kServiceMilliseconds;
+  }
+  return plan;
+}
+
+standins::LoadResult RunAt(const testing::Site& site, double load, Duration length,
+                           std::uint64_t seed) {
+  standins::LoadPlan plan;
+  plan.addresses = site.CallerAddresses();
+  plan.read_service = "ice-board";
+  plan.booking_service = "booking-ledger";
+  plan.booking_share = 0.1;
+  plan.rate = load * kCapacity;
+  plan.concurrency = 256;
+  plan.duration = length;
+  plan.patience = seconds(1);
+  plan.seed = seed;
+  const std::atomic<bool> never{false};
+  return standins::RunLoad(plan, never);
+}
+
+nlohmann::json RowOf(const std::string& phase, double load, Duration length,
+                     const standins::LoadResult& result) {
+  nlohmann::json row = {{"phase", phase}, {"load", load}};
+  for (const auto& [kind, calls] : result) {
+    const double useful = static_cast<double>(calls.Of(CallEnd::kRight)) /
+                          std::chrono::duration<double>(length).count();
+    row[kind] = {{"useful_per_second", useful},
+                 {"not_run", calls.Of(CallEnd::kNotRun)},
+                 {"unknown", calls.Of(CallEnd::kUnknown)},
+                 {"wrong", calls.Of(CallEnd::kWrong) + calls.Of(CallEnd::kCut)},
+                 {"p50_ms", ToMicroseconds(calls.Percentile(0.5)) / 1000.0},
+                 {"p99_ms", ToMicroseconds(calls.Percentile(0.99)) / 1000.0}};
+  }
+  return row;
+}
+
+}  // namespace
+
+nlohmann::json MeasureOverload() {
+  testing::Site site(Plan());
+  constexpr Duration kLength = seconds(5);
+  nlohmann::json rows = nlohmann::json::array();
+  struct Phase {
+    const char* name;
+    double load;
+  };
+  std::uint64_t seed = 1;
+  std::printf("overload: capacity of the reads %.0f calls/s\n", kCapacity);
+  for (const Phase& phase : {Phase{"warm-up", 0.5}, Phase{"normal", 0.7}, Phase{"overload", 1.5},
+                             Phase{"after", 0.7}, Phase{"overload", 3.0}, Phase{"after", 0.7}}) {
+    const auto result = RunAt(site, phase.load, kLength, seed++);
+    rows.push_back(RowOf(phase.name, phase.load, kLength, result));
+    std::printf("%s\n", rows.back().dump().c_str());
+  }
+  return rows;
+}
+
+}  // namespace primroseweir::bench
