--- a/tests/support/site.cc
+++ b/tests/support/site.cc
@@ -4,6 +4,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <cstdlib>
 #include <exception>
 #include <filesystem>
 #include <fstream>
@@ -38,6 +39,13 @@
   return std::to_string(EntropySeed()) + "-" + std::to_string(EntropySeed());
 }
 
+// The tests with real processes run against another entry binary, such as the naive one, when this
+// variable names it.
+std::string EntryBinary() {
+  const char* other = std::getenv("PRIMROSEWEIR_ENTRY");
+  return other != nullptr ? other : Site::Binary("apps/primroseweir-entry/primroseweir-entry");
+}
+
 std::string MakeFolder(const std::string& name) {
   static int count = 0;
   const std::string folder = Site::Binary("sites/" + name + "-" + std::to_string(getpid()) + "-" +
@@ -100,6 +108,15 @@
   std::filesystem::remove_all(folder_, ignored);
 }
 
+std::string Site::PidsText() const {
+  std::string text = std::to_string(configuration_->pid());
+  for (const Entry& entry : entries_) text += "," + std::to_string(entry.process->pid());
+  for (const auto& [id, upstream] : upstreams_) {
+    text += "," + std::to_string(upstream.process->pid());
+  }
+  return text;
+}
+
 std::string Site::Binary(const std::string& path) {
   return std::string(PRIMROSEWEIR_BUILD_FOLDER) + "/" + path;
 }
@@ -168,8 +185,7 @@
   entry.process.reset();
   WriteEntrySettings(index);
   entry.process = std::make_unique<ChildProcess>(
-      std::vector<std::string>{Binary("apps/primroseweir-entry/primroseweir-entry"), "--settings",
-                               entry.settings_path},
+      std::vector<std::string>{EntryBinary(), "--settings", entry.settings_path},
       entry.settings_path + ".log");
   if (!wait || WaitForAddresses(index, 1, kStartTimeout)) return;
   throw std::runtime_error("entry instance does not answer: " + entry.process->Log());
--- a/tests/support/site.h
+++ b/tests/support/site.h
@@ -81,6 +81,8 @@
   // Sum of a counter over all upstreams of the service.
   std::uint64_t Sum(const std::string& service, const std::string& counter) const;
 
+  // Process ids of all processes, divided by commas.
+  std::string PidsText() const;
   const std::string& folder() const { return folder_; }
   const Network& network() const { return network_; }
   const std::string& operator_token() const { return operator_token_; }
--- a/tests/support/site_plan.h
+++ b/tests/support/site_plan.h
@@ -36,7 +36,7 @@
   std::vector<ServicePlan> services;
 };
 
-// The services of the Donaueis desk in docs/design.md section 1.1, with fewer upstreams.
+// The services of the Donaueis desk in docs/design.md section 1.1.
 SitePlan DonaueisPlan(const std::string& name);
 
 }  // namespace primroseweir::testing
