Test limits and upstream state against naive versions

Cause: the classes had no tests of their own. Found: CrashGuard forgot a strike older than 10 minutes or not, depending on whether another fingerprint had come in between. Strikes now count when they are within 10 minutes of the newest one.

--- a/include/primroseweir/limits/crash_guard.h
+++ b/include/primroseweir/limits/crash_guard.h
@@ -25,7 +25,8 @@
     kClear,
     // One strike: runs at one upstream at a time, apart from other suspects.
     kSuspect,
-    // Two strikes on distinct upstreams: refused as "not run".
+    // Strikes on two distinct upstreams within kQuarantine: refused as "not run" until kQuarantine
+    // after the newer one.
     kQuarantined,
   };
 
--- a/src/limits/crash_guard.cc
+++ b/src/limits/crash_guard.cc
@@ -157,7 +157,10 @@
   Instant newest = Instant::min();
   for (const auto& [upstream, at] : record.strikes) newest = std::max(newest, at);
   if (record.strikes.empty() || now - newest >= kQuarantine) return Verdict::kClear;
-  return record.strikes.size() >= 2 ? Verdict::kQuarantined : Verdict::kSuspect;
+  const auto counting =
+      std::count_if(record.strikes.begin(), record.strikes.end(),
+                    [newest](const auto& strike) { return newest - strike.second < kQuarantine; });
+  return counting >= 2 ? Verdict::kQuarantined : Verdict::kSuspect;
 }
 
 void CrashGuard::DropOld(Instant now) {
--- /dev/null
+++ b/tests/limits/crash_guard_test.cc
@@ -0,0 +1,176 @@
+#include "primroseweir/limits/crash_guard.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "primroseweir/base/random.h"
+
+namespace primroseweir {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+using Verdict = CrashGuard::Verdict;
+
+UpstreamId Upstream(std::uint64_t number) { return UpstreamId("ib-" + std::to_string(number)); }
+
+std::vector<UpstreamId> Upstreams(std::uint64_t count) {
+  std::vector<UpstreamId> all;
+  for (std::uint64_t i = 0; i < count; ++i) all.push_back(Upstream(i));
+  return all;
+}
+
+// All events so far; the verdict is computed from the whole history.
+struct NaiveGuard {
+  struct Happening {
+    std::uint64_t fingerprint;
+    std::uint64_t upstream;
+    Instant at;
+    bool success;
+  };
+  std::vector<Happening> history;
+
+  Verdict Check(std::uint64_t fingerprint, Instant now) const {
+    std::vector<Happening> strikes;
+    for (const Happening& event : history) {
+      if (event.fingerprint != fingerprint) continue;
+      if (event.success) {
+        strikes.clear();
+      } else {
+        strikes.push_back(event);
+      }
+    }
+    if (strikes.empty() || now - strikes.back().at >= CrashGuard::kQuarantine) {
+      return Verdict::kClear;
+    }
+    std::set<std::uint64_t> upstreams;
+    for (const Happening& strike : strikes) {
+      const bool counts = strikes.back().at - strike.at < CrashGuard::kQuarantine;
+      if (counts) upstreams.insert(strike.upstream);
+    }
+    return upstreams.size() >= 2 ? Verdict::kQuarantined : Verdict::kSuspect;
+  }
+};
+
+// Guards against requests that are refused without two strikes on distinct upstreams since their
+// last success, or that are not refused with them.
+TEST_CASE("crash guard agrees with a naive version", "[not-run]") {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    Random random(seed);
+    CrashGuard guard;
+    NaiveGuard naive;
+    Instant now{};
+    for (int step = 0; step < 300; ++step) {
+      now += milliseconds(1 + random.Below(random.Below(20) == 0 ? 400'000 : 5'000));
+      const std::uint64_t fingerprint = 1 + random.Below(6);
+      const std::uint64_t upstream = random.Below(3);
+      if (random.Below(3) == 0) {
+        guard.NoteSuccess(fingerprint, Upstream(upstream), now);
+        naive.history.push_back({fingerprint, upstream, now, true});
+      } else if (guard.Check(fingerprint, now) != Verdict::kQuarantined) {
+        guard.AddStrike(fingerprint, Upstream(upstream), now);
+        naive.history.push_back({fingerprint, upstream, now, false});
+      }
+      for (std::uint64_t each = 1; each <= 6; ++each) {
+        REQUIRE(guard.Check(each, now) == naive.Check(each, now));
+      }
+    }
+  }
+}
+
+// Guards against strikes whose age grows younger with each instance that passes them on, so that
+// they never expire or outlive a success.
+TEST_CASE("strikes and successes that circulate keep their times", "[not-run]") {
+  Instant now{};
+  std::vector<CrashGuard> guards(5);
+  guards[0].AddStrike(7, Upstream(0), now);
+  const auto circulate = [&](Duration time) {
+    const Instant end = now + time;
+    while (now < end) {
+      for (std::size_t i = 0; i < guards.size(); ++i) {
+        const auto strikes = guards[i].Strikes(now);
+        // Each message is 20 ms on its way.
+        now += milliseconds(20);
+        guards[(i + 1) % guards.size()].Merge(strikes, now);
+      }
+    }
+  };
+  circulate(seconds(5));
+  for (const auto& guard : guards) CHECK(guard.Check(7, now) == Verdict::kSuspect);
+  guards[2].NoteSuccess(7, Upstream(1), now);
+  circulate(seconds(5));
+  for (const auto& guard : guards) CHECK(guard.Check(7, now) == Verdict::kClear);
+  guards[1].AddStrike(8, Upstream(0), now);
+  circulate(minutes(11));
+  for (const auto& guard : guards) CHECK(guard.Check(8, now) == Verdict::kClear);
+}
+
+// Guards against innocent requests that share a second crash with the guilty one: suspects run at
+// different upstreams, and all instances agree where.
+TEST_CASE("suspects are assigned to different upstreams by all instances alike", "[not-run]") {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    Random random(seed);
+    const Instant now{};
+    CrashGuard first;
+    CrashGuard second;
+    std::vector<std::uint64_t> suspects;
+    for (int i = 0; i < 6; ++i) suspects.push_back(1 + random.Below(1'000'000));
+    for (const auto suspect : suspects) first.AddStrike(suspect, Upstream(3), now);
+    second.Merge(first.Strikes(now), now);
+    std::set<std::string> used;
+    for (const auto suspect : suspects) {
+      const UpstreamId assigned = first.Assign(suspect, Upstreams(10), now);
+      CHECK(assigned == second.Assign(suspect, Upstreams(10), now));
+      CHECK(assigned != Upstream(3));
+      used.insert(assigned.value());
+    }
+    CHECK(used.size() == std::set<std::uint64_t>(suspects.begin(), suspects.end()).size());
+  }
+}
+
+// Guards against one request that runs twice at once, and two suspects at one upstream.
+TEST_CASE("a suspect runs once at a time and alone", "[not-run]") {
+  CrashGuard guard;
+  CHECK(guard.TryStart(1, Upstream(0)));
+  CHECK_FALSE(guard.TryStart(1, Upstream(1)));
+  CHECK_FALSE(guard.TryStart(2, Upstream(0)));
+  guard.End(1, Upstream(0));
+  CHECK(guard.TryStart(2, Upstream(0)));
+}
+
+// Guards against a list of strikes that grows without bound.
+TEST_CASE("the oldest strikes are dropped first", "[not-run]") {
+  CrashGuard guard;
+  Instant now{};
+  const std::uint64_t count = CrashGuard::kMaximumFingerprints + 100;
+  for (std::uint64_t i = 1; i <= count; ++i) {
+    now += milliseconds(1);
+    guard.AddStrike(i, Upstream(0), now);
+  }
+  CHECK(guard.Strikes(now).size() == CrashGuard::kMaximumFingerprints);
+  CHECK(guard.Check(1, now) == Verdict::kClear);
+  CHECK(guard.Check(count, now) == Verdict::kSuspect);
+}
+
+// Guards against strikes that peers learn too late.
+TEST_CASE("strikes and the successes after them are sent at once", "[not-run]") {
+  CrashGuard guard;
+  std::vector<CrashStrike> sent;
+  guard.SetSender([&](const CrashStrike& strike) { sent.push_back(strike); });
+  const Instant now{};
+  guard.NoteSuccess(5, Upstream(1), now);
+  CHECK(sent.empty());
+  guard.AddStrike(5, Upstream(0), now);
+  guard.NoteSuccess(5, Upstream(1), now + milliseconds(1));
+  REQUIRE(sent.size() == 2);
+  CHECK_FALSE(sent[0].succeeded);
+  CHECK(sent[1].succeeded);
+}
+
+}  // namespace
+}  // namespace primroseweir
--- /dev/null
+++ b/tests/upstream/warm_up_window_test.cc
@@ -0,0 +1,182 @@
+#include "primroseweir/upstream/warm_up_window.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "primroseweir/base/random.h"
+#include "primroseweir/base/rendezvous.h"
+
+namespace primroseweir {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+WarmUpWindow::Seats MakeSeats(const std::vector<std::uint64_t>& seats) {
+  return std::make_shared<const std::vector<std::uint64_t>>(seats);
+}
+
+std::vector<std::uint64_t> FirstSeats(std::uint64_t count) {
+  std::vector<std::uint64_t> seats;
+  for (std::uint64_t i = 0; i < count; ++i) seats.push_back(i);
+  return seats;
+}
+
+// The share by dealing out the window's calls one after the other in rendezvous order.
+std::uint32_t NaiveShare(std::uint64_t epoch, std::uint32_t window, std::uint64_t seat,
+                         const std::vector<std::uint64_t>& live) {
+  const auto order = RendezvousOrder("ib-1#" + std::to_string(epoch), live);
+  std::map<std::uint64_t, std::uint32_t> dealt;
+  for (std::uint32_t call = 0; call < window; ++call) ++dealt[order[call % order.size()]];
+  return dealt[seat];
+}
+
+// Guards against shares that differ from the rendezvous order or add up to more than the window.
+TEST_CASE("shares of a cold upstream agree with a naive division", "[cold-start]") {
+  Random random(3);
+  for (int round = 0; round < 300; ++round) {
+    std::set<std::uint64_t> chosen;
+    const std::uint64_t count = 1 + random.Below(20);
+    while (chosen.size() < count) chosen.insert(random.Below(34));
+    const std::vector<std::uint64_t> live(chosen.begin(), chosen.end());
+    const std::uint64_t epoch = random.Below(50);
+    const auto window = static_cast<std::uint32_t>(1 + random.Below(63));
+    std::uint32_t sum = 0;
+    for (const std::uint64_t seat : live) {
+      WarmUpWindow own(UpstreamId("ib-1"), 64, Seat(seat), MakeSeats(live), Instant{});
+      own.Merge(Epoch(epoch), window, Instant{});
+      REQUIRE(own.limit() == NaiveShare(epoch, window, seat, live));
+      sum += own.limit();
+    }
+    REQUIRE(sum == window);
+  }
+}
+
+// Guards against a merge that depends on the order in which messages arrive.
+TEST_CASE("windows merge by the greater pair in any order", "[cold-start]") {
+  Random random(5);
+  for (int round = 0; round < 200; ++round) {
+    std::vector<std::pair<std::uint64_t, std::uint32_t>> pairs;
+    for (int i = 0; i < 8; ++i) {
+      pairs.emplace_back(random.Below(4), static_cast<std::uint32_t>(1 + random.Below(6)));
+    }
+    WarmUpWindow forwards(UpstreamId("ib-1"), 6, Seat(0), nullptr, Instant{});
+    WarmUpWindow backwards(UpstreamId("ib-1"), 6, Seat(0), nullptr, Instant{});
+    for (const auto& pair : pairs) forwards.Merge(Epoch(pair.first), pair.second, Instant{});
+    std::reverse(pairs.begin(), pairs.end());
+    for (const auto& pair : pairs) {
+      backwards.Merge(Epoch(pair.first), pair.second, Instant{});
+      backwards.Merge(Epoch(pair.first), pair.second, Instant{});
+    }
+    REQUIRE(forwards.pair().epoch == backwards.pair().epoch);
+    REQUIRE(forwards.pair().window == backwards.pair().window);
+    const auto greatest = *std::max_element(pairs.begin(), pairs.end());
+    const bool above = greatest > std::make_pair(std::uint64_t{0}, std::uint32_t{1});
+    REQUIRE(forwards.pair().epoch.value() == greatest.first);
+    if (above) REQUIRE(forwards.pair().window == greatest.second);
+  }
+}
+
+// The growth rule, one step at a time.
+struct NaiveGrowth {
+  std::uint32_t window = 1;
+  std::uint64_t epoch = 0;
+  Instant changed{};
+  Instant raised{};
+  bool raised_before = false;
+  Duration interval = WarmUpWindow::kGrowthInterval;
+
+  void Grow(Instant started, Instant now) {
+    if (window >= 6 || started < changed || now - changed < interval) return;
+    window = std::min(window * 2, 6U);
+    changed = now;
+  }
+  void Raise(Instant now) {
+    changed = now;
+    if (window == 1) return;
+    const bool again = raised_before && now - raised < WarmUpWindow::kCollapseMemory;
+    interval = again ? std::min(interval * 2, WarmUpWindow::kLongestGrowthInterval)
+                     : WarmUpWindow::kGrowthInterval;
+    raised_before = true;
+    raised = now;
+    window = 1;
+    ++epoch;
+  }
+};
+
+// Guards against growth faster than a doubling in 100 ms, growth by calls from before the last
+// change, and a collapse that is forgotten.
+TEST_CASE("growth and collapse agree with a naive version", "[cold-start]") {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    Random random(seed);
+    WarmUpWindow window(UpstreamId("ib-1"), 6, Seat(0), nullptr, Instant{});
+    NaiveGrowth naive;
+    Instant now{};
+    for (int step = 0; step < 3000; ++step) {
+      now += milliseconds(random.Below(60));
+      const Instant started = now - milliseconds(random.Below(100));
+      if (random.Below(40) == 0) {
+        window.Raise(now);
+        naive.Raise(now);
+      } else {
+        window.Grow(started, now);
+        naive.Grow(started, now);
+      }
+      REQUIRE(window.pair().window == naive.window);
+      REQUIRE(window.pair().epoch.value() == naive.epoch);
+    }
+  }
+}
+
+// Guards against an upstream with one slot that all seats use at once from the start.
+TEST_CASE("one slot is not open from the start", "[cold-start]") {
+  std::uint32_t sum = 0;
+  for (std::uint64_t seat = 0; seat < 5; ++seat) {
+    WarmUpWindow window(UpstreamId("ib-1"), 1, Seat(seat), MakeSeats(FirstSeats(5)), Instant{});
+    CHECK_FALSE(window.open());
+    sum += window.limit();
+  }
+  CHECK(sum == 1);
+}
+
+// Guards against an upstream that stays cold because its owner has no calls, and against a claim
+// that takes the window from an owner that uses it.
+TEST_CASE("a silent owner is passed over after a second", "[cold-start]") {
+  for (std::uint64_t seat = 0; seat < 5; ++seat) {
+    Instant now{};
+    WarmUpWindow window(UpstreamId("ib-1"), 6, Seat(seat), MakeSeats(FirstSeats(5)), now);
+    const bool owner = window.limit() == 1;
+    now += milliseconds(999);
+    CHECK_FALSE(window.Claim(now));
+    now += milliseconds(1);
+    CHECK(window.Claim(now) == !owner);
+    CHECK(window.limit() == 1);
+    CHECK(window.pair().window == 1);
+    // Whoever hears of the claim has no share any more.
+    std::uint32_t sum = 0;
+    for (std::uint64_t other = 0; other < 5; ++other) {
+      WarmUpWindow theirs(UpstreamId("ib-1"), 6, Seat(other), MakeSeats(FirstSeats(5)), now);
+      theirs.Merge(window.pair().epoch, 1, now);
+      sum += theirs.limit();
+    }
+    CHECK(sum == 1);
+  }
+}
+
+// Guards against a warm upstream that turns cold because the list gives it more slots.
+TEST_CASE("more slots keep an open window open") {
+  WarmUpWindow window(UpstreamId("ib-1"), 4, Seat(0), nullptr, Instant{});
+  window.Merge(Epoch(1), 4, Instant{});
+  REQUIRE(window.open());
+  window.SetSlots(8);
+  CHECK(window.open());
+  CHECK(window.limit() == 8);
+}
+
+}  // namespace
+}  // namespace primroseweir
