Add the entry instance: wiring, address answers, call keys, graceful stop

The call path needed its surroundings: configuration, gossip, fleet and life cycle.

A key is started by its issuer only; other instances forward the call.

--- a/include/primroseweir/filters/dispatch_services.h
+++ b/include/primroseweir/filters/dispatch_services.h
@@ -14,8 +14,9 @@
 struct DispatchServices {
   Router* router = nullptr;
   ConnectionPool* pool = nullptr;
-  // Makes sure that the configuration was heard of recently, see section 7.7. May block for 200 ms.
-  std::function<void(Instant now)> ensure_fresh = [](Instant) {};
+  // Answers true when the configuration was heard of recently, see section 7.7. Otherwise asks for
+  // it, for at most 200 ms, and answers false.
+  std::function<bool(Instant now)> ensure_fresh = [](Instant) { return true; };
 };
 
 }  // namespace primroseweir
--- /dev/null
+++ b/include/primroseweir/filters/recording_sink.h
@@ -0,0 +1,39 @@
+#ifndef PRIMROSEWEIR_FILTERS_RECORDING_SINK_H_
+#define PRIMROSEWEIR_FILTERS_RECORDING_SINK_H_
+
+#include <cstddef>
+#include <memory>
+
+#include "primroseweir/filters/answer_sink.h"
+#include "primroseweir/keys/stored_answer.h"
+
+namespace primroseweir {
+
+// Passes an answer on and keeps a copy of it while it is small.
+class RecordingSink : public AnswerSink {
+ public:
+  // `next` outlives the sink. Bodies above `limit` bytes are not kept.
+  RecordingSink(AnswerSink* next, std::size_t limit) : next_(next), limit_(limit) {}
+
+  void Begin(const ResponseHead& head) override;
+  absl::Status Write(std::string_view piece, Instant deadline) override;
+  absl::Status Flush(Instant deadline) override;
+  absl::Status End(std::string_view last_piece, Instant deadline) override;
+  void Abort() override;
+
+  // The whole answer; null when it was cut or too large. A caller that went away before its last
+  // bytes does not matter.
+  std::shared_ptr<const StoredAnswer> Take();
+
+ private:
+  void Record(std::string_view piece);
+
+  AnswerSink* const next_;
+  const std::size_t limit_;
+  std::shared_ptr<StoredAnswer> answer_;
+  bool whole_ = false;
+};
+
+}  // namespace primroseweir
+
+#endif  // PRIMROSEWEIR_FILTERS_RECORDING_SINK_H_
--- /dev/null
+++ b/include/primroseweir/filters/seat_filter.h
@@ -0,0 +1,24 @@
+#ifndef PRIMROSEWEIR_FILTERS_SEAT_FILTER_H_
+#define PRIMROSEWEIR_FILTERS_SEAT_FILTER_H_
+
+#include <functional>
+#include <utility>
+
+#include "primroseweir/filters/filter.h"
+
+namespace primroseweir {
+
+// Refuses calls while an older process has this instance's seat (design section 6).
+class SeatFilter : public Filter {
+ public:
+  explicit SeatFilter(std::function<bool()> seat_taken) : seat_taken_(std::move(seat_taken)) {}
+
+  CallEnd Handle(Call* call, const Next& next) override;
+
+ private:
+  const std::function<bool()> seat_taken_;
+};
+
+}  // namespace primroseweir
+
+#endif  // PRIMROSEWEIR_FILTERS_SEAT_FILTER_H_
--- a/include/primroseweir/http/http_server.h
+++ b/include/primroseweir/http/http_server.h
@@ -25,12 +25,17 @@
     MessageLimits limits;
   };
 
-  // `handler` outlives the server.
+  // `handler` outlives the server; null when set_handler follows.
   HttpServer(const Options& options, RequestHandler* handler);
   // Stops and waits for all connections.
   ~HttpServer();
 
-  // Starts to listen. Errors: Unavailable, the address can't be bound.
+  // Binds the address; connections wait until Start. Errors: Unavailable, the address can't be
+  // bound.
+  absl::Status Listen();
+  // Sets the handler; call before Start.
+  void set_handler(RequestHandler* handler);
+  // Starts to serve; listens first if that has not been done.
   absl::Status Start();
   // The address with the port that was bound.
   SocketAddress address() const;
--- a/include/primroseweir/http/socket_stream.h
+++ b/include/primroseweir/http/socket_stream.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <string>
 #include <string_view>
 
 #include "primroseweir/base/socket_address.h"
@@ -63,6 +64,9 @@
   // Closes with a reset, so that the peer can't take the bytes sent so far for a whole message.
   void Reset();
 
+  // IP address of the peer; empty when the connection is gone.
+  std::string peer_ip() const;
+
   int descriptor() const { return descriptor_; }
   std::uint64_t bytes_sent() const { return bytes_sent_; }
   std::uint64_t bytes_received() const { return bytes_received_; }
--- /dev/null
+++ b/src/entry/entry_instance.cc
@@ -0,0 +1,241 @@
+#include "primroseweir/entry/entry_instance.h"
+
+#include <chrono>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "primroseweir/base/random.h"
+#include "primroseweir/base/rendezvous.h"
+#include "primroseweir/configuration/snapshot.h"
+#include "primroseweir/entry/instance_fleet.h"
+#include "primroseweir/filters/address_filter.h"
+#include "primroseweir/filters/body_filter.h"
+#include "primroseweir/filters/call_key_filter.h"
+#include "primroseweir/filters/dispatch_filter.h"
+#include "primroseweir/filters/request_id_filter.h"
+#include "primroseweir/filters/route_filter.h"
+#include "primroseweir/filters/seat_filter.h"
+#include "primroseweir/limits/crash_guard.h"
+#include "primroseweir/membership/gossip_hooks.h"
+#include "primroseweir/membership/gossip_settings.h"
+#include "primroseweir/membership/membership_view.h"
+#include "primroseweir/membership/urgent_items.h"
+
+namespace primroseweir {
+namespace {
+
+constexpr auto kUpkeepInterval = std::chrono::seconds(5);
+// The low bits of an incarnation tell apart two starts in the same microsecond.
+constexpr std::uint64_t kRandomBits = 8;
+
+Incarnation NewIncarnation() {
+  Random random(EntropySeed());
+  const auto started = static_cast<std::uint64_t>(WallMicroseconds());
+  return Incarnation((started >> kRandomBits << kRandomBits) + random.Below(1 << kRandomBits));
+}
+
+Router::Options RouterOptions(const EntrySettings& settings) {
+  Router::Options options;
+  options.data_centre = settings.data_centre;
+  options.seat = settings.seat;
+  options.seats = settings.seats;
+  options.random_seed = EntropySeed();
+  return options;
+}
+
+ConnectionPool::Options PoolOptions(const EntrySettings& settings) {
+  ConnectionPool::Options options;
+  options.seat = settings.seat;
+  options.seats = settings.seats;
+  return options;
+}
+
+ConfigurationState StateOf(const ConfigurationSnapshot& snapshot) {
+  const auto revisions = std::to_string(snapshot.text_revision.value()) + "/" +
+                         std::to_string(snapshot.declarations_revision.value()) + "/" +
+                         std::to_string(snapshot.instances_revision.value());
+  return {snapshot.revision, StableHash(revisions)};
+}
+
+template <typename Item>
+std::vector<Item> FirstOf(std::vector<Item> items, std::size_t limit) {
+  if (items.size() > limit) {
+    items.erase(items.begin() + static_cast<std::ptrdiff_t>(limit), items.end());
+  }
+  return items;
+}
+
+}  // namespace
+
+EntryInstance::EntryInstance(const EntrySettings& settings)
+    : settings_(settings),
+      incarnation_(NewIncarnation()),
+      events_(settings.id.value()),
+      configuration_(&events_),
+      router_(RouterOptions(settings), &events_),
+      pool_(PoolOptions(settings)),
+      services_(std::make_shared<const ServiceTable>()),
+      issuer_(settings.fleet_key, settings.id, incarnation_),
+      started_calls_(StartedCallTable::Options()) {}
+
+EntryInstance::~EntryInstance() {
+  EndUpkeep();
+  // The server's threads use everything else.
+  server_.reset();
+  gossip_.reset();
+}
+
+// ---- start ----
+
+absl::Status EntryInstance::Start() {
+  HttpServer::Options options;
+  options.address = settings_.caller_address;
+  server_ = std::make_unique<HttpServer>(options, nullptr);
+  auto status = server_->Listen();
+  if (!status.ok()) {
+    return status;
+  }
+  MakeGossip();
+  MakeChain();
+  server_->set_handler(chain_.get());
+  ConnectModules();
+  status = gossip_->Start();
+  if (!status.ok()) {
+    return status;
+  }
+  upkeep_ = std::thread([this] { RunUpkeep(); });
+  status = server_->Start();
+  events_.Emit("entry_started", {{"caller_address", server_->address().ToString()},
+                                 {"peer_address", gossip_->local_address().ToString()},
+                                 {"incarnation", std::to_string(incarnation_.value())}});
+  return status;
+}
+
+void EntryInstance::MakeGossip() {
+  GossipSettings gossip;
+  gossip.self.id = settings_.id;
+  gossip.self.incarnation = incarnation_;
+  gossip.self.data_centre = settings_.data_centre;
+  gossip.self.caller_address = server_->address();
+  gossip.self.peer_address = settings_.peer_address;
+  gossip.self.seat = settings_.seat;
+  gossip.seeds = settings_.peers;
+  gossip.fleet_key = settings_.fleet_key;
+  gossip.random_seed = EntropySeed();
+  GossipHooks hooks;
+  hooks.configuration_state = [this] { return StateOf(*configuration_.Current()); };
+  hooks.configuration_values = [this](Revision after) { return configuration_.ValuesAfter(after); };
+  hooks.newest_observations = [this](std::size_t limit) {
+    return FirstOf(router_.Observations(MonotonicNow()), limit);
+  };
+  hooks.all_observations = [this] { return router_.Observations(MonotonicNow()); };
+  hooks.newest_strikes = [this](std::size_t limit) {
+    return FirstOf(router_.crash_guard().Strikes(MonotonicNow()), limit);
+  };
+  hooks.offer_configuration = [this](const ConfigurationValues& values, Instant now) {
+    configuration_.Offer(values, now);
+  };
+  hooks.merge_observations = [this](const std::vector<UpstreamObservation>& observations,
+                                    Instant now) { router_.Merge(observations, now); };
+  hooks.merge_strikes = [this](const std::vector<CrashStrike>& strikes, Instant now) {
+    router_.crash_guard().Merge(strikes, now);
+  };
+  hooks.heard_revision = [this](Revision revision, Instant heard) {
+    configuration_.NoteHeard(revision, heard);
+    router_.NoteHeard(heard);
+  };
+  hooks.membership_changed = [this](const std::shared_ptr<const MembershipView>& view,
+                                    Instant now) { TakeView(*view, now); };
+  gossip_ = std::make_unique<GossipController>(std::move(gossip), std::move(hooks), &events_);
+  fleet_ = std::make_unique<InstanceFleet>(settings_.id, gossip_.get(), &configuration_);
+}
+
+void EntryInstance::ConnectModules() {
+  configuration_.AddListener([this](const std::shared_ptr<const ConfigurationSnapshot>& snapshot,
+                                    Instant now) { Adopt(snapshot, now); });
+  router_.SetUrgentSender([this](const UpstreamObservation& observation) {
+    gossip_->SendUrgent({{observation}, {}});
+  });
+  router_.crash_guard().SetSender([this](const CrashStrike& strike) {
+    gossip_->SendUrgent({{}, {strike}});
+  });
+}
+
+void EntryInstance::MakeChain() {
+  DispatchServices dispatch;
+  dispatch.router = &router_;
+  dispatch.pool = &pool_;
+  dispatch.ensure_fresh = [this](Instant now) { return freshness_->Ensure(now); };
+  freshness_ = std::make_unique<FreshnessCheck>(
+      [this] { return configuration_.LastHeard(); },
+      [this](Duration time) { gossip_->RefreshNow(time).status().IgnoreError(); });
+  std::vector<std::unique_ptr<Filter>> filters;
+  filters.push_back(std::make_unique<RequestIdFilter>(settings_.id.value()));
+  filters.push_back(std::make_unique<AddressFilter>(fleet_.get(), &issuer_));
+  filters.push_back(std::make_unique<SeatFilter>([this] { return seat_taken_.load(); }));
+  filters.push_back(std::make_unique<RouteFilter>(&services_));
+  filters.push_back(std::make_unique<BodyFilter>());
+  filters.push_back(std::make_unique<CallKeyFilter>(fleet_.get(), &issuer_, &started_calls_));
+  filters.push_back(std::make_unique<DispatchFilter>(dispatch));
+  chain_ = std::make_unique<FilterChain>(std::move(filters), &events_);
+}
+
+// ---- changes ----
+
+// The pool learns of new upstreams before the router sends calls to them.
+void EntryInstance::Adopt(const std::shared_ptr<const ConfigurationSnapshot>& snapshot,
+                          Instant now) {
+  services_.Store(std::make_shared<const ServiceTable>(snapshot->services));
+  pool_.Apply(*snapshot);
+  router_.Apply(snapshot, now);
+  gossip_->SendUrgent({});
+}
+
+void EntryInstance::TakeView(const MembershipView& view, Instant now) {
+  std::set<Seat> live;
+  for (const auto& member : view.members) {
+    if (member.state != MemberState::kDead) {
+      live.insert(member.seat);
+    }
+  }
+  seat_taken_.store(view.seat_taken);
+  pool_.SetSeatTaken(view.seat_taken);
+  router_.SetLiveSeats(live, now);
+}
+
+// ---- upkeep ----
+
+void EntryInstance::RunUpkeep() {
+  std::unique_lock<std::mutex> lock(upkeep_mutex_);
+  while (!upkeep_changed_.wait_for(lock, kUpkeepInterval, [this] { return upkeep_ends_; })) {
+    pool_.CloseOld(MonotonicNow());
+  }
+}
+
+void EntryInstance::EndUpkeep() {
+  {
+    const std::lock_guard<std::mutex> lock(upkeep_mutex_);
+    upkeep_ends_ = true;
+    upkeep_changed_.notify_all();
+  }
+  if (upkeep_.joinable()) {
+    upkeep_.join();
+  }
+}
+
+// ---- stop ----
+
+void EntryInstance::Stop(Duration serve_on) {
+  events_.Emit("entry_leaving", {{"serve_ms", std::to_string(ToMilliseconds(serve_on))}});
+  gossip_->DeclareLeaving();
+  std::this_thread::sleep_for(serve_on);
+  server_->StopAccepting();
+  events_.Emit("entry_draining", {{"connections", std::to_string(server_->connections())}});
+  server_->WaitUntilIdle();
+  gossip_->Stop();
+  events_.Emit("entry_stopped", {});
+}
+
+}  // namespace primroseweir
--- a/src/filters/detail/call_dispatch.cc
+++ b/src/filters/detail/call_dispatch.cc
@@ -88,6 +88,10 @@
   }
   services_.ensure_fresh(MonotonicNow());
   auto acquired = services_.router->Acquire(request_, MonotonicNow());
+  // The process may have been paused while the call waited.
+  if (acquired.ok() && !services_.ensure_fresh(MonotonicNow())) {
+    acquired = services_.router->Acquire(request_, MonotonicNow());
+  }
   if (!acquired.ok()) {
     no_upstream_ = true;
     step_ = OriginOf(acquired.status()).step;
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -32,7 +32,7 @@
 
 using ServerSocket = std::unique_ptr<cxxtools::net::TcpServer>;
 
-absl::StatusOr<ServerSocket> Listen(const SocketAddress& address) {
+absl::StatusOr<ServerSocket> Bind(const SocketAddress& address) {
   try {
     return std::make_unique<cxxtools::net::TcpServer>(address.ip, address.port, kBacklog);
   } catch (const std::exception& error) {
@@ -46,7 +46,7 @@
   absl::Status last;
   for (int attempt = 0; attempt < kPortAttempts; ++attempt) {
     address->port = static_cast<std::uint16_t>(kFirstFreePort + random.Below(kFreePorts));
-    auto server = Listen(*address);
+    auto server = Bind(*address);
     if (server.ok()) {
       return server;
     }
@@ -63,13 +63,23 @@
       : options_(std::move(options)), handler_(handler), stop_event_(eventfd(0, EFD_CLOEXEC)) {}
   ~Implementation() { close(stop_event_); }
 
-  absl::Status Start() {
+  void set_handler(RequestHandler* handler) { handler_ = handler; }
+
+  absl::Status Listen() {
     auto server =
-        options_.address.port == 0 ? ListenOnFreePort(&options_.address) : Listen(options_.address);
+        options_.address.port == 0 ? ListenOnFreePort(&options_.address) : Bind(options_.address);
     if (!server.ok()) {
       return server.status();
     }
     server_ = std::move(*server);
+    return absl::OkStatus();
+  }
+
+  absl::Status Start() {
+    auto status = server_ == nullptr ? Listen() : absl::OkStatus();
+    if (!status.ok()) {
+      return status;
+    }
     acceptor_ = std::thread([this] { AcceptAll(); });
     return absl::OkStatus();
   }
@@ -198,7 +208,7 @@
   static constexpr std::size_t kOverflowConnections = 64;
 
   Options options_;
-  RequestHandler* const handler_;
+  RequestHandler* handler_;
   const int stop_event_;
   ServerSocket server_;
   std::thread acceptor_;
@@ -218,6 +228,8 @@
   WaitUntilIdle();
 }
 
+absl::Status HttpServer::Listen() { return implementation_->Listen(); }
+void HttpServer::set_handler(RequestHandler* handler) { implementation_->set_handler(handler); }
 absl::Status HttpServer::Start() { return implementation_->Start(); }
 SocketAddress HttpServer::address() const { return implementation_->address(); }
 void HttpServer::StopAccepting() { implementation_->StopAccepting(); }
--- a/src/http/socket_stream.cc
+++ b/src/http/socket_stream.cc
@@ -135,6 +135,14 @@
   return poll(&descriptor, 1, 0) > 0;
 }
 
+std::string SocketStream::peer_ip() const {
+  try {
+    return socket_->getPeerAddr();
+  } catch (const std::exception&) {
+    return std::string();
+  }
+}
+
 void SocketStream::ShutdownWrite() { shutdown(descriptor_, SHUT_WR); }
 
 void SocketStream::Reset() {
--- a/src/keys/started_call_table.cc
+++ b/src/keys/started_call_table.cc
@@ -67,7 +67,7 @@
     return {Verdict::kStart, {}, nullptr};
   }
 
-  void Finish(const std::string& key, Entry entry) {
+  void Finish(const std::string& key, const Entry& entry) {
     std::shared_ptr<Run> run;
     {
       const std::lock_guard<std::mutex> lock(mutex_);
--- /dev/null
+++ b/tests/entry/entry_settings_test.cc
@@ -0,0 +1,71 @@
+#include "primroseweir/entry/entry_settings.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "primroseweir/base/error.h"
+
+namespace primroseweir {
+namespace {
+
+using Json = nlohmann::json;
+
+Json Valid() {
+  return Json::parse(R"({"id": "entry-3", "data_centre": "krems",
+    "caller_address": "127.0.0.1:0", "peer_address": "127.0.0.1:0",
+    "admin_address": "127.0.0.1:0", "seat": 3, "seats": 34,
+    "configuration_service": ["127.0.0.1:9000"], "peers": ["127.0.0.1:9101"],
+    "fleet_key": "0123456789", "operator_token": "0123456789"})");
+}
+
+// Guards against valid settings that are refused or read wrongly.
+TEST_CASE("the settings of the design page are read") {
+  const auto settings = ParseEntrySettings(Valid().dump());
+  REQUIRE(settings.ok());
+  CHECK(settings->id == InstanceId("entry-3"));
+  CHECK(settings->seat == Seat(3));
+  CHECK(settings->seats == 34);
+  CHECK(settings->peers.size() == 1);
+}
+
+// Guards against settings that start an instance in another way than its operator meant, and
+// against messages that don't name the field.
+TEST_CASE("wrong settings are refused with the field's name") {
+  const std::vector<std::pair<std::string, Json>> faults = {
+      {"id", "entry.3"},
+      {"id", ""},
+      {"data_centre", 5},
+      {"caller_address", "127.0.0.1"},
+      {"peer_address", "host:80"},
+      {"admin_address", "127.0.0.1:70000"},
+      {"seat", 34},
+      {"seat", -1},
+      {"seats", 0},
+      {"configuration_service", "127.0.0.1:9000"},
+      {"configuration_service", Json::array()},
+      {"peers", Json::array({"x"})},
+      {"fleet_key", "short"},
+      {"operator_token", ""},
+      {"unknown", 1}};
+  for (const auto& [field, value] : faults) {
+    auto object = Valid();
+    object[field] = value;
+    const auto settings = ParseEntrySettings(object.dump());
+    INFO(object.dump());
+    REQUIRE_FALSE(settings.ok());
+    const auto expected = field == "seats" ? "seat" : field;
+    CHECK(MessageOf(settings.status()).find(expected) != std::string::npos);
+  }
+  const auto valid = Valid();
+  for (const auto& [field, value] : valid.items()) {
+    auto object = Valid();
+    object.erase(field);
+    CHECK_FALSE(ParseEntrySettings(object.dump()).ok());
+  }
+  CHECK_FALSE(ParseEntrySettings("[]").ok());
+  CHECK_FALSE(ParseEntrySettings("{").ok());
+}
+
+}  // namespace
+}  // namespace primroseweir
