--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -33,6 +33,10 @@
     target_link_libraries(${module}_test PRIVATE primroseweir_test_support)
     if(TARGET primroseweir_${module})
       target_link_libraries(${module}_test PRIVATE primroseweir_${module})
+      # A module that has a stand-in is tested against it.
+      if(TARGET primroseweir_standin_${module})
+        target_link_libraries(${module}_test PRIVATE primroseweir_standin_${module})
+      endif()
     else()
       # Folders that are no module test several of them together.
       target_link_libraries(${module}_test PRIVATE primroseweir_entry)
--- a/include/primroseweir/configuration/snapshot.h
+++ b/include/primroseweir/configuration/snapshot.h
@@ -2,7 +2,9 @@
 #define PRIMROSEWEIR_CONFIGURATION_SNAPSHOT_H_
 
 #include <cstdint>
+#include <map>
 #include <set>
+#include <string>
 #include <vector>
 
 #include "primroseweir/base/ids.h"
@@ -22,6 +24,11 @@
   // revision but different digests lack a value of each other.
   std::uint64_t digest = 0;
 
+  // The revision in force of each key.
+  std::map<std::string, Revision> key_revisions;
+  // The parts that a divided list names; empty for a whole one.
+  std::vector<DataCentre> parts;
+
   std::vector<Service> services;
   // Data centres that operators took out of service.
   std::set<DataCentre> out;
--- a/src/configuration/detail/accepted_values.cc
+++ b/src/configuration/detail/accepted_values.cc
@@ -89,12 +89,14 @@
   std::string identity;
   for (const auto& [key, accepted] : accepted_) {
     snapshot->revision = std::max(snapshot->revision, accepted.revision);
+    snapshot->key_revisions[key] = accepted.revision;
     identity += key + "=" + std::to_string(accepted.revision.value()) + "\n";
   }
   snapshot->digest = StableHash(identity);
   snapshot->text_revision = RevisionOf(kTextKey);
   snapshot->declarations_revision = RevisionOf(kDeclarationsKey);
   snapshot->instances_revision = RevisionOf(kInstancesKey);
+  snapshot->parts = list_.parts;
   snapshot->services = services_;
   snapshot->out = out_;
   if (list_.divided) {
--- a/standins/configuration/configuration_service.cc
+++ b/standins/configuration/configuration_service.cc
@@ -97,6 +97,11 @@
   bool known = false;
   const auto value = values_.Read({request.peer_ip, at}, key, Number(request.Query("after")),
                                   std::chrono::milliseconds(wait), &known);
+  if (values_.IsDown()) {
+    HttpServiceAnswer answer = Text(503, "down\n");
+    answer.fields.emplace_back("Connection", "close");
+    return answer;
+  }
   if (!value.has_value()) return known ? Text(304, "") : Text(404, "no such key\n");
   HttpServiceAnswer answer;
   answer.fields.emplace_back("X-Revision", std::to_string(value->revision));
--- a/standins/configuration/configuration_service.h
+++ b/standins/configuration/configuration_service.h
@@ -29,13 +29,15 @@
   absl::Status Start(const std::vector<SocketAddress>& read_addresses,
                      const SocketAddress& control_address);
 
+  // Carries out a request of the control port.
+  HttpServiceAnswer Control(const HttpServiceRequest& request);
+
   ValueStore& values() { return values_; }
   const std::vector<SocketAddress>& read_addresses() const { return read_addresses_; }
   SocketAddress control_address() const;
 
  private:
   HttpServiceAnswer Read(const HttpServiceRequest& request, const std::string& at);
-  HttpServiceAnswer Control(const HttpServiceRequest& request);
   absl::Status Up();
   void Down();
 
--- a/standins/configuration/value_store.cc
+++ b/standins/configuration/value_store.cc
@@ -62,6 +62,11 @@
   changed_.notify_all();
 }
 
+bool ValueStore::IsDown() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return down_;
+}
+
 ValueStore::Counts ValueStore::Count() {
   const std::lock_guard<std::mutex> lock(mutex_);
   return CountLocked();
--- a/standins/configuration/value_store.h
+++ b/standins/configuration/value_store.h
@@ -51,6 +51,7 @@
 
   // While down, reads answer nothing and waiting watches end.
   void SetDown(bool down);
+  bool IsDown();
 
   Counts Count();
 
