--- /dev/null
+++ b/src/filters/upstream_connections.cc
@@ -0,0 +1,98 @@
+#include "primroseweir/filters/upstream_connections.h"
+
+#include <utility>
+
+#include "primroseweir/configuration/upstream_record.h"
+#include "primroseweir/http/client_connection.h"
+#include "primroseweir/http/socket_stream.h"
+
+namespace primroseweir {
+namespace {
+
+bool Idle(const ClientConnection& connection, Duration age, Instant now) {
+  return now - connection.socket()->last_received() > age;
+}
+
+}  // namespace
+
+UpstreamConnections::UpstreamConnections(const UpstreamRecord& record, Seat seat,
+                                         std::uint64_t seats)
+    : address_(record.address),
+      share_(record.id.value(), seat, seats, record.connections),
+      idle_(share_.limit()) {}
+
+UpstreamConnections::~UpstreamConnections() { CloseIdle(); }
+
+std::unique_ptr<ClientConnection> UpstreamConnections::TakeIdle(bool proven, Instant now) {
+  for (auto& slot : idle_) {
+    std::unique_ptr<ClientConnection> connection(slot.exchange(nullptr));
+    if (connection == nullptr) {
+      continue;
+    }
+    if (!connection->StillOpen() || Idle(*connection, kMaxIdle, now)) {
+      Release();
+    } else if (proven && Idle(*connection, kProvenAge, now)) {
+      Put(std::move(connection));
+    } else {
+      return connection;
+    }
+  }
+  return nullptr;
+}
+
+bool UpstreamConnections::ReplaceIdle() {
+  for (auto& slot : idle_) {
+    const std::unique_ptr<ClientConnection> connection(slot.exchange(nullptr));
+    if (connection != nullptr) {
+      return true;
+    }
+  }
+  return false;
+}
+
+bool UpstreamConnections::Reserve(Instant now) { return !retired_.load() && share_.TryOpen(now); }
+
+void UpstreamConnections::Put(std::unique_ptr<ClientConnection> connection) {
+  for (auto& slot : idle_) {
+    ClientConnection* expected = nullptr;
+    if (slot.compare_exchange_strong(expected, connection.get())) {
+      // The slot owns it now.
+      static_cast<void>(connection.release());
+      break;
+    }
+  }
+  if (connection != nullptr) {
+    connection.reset();
+    Release();
+  }
+  if (retired_.load()) {
+    CloseIdle();
+  }
+}
+
+void UpstreamConnections::CloseOld(Instant now) {
+  for (auto& slot : idle_) {
+    std::unique_ptr<ClientConnection> connection(slot.exchange(nullptr));
+    if (connection == nullptr) {
+      continue;
+    }
+    if (Idle(*connection, kMaxIdle, now) || !connection->StillOpen()) {
+      Release();
+    } else {
+      Put(std::move(connection));
+    }
+  }
+}
+
+void UpstreamConnections::Retire() {
+  retired_.store(true);
+  CloseIdle();
+}
+
+void UpstreamConnections::CloseIdle() {
+  while (ReplaceIdle()) {
+    Release();
+  }
+}
+
+}  // namespace primroseweir
--- /dev/null
+++ b/src/routing/detail/service_runtime.cc
@@ -0,0 +1,136 @@
+#include "primroseweir/routing/detail/service_runtime.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "primroseweir/limits/crash_guard.h"
+#include "primroseweir/routing/slot_ownership.h"
+#include "primroseweir/upstream/upstream_state.h"
+
+namespace primroseweir {
+namespace detail {
+namespace {
+
+// An upstream that reports this many calls per slot is overloaded even if it refuses none. At high
+// but bearable load, independent choices of many instances bring it to about 2 at times.
+constexpr std::uint32_t kOverloadPerSlot = 3;
+
+bool Overloaded(const LeaseTerms& terms, const CallResult& result) {
+  if (result.end == AttemptEnd::kRefused || result.end == AttemptEnd::kTimedOut) return true;
+  return result.report.has_value() &&
+         result.report->in_flight > kOverloadPerSlot * terms.state->record().slots;
+}
+
+Admission::Signal SignalOf(const LeaseTerms& terms, const CallResult& result) {
+  if (Overloaded(terms, result)) return Admission::Signal::kOverload;
+  return result.end == AttemptEnd::kAnswered ? Admission::Signal::kGood
+                                             : Admission::Signal::kNeutral;
+}
+
+}  // namespace
+
+RouterShared::RouterShared(Seat seat)
+    : guard(std::make_unique<CrashGuard>()), own(seat), live_seats{seat} {}
+RouterShared::~RouterShared() = default;
+
+void RouterShared::Send(const UpstreamState& state, Instant now) {
+  const std::lock_guard<std::mutex> lock(sender_mutex);
+  if (sender) sender(state.Observation(now));
+}
+
+ServiceRuntime::ServiceRuntime(std::uint64_t number, std::shared_ptr<RouterShared> shared)
+    : number_(number), shared_(std::move(shared)) {}
+
+void ServiceRuntime::SetUpstreams(std::vector<std::shared_ptr<UpstreamState>> upstreams) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  for (auto& state : upstreams_) {
+    state->SetInUse(false);
+    retired_.push_back(std::move(state));
+  }
+  upstreams_ = std::move(upstreams);
+  for (const auto& state : upstreams_) state->SetInUse(true);
+}
+
+void ServiceRuntime::Refresh() {
+  Admission::Capacity capacity;
+  capacity.live = shared_->live.load(std::memory_order_acquire);
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    for (const auto& state : upstreams_) Account(*state, &capacity);
+    const auto done = std::remove_if(retired_.begin(), retired_.end(), [](const auto& state) {
+      return state->in_use() || state->in_flight() == 0;
+    });
+    retired_.erase(done, retired_.end());
+    for (const auto& state : retired_) capacity.stranded += state->in_flight();
+  }
+  limits_.admission.SetCapacity(capacity);
+  limits_.admission.Wake();
+}
+
+void ServiceRuntime::Account(const UpstreamState& state, Admission::Capacity* capacity) const {
+  if (state.leaving()) {
+    capacity->stranded += state.in_flight();
+  } else if (state.window().open()) {
+    capacity->open_slots += state.window().limit();
+  } else {
+    capacity->own_shares += state.window().limit();
+  }
+}
+
+void ServiceRuntime::Divide() {
+  std::set<Seat> live;
+  {
+    const std::lock_guard<std::mutex> lock(shared_->live_mutex);
+    live = shared_->live_seats;
+  }
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    std::vector<OwnableUpstream> ownable;
+    std::vector<UpstreamState*> states;
+    for (const auto& state : upstreams_) {
+      if (state->leaving()) continue;
+      ownable.push_back({state->record().id, state->record().slots});
+      states.push_back(state.get());
+    }
+    const std::vector<std::uint32_t> owned = OwnedSlots(ownable, live, shared_->own);
+    for (std::size_t i = 0; i < states.size(); ++i) states[i]->SetOwnedSlots(owned[i]);
+  }
+  Refresh();
+}
+
+void ServiceRuntime::Ended(const LeaseTerms& terms, const CallResult& result, Instant now) {
+  if (terms.probe) {
+    EndedProbe(terms, result, now);
+    return;
+  }
+  UpstreamState& state = *terms.state;
+  const bool was_leaving = state.leaving();
+  const auto effect = state.End(result, terms.started, now);
+  if (terms.suspect) shared_->guard->End(terms.fingerprint, state.record().id);
+  if (result.end == AttemptEnd::kAnswered) {
+    limits_.hedges.Record(result.time_to_head);
+    shared_->guard->NoteSuccess(terms.fingerprint, state.record().id, now);
+  }
+  const bool began_leaving = !was_leaving && state.leaving();
+  if (effect == UpstreamState::Effect::kCollapsed || began_leaving) shared_->Send(state, now);
+  limits_.admission.Leave(SignalOf(terms, result), now - terms.started, now);
+  if (began_leaving) {
+    Divide();
+  } else if (effect != UpstreamState::Effect::kNone || was_leaving || !state.in_use()) {
+    Refresh();
+  }
+}
+
+void ServiceRuntime::EndedProbe(const LeaseTerms& terms, const CallResult& result, Instant now) {
+  const bool was_leaving = terms.state->leaving();
+  terms.state->EndProbe(result, now);
+  if (was_leaving || !terms.state->leaving()) {
+    Refresh();
+    return;
+  }
+  shared_->Send(*terms.state, now);
+  Divide();
+}
+
+}  // namespace detail
+}  // namespace primroseweir
