--- /dev/null
+++ b/src/routing/probe_controller.cc
@@ -0,0 +1,32 @@
+#include "primroseweir/routing/probe_controller.h"
+
+#include <utility>
+
+#include "primroseweir/routing/router.h"
+#include "primroseweir/upstream/upstream_state.h"
+
+namespace primroseweir {
+
+ProbeController::ProbeController(Router* router, Probe probe)
+    : router_(router), probe_(std::move(probe)) {}
+
+std::size_t ProbeController::Tick(Instant now) {
+  std::size_t started = 0;
+  for (const auto& state : router_->Upstreams()) {
+    if (!Wanted(*state, now) || !state->probes().TryTake(now)) continue;
+    auto lease = router_->AcquireProbe(state->record().id, now);
+    if (!lease.ok()) continue;
+    probe_(std::move(*lease));
+    ++started;
+  }
+  return started;
+}
+
+bool ProbeController::Wanted(const UpstreamState& state, Instant now) const {
+  if (!state.in_use() || state.leaving() || state.record().probe.empty()) return false;
+  if (state.in_flight() >= state.window().limit()) return false;
+  const auto report = state.report();
+  return !report || now - report->written >= kFreshReport;
+}
+
+}  // namespace primroseweir
