--- /dev/null
+++ b/bench/routing/routing_bench.cc
@@ -0,0 +1,165 @@
+#include "bench/routing/routing_bench.h"
+
+#include <malloc.h>
+
+#include <algorithm>
+#include <chrono>
+#include <set>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "primroseweir/configuration/snapshot.h"
+#include "primroseweir/routing/call_request.h"
+#include "primroseweir/upstream/upstream_state.h"
+
+namespace primroseweir::bench {
+namespace {
+
+constexpr std::uint64_t kSeats = 34;
+constexpr std::uint64_t kLive = 17;
+
+std::shared_ptr<ConfigurationSnapshot> MakeSnapshot(std::uint32_t upstreams,
+                                                    std::uint32_t services) {
+  auto snapshot = std::make_shared<ConfigurationSnapshot>();
+  for (std::uint32_t i = 0; i < services; ++i) {
+    snapshot->services.push_back({ServiceName("service-" + std::to_string(i)), {}, true});
+  }
+  for (std::uint32_t i = 0; i < upstreams; ++i) {
+    UpstreamRecord record;
+    record.id = UpstreamId("upstream-" + std::to_string(i));
+    record.service = ServiceName("service-" + std::to_string(i % std::max(services, 1U)));
+    record.data_centre = DataCentre("krems");
+    record.address = {"127.0.0.1", static_cast<std::uint16_t>(1024 + i)};
+    record.slots = 6;
+    record.connections = 260;
+    record.probe = "/probe";
+    record.probe_cost = std::chrono::milliseconds(6);
+    snapshot->upstreams.push_back(std::move(record));
+  }
+  return snapshot;
+}
+
+std::unique_ptr<Router> MakeRouter() {
+  Router::Options options;
+  options.data_centre = DataCentre("krems");
+  options.seats = kSeats;
+  return std::make_unique<Router>(options, nullptr);
+}
+
+std::set<Seat> LiveSeats() {
+  std::set<Seat> live;
+  for (std::uint64_t seat = 0; seat < kLive; ++seat) live.insert(Seat(seat));
+  return live;
+}
+
+std::vector<UpstreamObservation> WarmObservations(const Router& router, Instant now) {
+  auto observations = router.Observations(now);
+  for (auto& observation : observations) {
+    observation.epoch = Epoch(1);
+    observation.window = 6;
+  }
+  return observations;
+}
+
+CallRequest MakeRequest(Instant deadline) {
+  CallRequest request;
+  request.service = ServiceName("service-0");
+  request.deadline = deadline;
+  return request;
+}
+
+void RunLeases(Router* router, std::uint32_t calls, std::vector<double>* nanoseconds) {
+  nanoseconds->reserve(calls);
+  CallResult result;
+  result.time_to_head = std::chrono::milliseconds(2);
+  result.report = LoadReport{3, std::chrono::milliseconds(2), Duration::zero()};
+  CallRequest request = MakeRequest(Instant{});
+  for (std::uint32_t i = 0; i < calls; ++i) {
+    request.fingerprint = i;
+    const Instant begun = MonotonicNow();
+    request.deadline = begun + std::chrono::seconds(10);
+    auto lease = router->Acquire(request, begun);
+    if (lease.ok()) lease->Finish(result, begun + std::chrono::milliseconds(2));
+    const Duration spent = MonotonicNow() - begun;
+    nanoseconds->push_back(std::chrono::duration<double, std::nano>(spent).count());
+  }
+}
+
+std::size_t HeapBytes() { return mallinfo2().uordblks + mallinfo2().hblkhd; }
+
+double HeapOf(std::uint32_t upstreams, std::uint32_t services) {
+  const auto snapshot = MakeSnapshot(upstreams, services);
+  const std::size_t before = HeapBytes();
+  const auto router = MakeRouter();
+  router->Apply(snapshot, MonotonicNow());
+  router->SetLiveSeats(LiveSeats(), MonotonicNow());
+  return static_cast<double>(HeapBytes()) - static_cast<double>(before);
+}
+
+template <typename Work>
+double Milliseconds(const Work& work) {
+  const Instant begun = MonotonicNow();
+  work();
+  return std::chrono::duration<double, std::milli>(MonotonicNow() - begun).count();
+}
+
+}  // namespace
+
+LeaseTime MeasureLeases(std::uint32_t upstreams, std::uint32_t threads, std::uint32_t calls) {
+  const auto router = MakeRouter();
+  const Instant now = MonotonicNow();
+  router->Apply(MakeSnapshot(upstreams, 1), now);
+  router->SetLiveSeats(LiveSeats(), now);
+  router->Merge(WarmObservations(*router, now), now);
+  std::vector<std::vector<double>> times(threads);
+  std::vector<std::thread> running;
+  for (auto& own : times) running.emplace_back(RunLeases, router.get(), calls, &own);
+  for (auto& thread : running) thread.join();
+  std::vector<double> all;
+  for (const auto& own : times) all.insert(all.end(), own.begin(), own.end());
+  std::sort(all.begin(), all.end());
+  LeaseTime time{upstreams, threads, 0, 0};
+  for (const double each : all) time.mean += each / static_cast<double>(all.size());
+  time.percentile_99 = all[all.size() * 99 / 100];
+  return time;
+}
+
+TableCost MeasureTables(std::uint32_t upstreams, std::uint32_t services) {
+  TableCost cost;
+  const double nothing = HeapOf(0, 0);
+  const double only_services = HeapOf(0, services);
+  const double all = HeapOf(upstreams, services);
+  cost.bytes_per_service = (only_services - nothing) / services;
+  cost.bytes_per_upstream = (all - only_services) / upstreams;
+  cost.total_megabytes = all / 1e6;
+  const auto router = MakeRouter();
+  const auto snapshot = MakeSnapshot(upstreams, services);
+  router->Apply(snapshot, MonotonicNow());
+  cost.live_seats_milliseconds =
+      Milliseconds([&] { router->SetLiveSeats(LiveSeats(), MonotonicNow()); });
+  const auto warm = WarmObservations(*router, MonotonicNow());
+  cost.merge_milliseconds = Milliseconds([&] { router->Merge(warm, MonotonicNow()); });
+  cost.apply_milliseconds = Milliseconds([&] { router->Apply(snapshot, MonotonicNow()); });
+  return cost;
+}
+
+double MeasureRefusals(std::uint32_t calls) {
+  const auto router = MakeRouter();
+  const Instant now = MonotonicNow();
+  router->Apply(MakeSnapshot(1, 1), now);
+  // A finished call tells the mean time that calls take; the second one fills the window.
+  const Instant deadline = now + std::chrono::seconds(10);
+  CallResult result;
+  auto first = router->Acquire(MakeRequest(deadline), now);
+  if (first.ok()) first->Finish(result, now + std::chrono::seconds(1));
+  const auto held = router->Acquire(MakeRequest(deadline), now);
+  const CallRequest hopeless = MakeRequest(now + std::chrono::milliseconds(10));
+  const double spent = Milliseconds([&] {
+    for (std::uint32_t i = 0; i < calls; ++i) (void)router->Acquire(hopeless, now);
+  });
+  return spent * 1e6 / calls;
+}
+
+}  // namespace primroseweir::bench
