Add the tests with real processes

Cause: each of the nine promises needs at least one test with processes that are killed, paused, cut off or fed stale lists.

--- a/demo/demo.cc
+++ b/demo/demo.cc
@@ -13,7 +13,7 @@
 constexpr char kReads[] = "ice-board";
 constexpr char kBookings[] = "booking-ledger";
 constexpr char kDownloads[] = "chart-distribution";
-constexpr std::uint64_t kDownloadBytes = 100 * 1024 * 1024;
+constexpr std::uint64_t kDownloadBytes = 100ULL * 1024 * 1024;
 // The download takes about 14 s, so that a data centre can leave and return meanwhile.
 constexpr std::uint64_t kDownloadRate = 7'500'000;
 // Bound of promises 3 and 9.
@@ -107,7 +107,7 @@
     plan.duration = std::chrono::minutes(2);
     return standins::RunLoad(plan, stop_);
   });
-  const std::string data_centre = upstream.empty() ? "" : site_.UpstreamDataCentre(upstream);
+  std::string data_centre = upstream.empty() ? "" : site_.UpstreamDataCentre(upstream);
   PrintStep("download_started", !upstream.empty(),
             "bytes=" + std::to_string(kDownloadBytes) + " upstream=" + upstream +
                 " data_centre=" + data_centre);
--- a/standins/caller/caller.cc
+++ b/standins/caller/caller.cc
@@ -159,6 +159,9 @@
   request.head.method = "GET";
   request.head.target = "/" + service + "/read/" + nonce;
   request.head.fields = {{"X-Nonce", nonce}};
+  if (read_deadline_ms_ > 0) {
+    request.head.fields.push_back({"Primroseweir-Deadline-Ms", std::to_string(read_deadline_ms_)});
+  }
   request.expected = "target=/read/" + nonce + " nonce=" + nonce + "\n";
   request.deadline = MonotonicNow() + patience_;
   return TryAddresses(request, &Caller::CheckText);
--- a/standins/caller/caller.h
+++ b/standins/caller/caller.h
@@ -32,6 +32,8 @@
 
   // Time for a read or a booking with all its attempts.
   void set_patience(Duration patience) { patience_ = patience; }
+  // Field Primroseweir-Deadline-Ms of reads; 0 for none.
+  void set_read_deadline_ms(int milliseconds) { read_deadline_ms_ = milliseconds; }
 
  private:
   struct Kept;
@@ -57,6 +59,7 @@
   const std::string name_;
   AddressBook* const book_;
   Duration patience_ = std::chrono::seconds(10);
+  int read_deadline_ms_ = 0;
   std::uint64_t next_ = 0;
   std::map<SocketAddress, std::unique_ptr<Kept>> connections_;
 };
--- a/standins/caller/load.cc
+++ b/standins/caller/load.cc
@@ -55,6 +55,8 @@
   if (draw < plan.booking_share) {
     kind = "booking";
     report = caller->Book(plan.booking_service, booking);
+    const std::lock_guard<std::mutex> lock(shared->mutex);
+    shared->result[kind].bookings[booking] = report.end;
   } else if (draw < plan.booking_share + plan.download_share) {
     kind = "download";
     report =
@@ -80,6 +82,7 @@
   const std::string name = plan.name + "-" + std::to_string(thread);
   Caller caller(name, &shared->book);
   caller.set_patience(plan.patience);
+  caller.set_read_deadline_ms(plan.read_deadline_ms);
   Random random(plan.seed * 1000 + static_cast<std::uint64_t>(thread));
   for (int call = 0;; ++call) {
     Instant due = MonotonicNow();
--- a/standins/caller/load.h
+++ b/standins/caller/load.h
@@ -32,6 +32,8 @@
   Duration duration = std::chrono::seconds(5);
   // Time for a read or a booking with its retries.
   Duration patience = std::chrono::seconds(10);
+  // Field Primroseweir-Deadline-Ms of reads; 0 for none.
+  int read_deadline_ms = 0;
   std::uint64_t seed = 1;
 };
 
@@ -44,6 +46,8 @@
   std::vector<Duration> latencies;
   // The first failed calls, for the log.
   std::vector<std::string> failures;
+  // How each booking ended, by its id.
+  std::map<std::string, CallEnd> bookings;
 
   std::uint64_t Count() const { return latencies.size(); }
   std::uint64_t Of(CallEnd end) const;
--- a/standins/upstream/request_handler.cc
+++ b/standins/upstream/request_handler.cc
@@ -95,6 +95,7 @@
   while (MonotonicNow() < end) usleep(500);
   upstream_->ledger().Finish(booking);
   if (upstream_->TakeLostAnswer()) return false;
+  if (upstream_->Draw(upstream_->modes().fail)) return Answer(503, {}, "failed\n");
   return Answer(200, {{"Content-Type", "text/plain"}},
                 "booking=" + booking + " execution=" + std::to_string(execution) +
                     " upstream=" + upstream_->settings().id + "\n");
--- /dev/null
+++ b/tests/process/upstream_states_test.cc
@@ -0,0 +1,145 @@
+#include "process_helpers.h"
+
+namespace primroseweir::testing {
+namespace {
+
+// Guards against work for an upstream that says it is leaving, or that the list shows as leaving,
+// and against failed calls meanwhile.
+TEST_CASE("a leaving upstream gets no new work", "[upstream-leaving]") {
+  Site site(SmallPlan("leaving"));
+  WarmUp(site, kReads, "/read");
+  BackgroundLoad load(ReadLoad(site, 300));
+  const bool own_word = GENERATE(true, false);
+  CAPTURE(own_word);
+  REQUIRE(WaitUntil([&] { return site.UpstreamState("ib-2")["since_mark"] > 50; }, seconds(10)));
+  MarkAll(&site);
+  if (own_word) {
+    site.Control("ib-2", "/modes", R"({"leaving":true})");
+  } else {
+    site.List("ib-2", "leaving");
+  }
+  std::this_thread::sleep_for(kAFewSeconds + seconds(1));
+  const Site::Json state = site.UpstreamState("ib-2");
+  CHECK(state["last_after_mark_ms"] <= ToMilliseconds(kAFewSeconds));
+  CHECK(site.UpstreamState("ib-1")["last_after_mark_ms"] > ToMilliseconds(kAFewSeconds));
+  CheckAllRight(load.Stop());
+}
+
+// Guards against a fleet that gives a cold upstream more than it bears, at first sight and after a
+// crash.
+TEST_CASE("cold upstreams warm up without an overrun", "[cold-start]") {
+  SitePlan plan = SmallPlan("cold-start");
+  for (ServicePlan& service : plan.services) service.cold = true;
+  // About a third of the slots are busy, so that turns over all upstreams would overrun a cold one.
+  plan.services[0].service_ms = 20;
+  Site site(plan);
+  standins::LoadPlan load_plan = ReadLoad(site, 300);
+  load_plan.concurrency = 24;
+  BackgroundLoad load(load_plan);
+  const auto warm = [&] {
+    for (const std::string& id : site.UpstreamIds(kReads)) {
+      if (site.UpstreamState(id)["cold"] == true) return false;
+    }
+    return true;
+  };
+  CHECK(WaitUntil(warm, seconds(15)));
+  CHECK(site.Sum(kReads, "cold_overruns") == 0);
+
+  site.upstream("ib-1").Kill();
+  std::this_thread::sleep_for(milliseconds(500));
+  site.RestartUpstream("ib-1");
+  CHECK(WaitUntil(warm, seconds(15)));
+  CHECK(site.UpstreamState("ib-1")["cold_overruns"] == 0);
+  CheckAllRight(load.Stop());
+}
+
+// Guards against an upstream that turned cold and is kept down by the full load.
+TEST_CASE("an upstream that turns cold without a signal recovers", "[cold-start]") {
+  SitePlan plan = SmallPlan("turns-cold");
+  plan.services[0].service_ms = 15;
+  Site site(plan);
+  WarmUp(site, kReads, "/read");
+  standins::LoadPlan load_plan = ReadLoad(site, 500);
+  load_plan.concurrency = 32;
+  BackgroundLoad load(load_plan);
+  std::this_thread::sleep_for(seconds(1));
+  site.Control("ib-2", "/cold");
+  CHECK(WaitUntil([&] { return site.UpstreamState("ib-2")["cold"] == false; }, seconds(20)));
+  const auto result = load.Stop();
+  CHECK(result.at("read").Of(CallEnd::kWrong) == 0);
+  CHECK(result.at("read").Of(CallEnd::kRight) == result.at("read").Count());
+}
+
+// Guards against probes beyond 1% of the slot time, counted over the fleet and over a restart.
+TEST_CASE("probes stay within the budget of an idle fleet", "[probe-budget]") {
+  SitePlan plan = SmallPlan("probe-budget");
+  plan.services[1].probe = false;
+  Site site(plan);
+  std::this_thread::sleep_for(seconds(4));
+  site.RestartEntry(1);
+  std::this_thread::sleep_for(seconds(4));
+  const Instant started = MonotonicNow();
+  const std::uint64_t before = site.UpstreamState("ib-1")["probes"];
+  std::this_thread::sleep_for(seconds(8));
+  const double window = std::chrono::duration<double>(MonotonicNow() - started).count();
+  const std::uint64_t probes = site.UpstreamState("ib-1")["probes"].get<std::uint64_t>() - before;
+  const double budget_per_second = 0.01 * 6 / 0.006;
+  constexpr double kSeats = 6;
+  CHECK(static_cast<double>(probes) <= budget_per_second * window + kSeats);
+  CHECK(probes > 0);
+  // The list names no probe for this service.
+  CHECK(site.Sum(kBookings, "probes") == 0);
+}
+
+// Guards against a request that takes down one upstream after the other.
+TEST_CASE("a request that crashes upstreams is stopped after a few") {
+  SitePlan plan = SmallPlan("crash-guard");
+  plan.services[0].upstreams = 9;
+  Site site(plan);
+  const std::string target = std::string("/") + kReads + "/crash/it";
+  standins::HttpAnswer last;
+  for (int i = 0; i < 12; ++i) {
+    last = Send(site.CallerAddress(i % 3), "GET", target);
+    std::this_thread::sleep_for(milliseconds(50));
+  }
+  int crashed = 0;
+  for (const std::string& id : site.UpstreamIds(kReads)) {
+    if (!site.upstream(id).Running()) ++crashed;
+  }
+  CHECK(crashed >= 1);
+  // Two, and one more for each instance that began the call before it heard of them.
+  CHECK(crashed <= 2 + site.entry_count());
+  CHECK(OutcomeOf(last) == "not-run");
+  CHECK(Send(site.CallerAddress(0), "GET", std::string("/") + kReads + "/read").head.status == 200);
+}
+
+// Guards against retries that multiply at each hop of a chain.
+TEST_CASE("a chain of eight calls does not multiply a failure") {
+  SitePlan plan;
+  plan.name = "chain";
+  std::string chain;
+  for (int i = 1; i <= 8; ++i) {
+    ServicePlan service;
+    service.name = "level-" + std::to_string(i);
+    service.prefix = "l" + std::to_string(i);
+    if (i < 8) service.depends_on = {"level-" + std::to_string(i + 1)};
+    if (i > 1) chain += (chain.empty() ? "" : "/") + service.name;
+    plan.services.push_back(service);
+  }
+  Site site(plan);
+  const std::string target =
+      "/level-1/nested?via=" + site.CallerAddress(1).ToString() + "&chain=" + chain;
+  const auto whole = Send(site.CallerAddress(0), "GET", target);
+  CHECK(whole.head.status == 200);
+  const auto executed = site.Sum("level-8", "executed");
+  CHECK(executed == 1);
+  for (const std::string& id : site.UpstreamIds("level-8")) {
+    site.Control(id, "/modes", R"({"lose_answer_count":50})");
+  }
+  CHECK(Send(site.CallerAddress(0), "GET", target).head.status >= 500);
+  // At most two executions, whatever the depth.
+  CHECK(site.Sum("level-8", "executed") - executed <= 2);
+}
+
+}  // namespace
+}  // namespace primroseweir::testing
