--- a/include/primroseweir/membership/gossip_node.h
+++ b/include/primroseweir/membership/gossip_node.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -63,7 +64,8 @@
   static constexpr std::size_t kHeaderBytes = 28;
 
  private:
-  using StrikeKey = std::pair<std::uint64_t, UpstreamId>;
+  // Fingerprint, upstream and whether it is a success.
+  using StrikeKey = std::tuple<std::uint64_t, UpstreamId, bool>;
 
   // Changes that were put into one datagram.
   struct AddedRumors {
@@ -83,6 +85,8 @@
   // Takes the bytes from the budget; false when they don't fit.
   bool Spend(std::size_t bytes, Instant now);
   void NoteNewest(const std::vector<UpstreamObservation>& observations, Instant now);
+  // Notes a strike and passes it on when it is a later event than the one known.
+  void NoteStrike(const CrashStrike& strike, Instant now);
   std::size_t RumorLimit() const;
   // Time by which a message is older than the newest of its sender; not 0 for reordered and
   // replayed ones.
@@ -98,6 +102,7 @@
   ObservationNews news_;
   detail::RumorQueue<UpstreamId, UpstreamObservation> observation_rumors_;
   detail::RumorQueue<StrikeKey, CrashStrike> strike_rumors_;
+  // Time of the newest event of each key.
   std::map<StrikeKey, Instant> known_strikes_;
   std::map<std::pair<InstanceId, Incarnation>, HybridTime> newest_from_;
   TokenBucket bytes_;
--- a/include/primroseweir/peer/detail/wire_format.h
+++ b/include/primroseweir/peer/detail/wire_format.h
@@ -17,7 +17,7 @@
 constexpr std::size_t kMemberFields = 10;
 constexpr std::size_t kObservationFields = 4;
 constexpr std::size_t kReportedObservationFields = 7;
-constexpr std::size_t kStrikeFields = 3;
+constexpr std::size_t kStrikeFields = 4;
 
 // Bounds of single fields.
 constexpr std::size_t kMaximumIdBytes = 64;
--- a/src/peer/detail/record_codec.cc
+++ b/src/peer/detail/record_codec.cc
@@ -106,7 +106,7 @@
 
 nlohmann::json StrikeToJson(const CrashStrike& strike) {
   return nlohmann::json::array(
-      {strike.fingerprint, strike.upstream.value(), AgeNumber(strike.age)});
+      {strike.fingerprint, strike.upstream.value(), AgeNumber(strike.age), strike.succeeded});
 }
 
 CrashStrike StrikeFromJson(const nlohmann::json& value, std::string* error) {
@@ -116,6 +116,7 @@
   strike.fingerprint = reader.Unsigned("fingerprint", 0, kAny);
   strike.upstream = UpstreamId(reader.Id("upstream"));
   strike.age = ReadAge(&reader);
+  strike.succeeded = reader.Boolean("succeeded");
   return strike;
 }
 
