--- a/tests/membership/gossip_node_test.cc
+++ b/tests/membership/gossip_node_test.cc
@@ -101,7 +101,7 @@
   Recorder recorder(1);
   GossipMessage old = MessageFrom(9, seconds(0));
   old.observations.push_back(ObservationOf(1, 1, milliseconds(5)));
-  old.strikes.push_back({7, UpstreamId("upstream-1"), milliseconds(1)});
+  old.strikes.push_back({7, UpstreamId("upstream-1"), milliseconds(1), false});
   recorder.Receive(old, std::chrono::hours(1));
   CHECK(recorder.observations.back().report->age >= std::chrono::minutes(58));
   // Strikes are void after ten minutes.
--- a/tests/peer/gossip_codec_test.cc
+++ b/tests/peer/gossip_codec_test.cc
@@ -56,7 +56,7 @@
   REQUIRE(packer.Add(SampleMember("entry-1")));
   REQUIRE(packer.Add(SampleMember("entry-2")));
   REQUIRE(packer.Add(SampleObservation("ib-1")));
-  REQUIRE(packer.Add(CrashStrike{0xabcdefULL, UpstreamId("ib-2"), milliseconds(40)}));
+  REQUIRE(packer.Add(CrashStrike{0xabcdefULL, UpstreamId("ib-2"), milliseconds(40), true}));
   return packer.Finish(Signer());
 }
 
@@ -102,6 +102,7 @@
   CHECK(message->observations[0].report->latency == milliseconds(7));
   REQUIRE(message->strikes.size() == 1);
   CHECK(message->strikes[0].fingerprint == 0xabcdefULL);
+  CHECK(message->strikes[0].succeeded);
 }
 
 // Guards against datagrams that exceed the path's size and are lost as fragments.
