--- a/src/membership/gossip_node.cc
+++ b/src/membership/gossip_node.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "primroseweir/limits/crash_guard.h"
+
 namespace primroseweir {
 namespace {
 
@@ -22,7 +24,7 @@
 // probability (SWIM, section 4.1), one more allows for lost datagrams.
 constexpr std::size_t kRumorFactor = 4;
 // Strikes are void after 10 minutes (docs/design.md 7.9).
-constexpr Duration kStrikeLifetime = std::chrono::minutes(10);
+constexpr Duration kStrikeLifetime = CrashGuard::kQuarantine;
 // Clocks of instances that differ by less than this are not taken for a replay.
 constexpr std::int64_t kClockToleranceMicroseconds = 60'000'000;
 // Bounds on what is remembered, against endless growth.
@@ -84,14 +86,20 @@
                                [](const CrashStrike& s) { return s.age >= kStrikeLifetime; }),
                 strikes.end());
   if (strikes.empty()) return;
-  if (known_strikes_.size() > kMaximumStrikes) known_strikes_.clear();
-  for (const CrashStrike& strike : strikes) {
-    const StrikeKey key{strike.fingerprint, strike.upstream};
-    if (known_strikes_.emplace(key, now).second) strike_rumors_.Put(key, strike, now);
-  }
+  for (const CrashStrike& strike : strikes) NoteStrike(strike, now);
   if (hooks_->merge_strikes) hooks_->merge_strikes(strikes, now);
 }
 
+void GossipNode::NoteStrike(const CrashStrike& strike, Instant now) {
+  if (known_strikes_.size() > kMaximumStrikes) known_strikes_.clear();
+  const StrikeKey key{strike.fingerprint, strike.upstream, strike.succeeded};
+  const Instant happened = now - strike.age;
+  const auto [known, first] = known_strikes_.emplace(key, happened);
+  if (!first && happened < known->second + CrashGuard::kSameEvent) return;
+  known->second = happened;
+  strike_rumors_.Put(key, strike, now);
+}
+
 void GossipNode::NoteSnapshot(const std::vector<UpstreamObservation>& observations) {
   for (const UpstreamObservation& observation : observations) news_.NoteKnown(observation);
 }
@@ -202,11 +210,7 @@
     news_.Note(observation);
     observation_rumors_.Put(observation.id, observation, now);
   }
-  for (const CrashStrike& strike : items.strikes) {
-    const StrikeKey key{strike.fingerprint, strike.upstream};
-    known_strikes_.emplace(key, now);
-    strike_rumors_.Put(key, strike, now);
-  }
+  for (const CrashStrike& strike : items.strikes) NoteStrike(strike, now);
   urgent_targets_ = table_.LivePeers(kUrgentTargets, &random_);
 }
 
