Send heartbeats of known members in seven bytes

Cause: whole member records of about 55 bytes don't fit the budget of 7 KB/s above some dozens of members; at 170 members 108 were wrongly taken for not alive on average. Change: a datagram carries whole records of new members (a bounded number of times, up to 35% of the room), one random whole record, and heartbeats of 7 bytes of the members known, newest first.

--- a/include/primroseweir/membership/gossip_node.h
+++ b/include/primroseweir/membership/gossip_node.h
@@ -64,6 +64,7 @@
   static constexpr std::size_t kHeaderBytes = 28;
 
  private:
+  using MemberKey = std::pair<InstanceId, Incarnation>;
   // Fingerprint, upstream and whether it is a success.
   using StrikeKey = std::tuple<std::uint64_t, UpstreamId, bool>;
 
@@ -71,6 +72,7 @@
   struct AddedRumors {
     std::vector<StrikeKey> strikes;
     std::vector<UpstreamId> observations;
+    std::vector<MemberKey> members;
   };
 
   // What is left of the budget for periodic datagrams, per datagram.
@@ -84,6 +86,8 @@
                  const std::vector<UpstreamObservation>& observations, DatagramPacker* packer);
   // Takes the bytes from the budget; false when they don't fit.
   bool Spend(std::size_t bytes, Instant now);
+  // Passes on which members are new or declared another state.
+  void NoteMembers(Instant now);
   void NoteNewest(const std::vector<UpstreamObservation>& observations, Instant now);
   // Notes a strike and passes it on when it is a later event than the one known.
   void NoteStrike(const CrashStrike& strike, Instant now);
@@ -102,6 +106,7 @@
   ObservationNews news_;
   detail::RumorQueue<UpstreamId, UpstreamObservation> observation_rumors_;
   detail::RumorQueue<StrikeKey, CrashStrike> strike_rumors_;
+  detail::RumorQueue<MemberKey, MemberRecord> member_rumors_;
   // Time of the newest event of each key.
   std::map<StrikeKey, Instant> known_strikes_;
   std::map<std::pair<InstanceId, Incarnation>, HybridTime> newest_from_;
--- a/include/primroseweir/membership/membership_table.h
+++ b/include/primroseweir/membership/membership_table.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -12,6 +13,7 @@
 #include "primroseweir/base/time.h"
 #include "primroseweir/membership/membership_timeouts.h"
 #include "primroseweir/membership/membership_view.h"
+#include "primroseweir/peer/member_heartbeat.h"
 #include "primroseweir/peer/member_record.h"
 
 namespace primroseweir {
@@ -33,6 +35,13 @@
   // far as known. True when a member or its state in View changed. O(log n).
   bool Receive(const MemberRecord& received, Duration waited, Instant now);
 
+  // Takes in a heartbeat of a member that is known here; others are ignored, and so is a key that
+  // two known members share. True when View changed. O(log n).
+  bool ReceiveHeartbeat(const MemberHeartbeat& heartbeat, Duration waited, Instant now);
+
+  // Members that were new or declared another state since the last call, for passing on.
+  std::vector<MemberRecord> TakeNews();
+
   // Raises the own heartbeat, passes judgement on silent members and forgets long dead ones. Call
   // it once a gossip period. True when View changed. O(n).
   bool Tick(Instant now);
@@ -48,6 +57,9 @@
   // Records of the others worth passing on, newest heartbeat first. O(n log n).
   std::vector<MemberRecord> NewestFirst() const;
 
+  // The heartbeats of those records, in the same order.
+  static std::vector<MemberHeartbeat> HeartbeatsOf(const std::vector<MemberRecord>& records);
+
   // Peer addresses for one period: two random members and one in another data centre. Every
   // kContactPeriod'th call, or when nobody is known, also addresses from which nobody is heard:
   // `seeds` and members lost to silence, so that a split heals. O(n).
@@ -82,6 +94,9 @@
   bool Update(const MemberRecord& record, Duration heard_at, Entry* entry);
   // A newer run at the same address proves that the older one has ended.
   bool EndEarlierRuns(const MemberRecord& record);
+  static std::uint32_t HashOf(const Member& member);
+  void AddNews(const Entry& entry);
+  MemberRecord ToSend(const Entry& entry) const;
   bool Judge(Entry* entry);
   MemberState StateOf(const Entry& entry) const;
   Duration SilenceOf(const Entry& entry) const { return listened_ - entry.heard_at; }
@@ -97,6 +112,9 @@
   std::uint64_t heartbeat_ = 0;
   const MembershipTimeouts timeouts_;
   std::map<Key, Entry> entries_;
+  // Known members by the key of their heartbeats.
+  std::unordered_multimap<std::uint32_t, Key> by_hash_;
+  std::vector<Key> news_;
   // Last heartbeats of forgotten members, so that an old record can't bring them back.
   std::map<Key, std::uint64_t> forgotten_;
   std::deque<Key> forgotten_order_;
--- a/include/primroseweir/peer/datagram_packer.h
+++ b/include/primroseweir/peer/datagram_packer.h
@@ -18,6 +18,7 @@
 
   // True when the record fitted.
   bool Add(const MemberRecord& record);
+  bool Add(const MemberHeartbeat& heartbeat);
   bool Add(const UpstreamObservation& observation);
   bool Add(const CrashStrike& strike);
 
@@ -43,6 +44,8 @@
   const std::size_t limit_;
   std::string head_;
   Section members_;
+  // Heartbeats of fixed size, without a length each.
+  std::string heartbeats_;
   Section observations_;
   Section strikes_;
 };
--- a/include/primroseweir/peer/detail/field_reader.h
+++ b/include/primroseweir/peer/detail/field_reader.h
@@ -26,6 +26,8 @@
   // An identifier: 1 to kMaximumIdBytes printable ASCII characters without a space.
   std::string Id(const char* field);
   const nlohmann::json& Array(const char* field);
+  // The field as it is; the caller checks it.
+  const nlohmann::json& Any(const char* field);
 
   void Fail(const std::string& message);
 
--- a/include/primroseweir/peer/detail/wire_format.h
+++ b/include/primroseweir/peer/detail/wire_format.h
@@ -7,11 +7,12 @@
 namespace primroseweir {
 namespace detail {
 
-// A datagram is a MessagePack array of kHeadFields fields, then the arrays of member records,
-// observations and strikes; the signature follows. An incompatible change raises the version.
+// A datagram is a MessagePack array of kHeadFields fields, then the array of member records, a byte
+// string of heartbeats and the arrays of observations and strikes; the signature follows. An
+// incompatible change raises the version.
 constexpr std::uint64_t kGossipVersion = 1;
 constexpr std::size_t kHeadFields = 9;
-constexpr std::size_t kSections = 3;
+constexpr std::size_t kSections = 4;
 
 // Fields of the records. An observation without a report has kObservationFields only.
 constexpr std::size_t kMemberFields = 10;
@@ -19,6 +20,10 @@
 constexpr std::size_t kReportedObservationFields = 7;
 constexpr std::size_t kStrikeFields = 4;
 
+// A heartbeat: key (4 bytes), state and counter (2 bytes), age (1 byte), high bytes first. As
+// MessagePack arrays they would take 11 bytes.
+constexpr std::size_t kHeartbeatBytes = 7;
+
 // Bounds of single fields.
 constexpr std::size_t kMaximumIdBytes = 64;
 constexpr std::uint64_t kMaximumSeat = 65'535;
--- a/src/membership/gossip_node.cc
+++ b/src/membership/gossip_node.cc
@@ -17,6 +17,11 @@
 // Urgent datagrams leave this much for the three periodic ones of the next period. Without it a
 // storm of urgent items left 65 of 150 periodic datagrams in ten seconds.
 constexpr double kPeriodicFloor = 3 * (kSmallestLimit + GossipNode::kHeaderBytes);
+// Whole records of new members take up to this share of the room, so that heartbeats of the known
+// ones are not crowded out while a fleet starts.
+constexpr std::size_t kNewMembersPercent = 35;
+// Of the room that changes leave, heartbeats take up to this share and load reports the rest.
+constexpr std::size_t kHeartbeatPercent = 60;
 // Records asked from the providers for one period; more never fit into a datagram.
 constexpr std::size_t kNewestObservations = 64;
 constexpr std::size_t kNewestStrikes = 16;
@@ -65,11 +70,21 @@
   for (const MemberRecord& record : message.members) {
     changed = table_.Receive(record, age, now) || changed;
   }
+  for (const MemberHeartbeat& heartbeat : message.heartbeats) {
+    changed = table_.ReceiveHeartbeat(heartbeat, age, now) || changed;
+  }
+  NoteMembers(now);
   TakeObservations(std::move(message.observations), age, now);
   TakeStrikes(std::move(message.strikes), age, now);
   return changed;
 }
 
+void GossipNode::NoteMembers(Instant now) {
+  for (const MemberRecord& record : table_.TakeNews()) {
+    member_rumors_.Put({record.member.id, record.member.incarnation}, record, now);
+  }
+}
+
 void GossipNode::TakeObservations(std::vector<UpstreamObservation> observations, Duration age,
                                   Instant now) {
   if (observations.empty()) return;
@@ -135,6 +150,13 @@
     if (!packer->Add(strike)) break;
     added.strikes.push_back(rumor->key);
   }
+  const std::size_t end = packer->size() + packer->room() * kNewMembersPercent / 100;
+  for (const auto* rumor : member_rumors_.InOrder()) {
+    MemberRecord record = rumor->value;
+    record.age += now - rumor->noted;
+    if (packer->size() >= end || !packer->Add(record)) break;
+    added.members.push_back(rumor->key);
+  }
   for (const auto* rumor : observation_rumors_.InOrder()) {
     UpstreamObservation observation = rumor->value;
     if (observation.report) observation.report->age += now - rumor->noted;
@@ -147,19 +169,22 @@
 void GossipNode::NoteSent(const AddedRumors& added) {
   const std::size_t limit = RumorLimit();
   for (const StrikeKey& key : added.strikes) strike_rumors_.NoteSent(key, limit);
+  for (const MemberKey& key : added.members) member_rumors_.NoteSent(key, limit);
   for (const UpstreamId& key : added.observations) observation_rumors_.NoteSent(key, limit);
 }
 
 void GossipNode::AddNewest(const std::vector<MemberRecord>& members,
                            const std::vector<UpstreamObservation>& observations,
                            DatagramPacker* packer) {
-  const std::size_t half = packer->size() + packer->room() / 2;
-  std::size_t next = 0;
-  while (next < members.size() && packer->size() < half && packer->Add(members[next])) ++next;
+  const std::size_t end = packer->size() + packer->room() * kHeartbeatPercent / 100;
+  // One whole record at random, for a receiver that never heard of that member.
+  if (!members.empty()) packer->Add(members[random_.Below(members.size())]);
+  for (const MemberHeartbeat& heartbeat : MembershipTable::HeartbeatsOf(members)) {
+    if (packer->size() >= end || !packer->Add(heartbeat)) break;
+  }
   for (const UpstreamObservation& observation : observations) {
     if (!packer->Add(observation)) break;
   }
-  while (next < members.size() && packer->Add(members[next])) ++next;
 }
 
 bool GossipNode::Spend(std::size_t bytes, Instant now) {
--- a/src/membership/membership_table.cc
+++ b/src/membership/membership_table.cc
@@ -4,6 +4,7 @@
 #include <tuple>
 
 #include "primroseweir/base/random.h"
+#include "primroseweir/base/rendezvous.h"
 
 namespace primroseweir {
 namespace {
@@ -64,18 +65,57 @@
   entry.state = StateOf(entry);
   // A member that is dead when first heard of concerns nobody here.
   if (entry.state == MemberState::kDead) return false;
-  entries_.emplace(Key{record.member.id, record.member.incarnation}, entry);
+  const Key key{record.member.id, record.member.incarnation};
+  entries_.emplace(key, entry);
+  by_hash_.emplace(HashOf(record.member), key);
+  AddNews(entry);
   EndEarlierRuns(record);
   return true;
 }
 
 bool MembershipTable::Update(const MemberRecord& record, Duration heard_at, Entry* entry) {
   const bool revision_changed = entry->record.member.revision != record.member.revision;
+  const bool declared = entry->record.member.state != record.member.state;
   entry->record = record;
   entry->heard_at = std::max(entry->heard_at, heard_at);
+  if (declared) AddNews(*entry);
   return Judge(entry) || revision_changed;
 }
 
+std::uint32_t MembershipTable::HashOf(const Member& member) {
+  return static_cast<std::uint32_t>(StableHash(member.id.value(), member.incarnation.value()));
+}
+
+bool MembershipTable::ReceiveHeartbeat(const MemberHeartbeat& heartbeat, Duration waited,
+                                       Instant now) {
+  Advance(now);
+  if (by_hash_.count(heartbeat.key) != 1) return false;
+  Entry& entry = entries_.at(by_hash_.find(heartbeat.key)->second);
+  const std::uint64_t known = entry.record.heartbeat;
+  const std::uint64_t ahead = (heartbeat.counter - known) & MemberHeartbeat::kCounterMask;
+  // The counter repeats; more than half of its range ahead is really behind.
+  if (ahead == 0 || ahead > MemberHeartbeat::kCounterMask / 2) return false;
+  MemberRecord record = entry.record;
+  record.heartbeat = known + ahead;
+  record.member.state = heartbeat.state;
+  record.age = heartbeat.age;
+  return Receive(record, waited, now);
+}
+
+void MembershipTable::AddNews(const Entry& entry) {
+  news_.emplace_back(entry.record.member.id, entry.record.member.incarnation);
+}
+
+std::vector<MemberRecord> MembershipTable::TakeNews() {
+  std::vector<MemberRecord> records;
+  for (const Key& key : news_) {
+    const auto entry = entries_.find(key);
+    if (entry != entries_.end()) records.push_back(ToSend(entry->second));
+  }
+  news_.clear();
+  return records;
+}
+
 bool MembershipTable::EndEarlierRuns(const MemberRecord& record) {
   bool changed = false;
   auto entry = entries_.lower_bound(Key{record.member.id, Incarnation(0)});
@@ -133,6 +173,9 @@
       continue;
     }
     Forget(entry->first, entry->second.record.heartbeat);
+    const auto same_hash = by_hash_.equal_range(HashOf(entry->second.record.member));
+    by_hash_.erase(std::find_if(same_hash.first, same_hash.second,
+                                [&entry](const auto& e) { return e.second == entry->first; }));
     entry = entries_.erase(entry);
     changed = true;
   }
@@ -166,17 +209,37 @@
 
 // ---- sending ----
 
+MemberRecord MembershipTable::ToSend(const Entry& entry) const {
+  MemberRecord record = entry.record;
+  // A member that declared itself leaving or dead is passed on as such.
+  if (record.member.state == MemberState::kAlive) record.member.state = entry.state;
+  record.age = SilenceOf(entry);
+  return record;
+}
+
+std::vector<MemberHeartbeat> MembershipTable::HeartbeatsOf(
+    const std::vector<MemberRecord>& records) {
+  std::vector<MemberHeartbeat> heartbeats;
+  heartbeats.reserve(records.size());
+  for (const MemberRecord& record : records) {
+    MemberHeartbeat heartbeat;
+    heartbeat.key = HashOf(record.member);
+    heartbeat.counter =
+        static_cast<std::uint16_t>(record.heartbeat & MemberHeartbeat::kCounterMask);
+    heartbeat.state = record.member.state;
+    heartbeat.age = record.age;
+    heartbeats.push_back(heartbeat);
+  }
+  return heartbeats;
+}
+
 std::vector<MemberRecord> MembershipTable::NewestFirst() const {
   std::vector<MemberRecord> records;
   for (const auto& [key, entry] : entries_) {
     const bool silent =
         entry.state == MemberState::kDead && entry.record.member.state != MemberState::kDead;
     if (silent) continue;
-    MemberRecord record = entry.record;
-    // A member that declared itself leaving or dead is passed on as such.
-    if (record.member.state == MemberState::kAlive) record.member.state = entry.state;
-    record.age = SilenceOf(entry);
-    records.push_back(std::move(record));
+    records.push_back(ToSend(entry));
   }
   std::sort(records.begin(), records.end(),
             [](const MemberRecord& a, const MemberRecord& b) { return a.age < b.age; });
--- a/src/peer/datagram_packer.cc
+++ b/src/peer/datagram_packer.cc
@@ -15,6 +15,8 @@
 // MessagePack: an array with a length of 16 bits.
 constexpr unsigned char kLongArray = 0xdc;
 constexpr std::size_t kLongArrayHeadBytes = 3;
+// MessagePack: a byte string with a length of 16 bits.
+constexpr unsigned char kLongBytes = 0xc5;
 
 std::string Packed(const nlohmann::json& value) {
   std::string bytes;
@@ -37,11 +39,13 @@
   return bytes;
 }
 
-void AppendArray(std::size_t count, const std::string& records, std::string* bytes) {
-  bytes->push_back(static_cast<char>(kLongArray));
-  bytes->push_back(static_cast<char>(count >> 8));
-  bytes->push_back(static_cast<char>(count & 0xff));
-  bytes->append(records);
+// `kind` says what follows, `length` how many elements or bytes of it.
+void AppendSized(unsigned char kind, std::size_t length, const std::string& content,
+                 std::string* bytes) {
+  bytes->push_back(static_cast<char>(kind));
+  bytes->push_back(static_cast<char>(length >> 8));
+  bytes->push_back(static_cast<char>(length & 0xff));
+  bytes->append(content);
 }
 
 }  // namespace
@@ -51,7 +55,8 @@
 
 std::size_t DatagramPacker::size() const {
   return head_.size() + detail::kSections * kLongArrayHeadBytes + members_.bytes.size() +
-         observations_.bytes.size() + strikes_.bytes.size() + MessageSigner::kSignatureBytes;
+         heartbeats_.size() + observations_.bytes.size() + strikes_.bytes.size() +
+         MessageSigner::kSignatureBytes;
 }
 
 bool DatagramPacker::AddRecord(const std::string& record, Section* section) {
@@ -65,6 +70,12 @@
   return AddRecord(Packed(detail::MemberToJson(record)), &members_);
 }
 
+bool DatagramPacker::Add(const MemberHeartbeat& heartbeat) {
+  if (room() < detail::kHeartbeatBytes) return false;
+  detail::AppendHeartbeat(heartbeat, &heartbeats_);
+  return true;
+}
+
 bool DatagramPacker::Add(const UpstreamObservation& observation) {
   return AddRecord(Packed(detail::ObservationToJson(observation)), &observations_);
 }
@@ -75,9 +86,10 @@
 
 std::string DatagramPacker::Finish(const MessageSigner& signer) const {
   std::string bytes = head_;
-  AppendArray(members_.count, members_.bytes, &bytes);
-  AppendArray(observations_.count, observations_.bytes, &bytes);
-  AppendArray(strikes_.count, strikes_.bytes, &bytes);
+  AppendSized(kLongArray, members_.count, members_.bytes, &bytes);
+  AppendSized(kLongBytes, heartbeats_.size(), heartbeats_, &bytes);
+  AppendSized(kLongArray, observations_.count, observations_.bytes, &bytes);
+  AppendSized(kLongArray, strikes_.count, strikes_.bytes, &bytes);
   return bytes + signer.Sign(kGossipPurpose, bytes);
 }
 
--- a/src/peer/detail/field_reader.cc
+++ b/src/peer/detail/field_reader.cc
@@ -85,5 +85,10 @@
   return EmptyArray();
 }
 
+const nlohmann::json& FieldReader::Any(const char* field) {
+  const nlohmann::json* value = Next(field);
+  return value == nullptr ? EmptyArray() : *value;
+}
+
 }  // namespace detail
 }  // namespace primroseweir
--- a/src/peer/detail/record_codec.cc
+++ b/src/peer/detail/record_codec.cc
@@ -74,6 +74,39 @@
   return record;
 }
 
+void AppendHeartbeat(const MemberHeartbeat& heartbeat, std::string* bytes) {
+  const auto age =
+      std::min(heartbeat.age, MemberHeartbeat::kMaximumAge) / MemberHeartbeat::kAgeStep;
+  const auto state = static_cast<std::uint32_t>(heartbeat.state) << MemberHeartbeat::kCounterBits;
+  const std::uint32_t counter = state | (heartbeat.counter & MemberHeartbeat::kCounterMask);
+  for (const int shift : {24, 16, 8, 0}) {
+    bytes->push_back(static_cast<char>((heartbeat.key >> shift) & 0xff));
+  }
+  bytes->push_back(static_cast<char>(counter >> 8));
+  bytes->push_back(static_cast<char>(counter & 0xff));
+  bytes->push_back(static_cast<char>(age));
+}
+
+std::vector<MemberHeartbeat> ReadHeartbeats(const nlohmann::json& value, std::string* error) {
+  std::vector<MemberHeartbeat> heartbeats;
+  if (!error->empty()) return heartbeats;
+  if (!value.is_binary() || value.get_binary().size() % kHeartbeatBytes != 0) {
+    *error = "heartbeats are not a byte string of whole records";
+    return heartbeats;
+  }
+  const std::vector<std::uint8_t>& bytes = value.get_binary();
+  for (std::size_t at = 0; at < bytes.size(); at += kHeartbeatBytes) {
+    MemberHeartbeat heartbeat;
+    for (std::size_t i = 0; i < 4; ++i) heartbeat.key = heartbeat.key << 8 | bytes[at + i];
+    const unsigned counter = static_cast<unsigned>(bytes[at + 4]) << 8 | bytes[at + 5];
+    heartbeat.counter = static_cast<std::uint16_t>(counter & MemberHeartbeat::kCounterMask);
+    heartbeat.state = static_cast<MemberState>(counter >> MemberHeartbeat::kCounterBits);
+    heartbeat.age = bytes[at + 6] * MemberHeartbeat::kAgeStep;
+    heartbeats.push_back(heartbeat);
+  }
+  return heartbeats;
+}
+
 nlohmann::json ObservationToJson(const UpstreamObservation& observation) {
   auto fields = nlohmann::json::array(
       {observation.id.value(), observation.epoch.value(), observation.window, observation.leaving});
--- a/tests/peer/gossip_codec_test.cc
+++ b/tests/peer/gossip_codec_test.cc
@@ -55,6 +55,8 @@
   DatagramPacker packer(SampleHeader(), DatagramPacker::kMaximumBytes);
   REQUIRE(packer.Add(SampleMember("entry-1")));
   REQUIRE(packer.Add(SampleMember("entry-2")));
+  REQUIRE(
+      packer.Add(MemberHeartbeat{0xfedcba98, 0x3abc, MemberState::kLeaving, milliseconds(740)}));
   REQUIRE(packer.Add(SampleObservation("ib-1")));
   REQUIRE(packer.Add(CrashStrike{0xabcdefULL, UpstreamId("ib-2"), milliseconds(40), true}));
   return packer.Finish(Signer());
@@ -95,6 +97,11 @@
   CHECK(record.member.revision == Revision(77));
   CHECK(record.heartbeat == 12'345);
   CHECK(record.age == milliseconds(250));
+  REQUIRE(message->heartbeats.size() == 1);
+  CHECK(message->heartbeats[0].key == 0xfedcba98);
+  CHECK(message->heartbeats[0].counter == 0x3abc);
+  CHECK(message->heartbeats[0].state == MemberState::kLeaving);
+  CHECK(message->heartbeats[0].age == milliseconds(740));
   REQUIRE(message->observations.size() == 1);
   CHECK(message->observations[0].epoch == Epoch(4));
   CHECK(message->observations[0].window == 2);
@@ -162,11 +169,13 @@
       {"/9/0/7", 4},
       {"/9/0/9", 1.5},
       {"/9/1", nlohmann::json::array({1, 2})},
-      {"/10/0/2", 0},
-      {"/10/0/2", 1'000'001},
-      {"/10/0/3", 1},
-      {"/10/0/4", 10'000'001},
-      {"/11/0/1", nlohmann::json::array()},
+      {"/11/0/2", 0},
+      {"/11/0/2", 1'000'001},
+      {"/11/0/3", 1},
+      {"/11/0/4", 10'000'001},
+      {"/12/0/1", nlohmann::json::array()},
+      {"/10", nlohmann::json::array()},
+      {"/10", nlohmann::json::binary({1, 2, 3})},
   };
   for (const Fault& fault : faults) {
     nlohmann::json changed = content;
@@ -232,7 +241,7 @@
   CheckSurvives(std::string(1'184, '\x81'));
   CheckSurvives(std::string("\xdd\xff\xff\xff\xff", 5));
   CheckSurvives(std::string("\xdb\xff\xff\xff\xff", 5));
-  CheckSurvives("\x9c" + std::string(1'183, '\x91'));
+  CheckSurvives("\x9d" + std::string(1'183, '\x91'));
 }
 
 TEST_CASE("an oversized datagram is refused before its signature is checked") {
