Send heartbeats as one byte a seat

Cause: 7 bytes a heartbeat allow some 400 updates a second and node, and 170 members need about 1,700; 72 of 170 members were wrongly taken for not alive. Change: a datagram carries the heartbeats modulo 255 of consecutive seats, one byte each. A seat with no live member or with several carries none; a dead member comes back by a whole record only.

--- a/include/primroseweir/membership/gossip_node.h
+++ b/include/primroseweir/membership/gossip_node.h
@@ -84,6 +84,7 @@
   void NoteSent(const AddedRumors& added);
   void AddNewest(const std::vector<MemberRecord>& members,
                  const std::vector<UpstreamObservation>& observations, DatagramPacker* packer);
+  void AddHeartbeats(DatagramPacker* packer);
   // Takes the bytes from the budget; false when they don't fit.
   bool Spend(std::size_t bytes, Instant now);
   // Passes on which members are new or declared another state.
@@ -113,6 +114,8 @@
   TokenBucket bytes_;
   TokenBucket urgent_datagrams_;
   std::vector<SocketAddress> urgent_targets_;
+  // Where the heartbeats of the next datagram begin.
+  std::size_t next_seat_ = 0;
 };
 
 }  // namespace primroseweir
--- a/include/primroseweir/membership/membership_table.h
+++ b/include/primroseweir/membership/membership_table.h
@@ -5,7 +5,6 @@
 #include <cstdint>
 #include <deque>
 #include <map>
-#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -13,8 +12,8 @@
 #include "primroseweir/base/time.h"
 #include "primroseweir/membership/membership_timeouts.h"
 #include "primroseweir/membership/membership_view.h"
-#include "primroseweir/peer/member_heartbeat.h"
 #include "primroseweir/peer/member_record.h"
+#include "primroseweir/peer/seat_heartbeats.h"
 
 namespace primroseweir {
 
@@ -25,8 +24,10 @@
 //
 // Each member alone raises its heartbeat and declares its state (alive, leaving or, when it stops,
 // dead). Suspect and dead are this instance's own conclusions from silence; a newer heartbeat
-// refutes them. Silence is counted in the time that this process was listening, so that one that
-// was paused does not take its own absence for the silence of others.
+// refutes them. A member declares its states in the order alive, leaving, dead and never goes back,
+// so the latest declared state wins whichever heartbeat it came with. Silence is counted in the
+// time that this process was listening, so that one that was paused does not take its own absence
+// for the silence of others.
 class MembershipTable {
  public:
   MembershipTable(Member self, MembershipTimeouts timeouts, Instant now);
@@ -35,9 +36,9 @@
   // far as known. True when a member or its state in View changed. O(log n).
   bool Receive(const MemberRecord& received, Duration waited, Instant now);
 
-  // Takes in a heartbeat of a member that is known here; others are ignored, and so is a key that
-  // two known members share. True when View changed. O(log n).
-  bool ReceiveHeartbeat(const MemberHeartbeat& heartbeat, Duration waited, Instant now);
+  // Takes in the heartbeats of members that are known here and not dead; a whole record alone
+  // brings a member back. True when View changed. O(n + seats).
+  bool ReceiveHeartbeats(const SeatHeartbeats& heartbeats, Duration waited, Instant now);
 
   // Members that were new or declared another state since the last call, for passing on.
   std::vector<MemberRecord> TakeNews();
@@ -57,8 +58,8 @@
   // Records of the others worth passing on, newest heartbeat first. O(n log n).
   std::vector<MemberRecord> NewestFirst() const;
 
-  // The heartbeats of those records, in the same order.
-  static std::vector<MemberHeartbeat> HeartbeatsOf(const std::vector<MemberRecord>& records);
+  // The newest heartbeats of the others by seat, from seat 0. O(n + seats).
+  SeatHeartbeats Heartbeats() const;
 
   // Peer addresses for one period: two random members and one in another data centre. Every
   // kContactPeriod'th call, or when nobody is known, also addresses from which nobody is heard:
@@ -94,7 +95,8 @@
   bool Update(const MemberRecord& record, Duration heard_at, Entry* entry);
   // A newer run at the same address proves that the older one has ended.
   bool EndEarlierRuns(const MemberRecord& record);
-  static std::uint32_t HashOf(const Member& member);
+  // Live members by seat; null for a seat that several have.
+  std::map<std::uint64_t, const Entry*> EntriesBySeat() const;
   void AddNews(const Entry& entry);
   MemberRecord ToSend(const Entry& entry) const;
   bool Judge(Entry* entry);
@@ -112,8 +114,6 @@
   std::uint64_t heartbeat_ = 0;
   const MembershipTimeouts timeouts_;
   std::map<Key, Entry> entries_;
-  // Known members by the key of their heartbeats.
-  std::unordered_multimap<std::uint32_t, Key> by_hash_;
   std::vector<Key> news_;
   // Last heartbeats of forgotten members, so that an old record can't bring them back.
   std::map<Key, std::uint64_t> forgotten_;
--- a/include/primroseweir/peer/datagram_packer.h
+++ b/include/primroseweir/peer/datagram_packer.h
@@ -18,10 +18,12 @@
 
   // True when the record fitted.
   bool Add(const MemberRecord& record);
-  bool Add(const MemberHeartbeat& heartbeat);
   bool Add(const UpstreamObservation& observation);
   bool Add(const CrashStrike& strike);
 
+  // Adds as many heartbeats as fit into `bytes`, beginning with the first, and answers how many.
+  std::size_t AddHeartbeats(const SeatHeartbeats& heartbeats, std::size_t bytes);
+
   // Bytes that are left.
   std::size_t room() const { return limit_ > size() ? limit_ - size() : 0; }
 
@@ -44,7 +46,6 @@
   const std::size_t limit_;
   std::string head_;
   Section members_;
-  // Heartbeats of fixed size, without a length each.
   std::string heartbeats_;
   Section observations_;
   Section strikes_;
--- a/include/primroseweir/peer/detail/record_codec.h
+++ b/include/primroseweir/peer/detail/record_codec.h
@@ -3,11 +3,10 @@
 
 #include <nlohmann/json.hpp>
 #include <string>
-#include <vector>
 
 #include "primroseweir/limits/crash_strike.h"
-#include "primroseweir/peer/member_heartbeat.h"
 #include "primroseweir/peer/member_record.h"
+#include "primroseweir/peer/seat_heartbeats.h"
 #include "primroseweir/upstream/observation.h"
 
 namespace primroseweir {
@@ -19,9 +18,9 @@
 nlohmann::json ObservationToJson(const UpstreamObservation& observation);
 nlohmann::json StrikeToJson(const CrashStrike& strike);
 
-// Heartbeats have a fixed size and follow each other in one byte string.
-void AppendHeartbeat(const MemberHeartbeat& heartbeat, std::string* bytes);
-std::vector<MemberHeartbeat> ReadHeartbeats(const nlohmann::json& value, std::string* error);
+// The first `count` heartbeats as bytes. Empty bytes are no heartbeats.
+std::string PackedHeartbeats(const SeatHeartbeats& heartbeats, std::size_t count);
+SeatHeartbeats HeartbeatsFromJson(const nlohmann::json& value, std::string* error);
 
 MemberRecord MemberFromJson(const nlohmann::json& value, std::string* error);
 UpstreamObservation ObservationFromJson(const nlohmann::json& value, std::string* error);
--- a/include/primroseweir/peer/detail/wire_format.h
+++ b/include/primroseweir/peer/detail/wire_format.h
@@ -20,9 +20,8 @@
 constexpr std::size_t kReportedObservationFields = 7;
 constexpr std::size_t kStrikeFields = 4;
 
-// A heartbeat: key (4 bytes), state and counter (2 bytes), age (1 byte), high bytes first. As
-// MessagePack arrays they would take 11 bytes.
-constexpr std::size_t kHeartbeatBytes = 7;
+// The byte string of heartbeats begins with the first seat, high byte first.
+constexpr std::size_t kFirstSeatBytes = 2;
 
 // Bounds of single fields.
 constexpr std::size_t kMaximumIdBytes = 64;
--- a/include/primroseweir/peer/gossip_message.h
+++ b/include/primroseweir/peer/gossip_message.h
@@ -8,8 +8,8 @@
 #include "primroseweir/base/ids.h"
 #include "primroseweir/limits/crash_strike.h"
 #include "primroseweir/peer/configuration_state.h"
-#include "primroseweir/peer/member_heartbeat.h"
 #include "primroseweir/peer/member_record.h"
+#include "primroseweir/peer/seat_heartbeats.h"
 #include "primroseweir/upstream/observation.h"
 
 namespace primroseweir {
@@ -29,7 +29,7 @@
 struct GossipMessage {
   GossipHeader header;
   std::vector<MemberRecord> members;
-  std::vector<MemberHeartbeat> heartbeats;
+  SeatHeartbeats heartbeats;
   std::vector<UpstreamObservation> observations;
   std::vector<CrashStrike> strikes;
 };
--- a/src/membership/gossip_node.cc
+++ b/src/membership/gossip_node.cc
@@ -70,9 +70,7 @@
   for (const MemberRecord& record : message.members) {
     changed = table_.Receive(record, age, now) || changed;
   }
-  for (const MemberHeartbeat& heartbeat : message.heartbeats) {
-    changed = table_.ReceiveHeartbeat(heartbeat, age, now) || changed;
-  }
+  changed = table_.ReceiveHeartbeats(message.heartbeats, age, now) || changed;
   NoteMembers(now);
   TakeObservations(std::move(message.observations), age, now);
   TakeStrikes(std::move(message.strikes), age, now);
@@ -176,17 +174,25 @@
 void GossipNode::AddNewest(const std::vector<MemberRecord>& members,
                            const std::vector<UpstreamObservation>& observations,
                            DatagramPacker* packer) {
-  const std::size_t end = packer->size() + packer->room() * kHeartbeatPercent / 100;
   // One whole record at random, for a receiver that never heard of that member.
   if (!members.empty()) packer->Add(members[random_.Below(members.size())]);
-  for (const MemberHeartbeat& heartbeat : MembershipTable::HeartbeatsOf(members)) {
-    if (packer->size() >= end || !packer->Add(heartbeat)) break;
-  }
+  AddHeartbeats(packer);
   for (const UpstreamObservation& observation : observations) {
     if (!packer->Add(observation)) break;
   }
 }
 
+void GossipNode::AddHeartbeats(DatagramPacker* packer) {
+  SeatHeartbeats all = table_.Heartbeats();
+  if (all.counters.empty()) return;
+  // A fleet that is too large for one datagram is sent in parts, one after another.
+  if (next_seat_ >= all.counters.size()) next_seat_ = 0;
+  all.first_seat = next_seat_;
+  all.counters.erase(all.counters.begin(),
+                     all.counters.begin() + static_cast<std::ptrdiff_t>(next_seat_));
+  next_seat_ += packer->AddHeartbeats(all, packer->room() * kHeartbeatPercent / 100);
+}
+
 bool GossipNode::Spend(std::size_t bytes, Instant now) {
   return bytes_.Take(static_cast<double>(bytes + kHeaderBytes), now);
 }
--- a/src/membership/membership_table.cc
+++ b/src/membership/membership_table.cc
@@ -4,7 +4,6 @@
 #include <tuple>
 
 #include "primroseweir/base/random.h"
-#include "primroseweir/base/rendezvous.h"
 
 namespace primroseweir {
 namespace {
@@ -23,6 +22,10 @@
   }
 }
 
+// A member declares its states in this order.
+static_assert(MemberState::kAlive < MemberState::kLeaving);
+static_assert(MemberState::kLeaving < MemberState::kDead);
+
 }  // namespace
 
 MembershipTable::MembershipTable(Member self, MembershipTimeouts timeouts, Instant now)
@@ -49,8 +52,13 @@
   const Duration heard_at = listened_ - record.age - waited;
   const auto found = entries_.find(key);
   if (found == entries_.end()) return Insert(record, heard_at);
-  if (record.heartbeat <= found->second.record.heartbeat) return false;
-  return Update(record, heard_at, &found->second);
+  Entry& entry = found->second;
+  record.member.state = std::max(record.member.state, entry.record.member.state);
+  if (record.heartbeat > entry.record.heartbeat) return Update(record, heard_at, &entry);
+  if (record.member.state == entry.record.member.state) return false;
+  entry.record.member.state = record.member.state;
+  AddNews(entry);
+  return Judge(&entry);
 }
 
 bool MembershipTable::ReceiveOwn(const MemberRecord& record) {
@@ -67,7 +75,6 @@
   if (entry.state == MemberState::kDead) return false;
   const Key key{record.member.id, record.member.incarnation};
   entries_.emplace(key, entry);
-  by_hash_.emplace(HashOf(record.member), key);
   AddNews(entry);
   EndEarlierRuns(record);
   return true;
@@ -82,24 +89,47 @@
   return Judge(entry) || revision_changed;
 }
 
-std::uint32_t MembershipTable::HashOf(const Member& member) {
-  return static_cast<std::uint32_t>(StableHash(member.id.value(), member.incarnation.value()));
+std::map<std::uint64_t, const MembershipTable::Entry*> MembershipTable::EntriesBySeat() const {
+  std::map<std::uint64_t, const Entry*> by_seat;
+  for (const Entry* entry : LiveEntries()) {
+    const auto [seat, first] = by_seat.emplace(entry->record.member.seat.value(), entry);
+    if (!first) seat->second = nullptr;
+  }
+  return by_seat;
 }
 
-bool MembershipTable::ReceiveHeartbeat(const MemberHeartbeat& heartbeat, Duration waited,
-                                       Instant now) {
+bool MembershipTable::ReceiveHeartbeats(const SeatHeartbeats& heartbeats, Duration waited,
+                                        Instant now) {
+  constexpr std::uint64_t kModulus = SeatHeartbeats::kModulus;
   Advance(now);
-  if (by_hash_.count(heartbeat.key) != 1) return false;
-  Entry& entry = entries_.at(by_hash_.find(heartbeat.key)->second);
-  const std::uint64_t known = entry.record.heartbeat;
-  const std::uint64_t ahead = (heartbeat.counter - known) & MemberHeartbeat::kCounterMask;
-  // The counter repeats; more than half of its range ahead is really behind.
-  if (ahead == 0 || ahead > MemberHeartbeat::kCounterMask / 2) return false;
-  MemberRecord record = entry.record;
-  record.heartbeat = known + ahead;
-  record.member.state = heartbeat.state;
-  record.age = heartbeat.age;
-  return Receive(record, waited, now);
+  bool changed = false;
+  for (const auto& [seat, entry] : EntriesBySeat()) {
+    if (entry == nullptr || seat < heartbeats.first_seat) continue;
+    const std::size_t at = seat - heartbeats.first_seat;
+    if (at >= heartbeats.counters.size()) break;
+    const std::uint8_t counter = heartbeats.counters[at];
+    if (counter == SeatHeartbeats::kNone) continue;
+    const std::uint64_t known = entry->record.heartbeat;
+    const std::uint64_t ahead = (counter + kModulus - known % kModulus) % kModulus;
+    // The counter repeats; more than half of its range ahead is really behind.
+    if (ahead == 0 || ahead > kModulus / 2) continue;
+    MemberRecord record = entry->record;
+    record.heartbeat = known + ahead;
+    record.age = Duration::zero();
+    changed = Receive(record, waited, now) || changed;
+  }
+  return changed;
+}
+
+SeatHeartbeats MembershipTable::Heartbeats() const {
+  SeatHeartbeats heartbeats;
+  auto& counters = heartbeats.counters;
+  for (const auto& [seat, entry] : EntriesBySeat()) {
+    if (entry == nullptr) continue;
+    counters.resize(std::max<std::size_t>(counters.size(), seat + 1), SeatHeartbeats::kNone);
+    counters[seat] = static_cast<std::uint8_t>(entry->record.heartbeat % SeatHeartbeats::kModulus);
+  }
+  return heartbeats;
 }
 
 void MembershipTable::AddNews(const Entry& entry) {
@@ -173,9 +203,6 @@
       continue;
     }
     Forget(entry->first, entry->second.record.heartbeat);
-    const auto same_hash = by_hash_.equal_range(HashOf(entry->second.record.member));
-    by_hash_.erase(std::find_if(same_hash.first, same_hash.second,
-                                [&entry](const auto& e) { return e.second == entry->first; }));
     entry = entries_.erase(entry);
     changed = true;
   }
@@ -217,22 +244,6 @@
   return record;
 }
 
-std::vector<MemberHeartbeat> MembershipTable::HeartbeatsOf(
-    const std::vector<MemberRecord>& records) {
-  std::vector<MemberHeartbeat> heartbeats;
-  heartbeats.reserve(records.size());
-  for (const MemberRecord& record : records) {
-    MemberHeartbeat heartbeat;
-    heartbeat.key = HashOf(record.member);
-    heartbeat.counter =
-        static_cast<std::uint16_t>(record.heartbeat & MemberHeartbeat::kCounterMask);
-    heartbeat.state = record.member.state;
-    heartbeat.age = record.age;
-    heartbeats.push_back(heartbeat);
-  }
-  return heartbeats;
-}
-
 std::vector<MemberRecord> MembershipTable::NewestFirst() const {
   std::vector<MemberRecord> records;
   for (const auto& [key, entry] : entries_) {
--- a/src/peer/datagram_packer.cc
+++ b/src/peer/datagram_packer.cc
@@ -70,10 +70,13 @@
   return AddRecord(Packed(detail::MemberToJson(record)), &members_);
 }
 
-bool DatagramPacker::Add(const MemberHeartbeat& heartbeat) {
-  if (room() < detail::kHeartbeatBytes) return false;
-  detail::AppendHeartbeat(heartbeat, &heartbeats_);
-  return true;
+std::size_t DatagramPacker::AddHeartbeats(const SeatHeartbeats& heartbeats, std::size_t bytes) {
+  const std::size_t available = std::min(bytes, room());
+  if (available <= detail::kFirstSeatBytes) return 0;
+  const std::size_t count =
+      std::min(heartbeats.counters.size(), available - detail::kFirstSeatBytes);
+  heartbeats_ = detail::PackedHeartbeats(heartbeats, count);
+  return count;
 }
 
 bool DatagramPacker::Add(const UpstreamObservation& observation) {
--- a/src/peer/detail/record_codec.cc
+++ b/src/peer/detail/record_codec.cc
@@ -74,36 +74,26 @@
   return record;
 }
 
-void AppendHeartbeat(const MemberHeartbeat& heartbeat, std::string* bytes) {
-  const auto age =
-      std::min(heartbeat.age, MemberHeartbeat::kMaximumAge) / MemberHeartbeat::kAgeStep;
-  const auto state = static_cast<std::uint32_t>(heartbeat.state) << MemberHeartbeat::kCounterBits;
-  const std::uint32_t counter = state | (heartbeat.counter & MemberHeartbeat::kCounterMask);
-  for (const int shift : {24, 16, 8, 0}) {
-    bytes->push_back(static_cast<char>((heartbeat.key >> shift) & 0xff));
-  }
-  bytes->push_back(static_cast<char>(counter >> 8));
-  bytes->push_back(static_cast<char>(counter & 0xff));
-  bytes->push_back(static_cast<char>(age));
+std::string PackedHeartbeats(const SeatHeartbeats& heartbeats, std::size_t count) {
+  std::string bytes;
+  bytes.push_back(static_cast<char>(heartbeats.first_seat >> 8));
+  bytes.push_back(static_cast<char>(heartbeats.first_seat & 0xff));
+  const auto& counters = heartbeats.counters;
+  bytes.append(counters.begin(), counters.begin() + static_cast<std::ptrdiff_t>(count));
+  return bytes;
 }
 
-std::vector<MemberHeartbeat> ReadHeartbeats(const nlohmann::json& value, std::string* error) {
-  std::vector<MemberHeartbeat> heartbeats;
+SeatHeartbeats HeartbeatsFromJson(const nlohmann::json& value, std::string* error) {
+  SeatHeartbeats heartbeats;
   if (!error->empty()) return heartbeats;
-  if (!value.is_binary() || value.get_binary().size() % kHeartbeatBytes != 0) {
-    *error = "heartbeats are not a byte string of whole records";
+  if (!value.is_binary() || value.get_binary().size() == 1) {
+    *error = "heartbeats are not a byte string with a first seat";
     return heartbeats;
   }
   const std::vector<std::uint8_t>& bytes = value.get_binary();
-  for (std::size_t at = 0; at < bytes.size(); at += kHeartbeatBytes) {
-    MemberHeartbeat heartbeat;
-    for (std::size_t i = 0; i < 4; ++i) heartbeat.key = heartbeat.key << 8 | bytes[at + i];
-    const unsigned counter = static_cast<unsigned>(bytes[at + 4]) << 8 | bytes[at + 5];
-    heartbeat.counter = static_cast<std::uint16_t>(counter & MemberHeartbeat::kCounterMask);
-    heartbeat.state = static_cast<MemberState>(counter >> MemberHeartbeat::kCounterBits);
-    heartbeat.age = bytes[at + 6] * MemberHeartbeat::kAgeStep;
-    heartbeats.push_back(heartbeat);
-  }
+  if (bytes.empty()) return heartbeats;
+  heartbeats.first_seat = static_cast<std::size_t>(bytes[0]) << 8 | bytes[1];
+  heartbeats.counters.assign(bytes.begin() + kFirstSeatBytes, bytes.end());
   return heartbeats;
 }
 
--- a/src/peer/gossip_codec.cc
+++ b/src/peer/gossip_codec.cc
@@ -61,7 +61,7 @@
   GossipMessage message;
   message.header = ReadHeader(reader);
   message.members = ReadRecords(reader->Array("members"), detail::MemberFromJson, error);
-  message.heartbeats = detail::ReadHeartbeats(reader->Any("heartbeats"), error);
+  message.heartbeats = detail::HeartbeatsFromJson(reader->Any("heartbeats"), error);
   message.observations =
       ReadRecords(reader->Array("observations"), detail::ObservationFromJson, error);
   message.strikes = ReadRecords(reader->Array("strikes"), detail::StrikeFromJson, error);
