--- a/include/primroseweir/membership/membership_table.h
+++ b/include/primroseweir/membership/membership_table.h
@@ -13,6 +13,7 @@
 #include "primroseweir/membership/membership_timeouts.h"
 #include "primroseweir/membership/membership_view.h"
 #include "primroseweir/peer/member_record.h"
+#include "primroseweir/peer/seat_heartbeats.h"
 
 namespace primroseweir {
 
@@ -23,8 +24,10 @@
 //
 // Each member alone raises its heartbeat and declares its state (alive, leaving or, when it stops,
 // dead). Suspect and dead are this instance's own conclusions from silence; a newer heartbeat
-// refutes them. Silence is counted in the time that this process was listening, so that one that
-// was paused does not take its own absence for the silence of others.
+// refutes them. A member declares its states in the order alive, leaving, dead and never goes back,
+// so the latest declared state wins whichever heartbeat it came with. Silence is counted in the
+// time that this process was listening, so that one that was paused does not take its own absence
+// for the silence of others.
 class MembershipTable {
  public:
   MembershipTable(Member self, MembershipTimeouts timeouts, Instant now);
@@ -33,6 +36,13 @@
   // far as known. True when a member or its state in View changed. O(log n).
   bool Receive(const MemberRecord& received, Duration waited, Instant now);
 
+  // Takes in the heartbeats of members that are known here and not dead; a whole record alone
+  // brings a member back. True when View changed. O(n + seats).
+  bool ReceiveHeartbeats(const SeatHeartbeats& heartbeats, Duration waited, Instant now);
+
+  // Members that were new or declared another state since the last call, for passing on.
+  std::vector<MemberRecord> TakeNews();
+
   // Raises the own heartbeat, passes judgement on silent members and forgets long dead ones. Call
   // it once a gossip period. True when View changed. O(n).
   bool Tick(Instant now);
@@ -48,6 +58,9 @@
   // Records of the others worth passing on, newest heartbeat first. O(n log n).
   std::vector<MemberRecord> NewestFirst() const;
 
+  // The newest heartbeats of the others by seat, from seat 0. O(n + seats).
+  SeatHeartbeats Heartbeats() const;
+
   // Peer addresses for one period: two random members and one in another data centre. Every
   // kContactPeriod'th call, or when nobody is known, also addresses from which nobody is heard:
   // `seeds` and members lost to silence, so that a split heals. O(n).
@@ -82,6 +95,10 @@
   bool Update(const MemberRecord& record, Duration heard_at, Entry* entry);
   // A newer run at the same address proves that the older one has ended.
   bool EndEarlierRuns(const MemberRecord& record);
+  // Live members by seat; null for a seat that several have.
+  std::map<std::uint64_t, const Entry*> EntriesBySeat() const;
+  void AddNews(const Entry& entry);
+  MemberRecord ToSend(const Entry& entry) const;
   bool Judge(Entry* entry);
   MemberState StateOf(const Entry& entry) const;
   Duration SilenceOf(const Entry& entry) const { return listened_ - entry.heard_at; }
@@ -97,6 +114,7 @@
   std::uint64_t heartbeat_ = 0;
   const MembershipTimeouts timeouts_;
   std::map<Key, Entry> entries_;
+  std::vector<Key> news_;
   // Last heartbeats of forgotten members, so that an old record can't bring them back.
   std::map<Key, std::uint64_t> forgotten_;
   std::deque<Key> forgotten_order_;
--- a/include/primroseweir/peer/detail/record_codec.h
+++ b/include/primroseweir/peer/detail/record_codec.h
@@ -6,6 +6,7 @@
 
 #include "primroseweir/limits/crash_strike.h"
 #include "primroseweir/peer/member_record.h"
+#include "primroseweir/peer/seat_heartbeats.h"
 #include "primroseweir/upstream/observation.h"
 
 namespace primroseweir {
@@ -17,6 +18,10 @@
 nlohmann::json ObservationToJson(const UpstreamObservation& observation);
 nlohmann::json StrikeToJson(const CrashStrike& strike);
 
+// The first `count` heartbeats as bytes. Empty bytes are no heartbeats.
+std::string PackedHeartbeats(const SeatHeartbeats& heartbeats, std::size_t count);
+SeatHeartbeats HeartbeatsFromJson(const nlohmann::json& value, std::string* error);
+
 MemberRecord MemberFromJson(const nlohmann::json& value, std::string* error);
 UpstreamObservation ObservationFromJson(const nlohmann::json& value, std::string* error);
 CrashStrike StrikeFromJson(const nlohmann::json& value, std::string* error);
--- a/src/membership/membership_table.cc
+++ b/src/membership/membership_table.cc
@@ -22,6 +22,10 @@
   }
 }
 
+// A member declares its states in this order.
+static_assert(MemberState::kAlive < MemberState::kLeaving);
+static_assert(MemberState::kLeaving < MemberState::kDead);
+
 }  // namespace
 
 MembershipTable::MembershipTable(Member self, MembershipTimeouts timeouts, Instant now)
@@ -48,8 +52,13 @@
   const Duration heard_at = listened_ - record.age - waited;
   const auto found = entries_.find(key);
   if (found == entries_.end()) return Insert(record, heard_at);
-  if (record.heartbeat <= found->second.record.heartbeat) return false;
-  return Update(record, heard_at, &found->second);
+  Entry& entry = found->second;
+  record.member.state = std::max(record.member.state, entry.record.member.state);
+  if (record.heartbeat > entry.record.heartbeat) return Update(record, heard_at, &entry);
+  if (record.member.state == entry.record.member.state) return false;
+  entry.record.member.state = record.member.state;
+  AddNews(entry);
+  return Judge(&entry);
 }
 
 bool MembershipTable::ReceiveOwn(const MemberRecord& record) {
@@ -64,18 +73,79 @@
   entry.state = StateOf(entry);
   // A member that is dead when first heard of concerns nobody here.
   if (entry.state == MemberState::kDead) return false;
-  entries_.emplace(Key{record.member.id, record.member.incarnation}, entry);
+  const Key key{record.member.id, record.member.incarnation};
+  entries_.emplace(key, entry);
+  AddNews(entry);
   EndEarlierRuns(record);
   return true;
 }
 
 bool MembershipTable::Update(const MemberRecord& record, Duration heard_at, Entry* entry) {
   const bool revision_changed = entry->record.member.revision != record.member.revision;
+  const bool declared = entry->record.member.state != record.member.state;
   entry->record = record;
   entry->heard_at = std::max(entry->heard_at, heard_at);
+  if (declared) AddNews(*entry);
   return Judge(entry) || revision_changed;
 }
 
+std::map<std::uint64_t, const MembershipTable::Entry*> MembershipTable::EntriesBySeat() const {
+  std::map<std::uint64_t, const Entry*> by_seat;
+  for (const Entry* entry : LiveEntries()) {
+    const auto [seat, first] = by_seat.emplace(entry->record.member.seat.value(), entry);
+    if (!first) seat->second = nullptr;
+  }
+  return by_seat;
+}
+
+bool MembershipTable::ReceiveHeartbeats(const SeatHeartbeats& heartbeats, Duration waited,
+                                        Instant now) {
+  constexpr std::uint64_t kModulus = SeatHeartbeats::kModulus;
+  Advance(now);
+  bool changed = false;
+  for (const auto& [seat, entry] : EntriesBySeat()) {
+    if (entry == nullptr || seat < heartbeats.first_seat) continue;
+    const std::size_t at = seat - heartbeats.first_seat;
+    if (at >= heartbeats.counters.size()) break;
+    const std::uint8_t counter = heartbeats.counters[at];
+    if (counter == SeatHeartbeats::kNone) continue;
+    const std::uint64_t known = entry->record.heartbeat;
+    const std::uint64_t ahead = (counter + kModulus - known % kModulus) % kModulus;
+    // The counter repeats; more than half of its range ahead is really behind.
+    if (ahead == 0 || ahead > kModulus / 2) continue;
+    MemberRecord record = entry->record;
+    record.heartbeat = known + ahead;
+    record.age = Duration::zero();
+    changed = Receive(record, waited, now) || changed;
+  }
+  return changed;
+}
+
+SeatHeartbeats MembershipTable::Heartbeats() const {
+  SeatHeartbeats heartbeats;
+  auto& counters = heartbeats.counters;
+  for (const auto& [seat, entry] : EntriesBySeat()) {
+    if (entry == nullptr) continue;
+    counters.resize(std::max<std::size_t>(counters.size(), seat + 1), SeatHeartbeats::kNone);
+    counters[seat] = static_cast<std::uint8_t>(entry->record.heartbeat % SeatHeartbeats::kModulus);
+  }
+  return heartbeats;
+}
+
+void MembershipTable::AddNews(const Entry& entry) {
+  news_.emplace_back(entry.record.member.id, entry.record.member.incarnation);
+}
+
+std::vector<MemberRecord> MembershipTable::TakeNews() {
+  std::vector<MemberRecord> records;
+  for (const Key& key : news_) {
+    const auto entry = entries_.find(key);
+    if (entry != entries_.end()) records.push_back(ToSend(entry->second));
+  }
+  news_.clear();
+  return records;
+}
+
 bool MembershipTable::EndEarlierRuns(const MemberRecord& record) {
   bool changed = false;
   auto entry = entries_.lower_bound(Key{record.member.id, Incarnation(0)});
@@ -166,17 +236,21 @@
 
 // ---- sending ----
 
+MemberRecord MembershipTable::ToSend(const Entry& entry) const {
+  MemberRecord record = entry.record;
+  // A member that declared itself leaving or dead is passed on as such.
+  if (record.member.state == MemberState::kAlive) record.member.state = entry.state;
+  record.age = SilenceOf(entry);
+  return record;
+}
+
 std::vector<MemberRecord> MembershipTable::NewestFirst() const {
   std::vector<MemberRecord> records;
   for (const auto& [key, entry] : entries_) {
     const bool silent =
         entry.state == MemberState::kDead && entry.record.member.state != MemberState::kDead;
     if (silent) continue;
-    MemberRecord record = entry.record;
-    // A member that declared itself leaving or dead is passed on as such.
-    if (record.member.state == MemberState::kAlive) record.member.state = entry.state;
-    record.age = SilenceOf(entry);
-    records.push_back(std::move(record));
+    records.push_back(ToSend(entry));
   }
   std::sort(records.begin(), records.end(),
             [](const MemberRecord& a, const MemberRecord& b) { return a.age < b.age; });
--- a/src/peer/detail/record_codec.cc
+++ b/src/peer/detail/record_codec.cc
@@ -74,6 +74,29 @@
   return record;
 }
 
+std::string PackedHeartbeats(const SeatHeartbeats& heartbeats, std::size_t count) {
+  std::string bytes;
+  bytes.push_back(static_cast<char>(heartbeats.first_seat >> 8));
+  bytes.push_back(static_cast<char>(heartbeats.first_seat & 0xff));
+  const auto& counters = heartbeats.counters;
+  bytes.append(counters.begin(), counters.begin() + static_cast<std::ptrdiff_t>(count));
+  return bytes;
+}
+
+SeatHeartbeats HeartbeatsFromJson(const nlohmann::json& value, std::string* error) {
+  SeatHeartbeats heartbeats;
+  if (!error->empty()) return heartbeats;
+  if (!value.is_binary() || value.get_binary().size() == 1) {
+    *error = "heartbeats are not a byte string with a first seat";
+    return heartbeats;
+  }
+  const std::vector<std::uint8_t>& bytes = value.get_binary();
+  if (bytes.empty()) return heartbeats;
+  heartbeats.first_seat = static_cast<std::size_t>(bytes[0]) << 8 | bytes[1];
+  heartbeats.counters.assign(bytes.begin() + kFirstSeatBytes, bytes.end());
+  return heartbeats;
+}
+
 nlohmann::json ObservationToJson(const UpstreamObservation& observation) {
   auto fields = nlohmann::json::array(
       {observation.id.value(), observation.epoch.value(), observation.window, observation.leaving});
