Strengthen three tests that trials showed to be weak

Cause: trials without the mechanism: a detector that ignores the reported queue, and a queue whose joining call makes no first attempt, passed all tests. The priority test failed once on a busy machine, because a place became free while a call made its first attempt. Change: a test with six calls per slot, a test with a place that becomes free before the call queues, and a priority test that waits until each call has made its first attempt.

--- a/tests/limits/admission_test.cc
+++ b/tests/limits/admission_test.cc
@@ -77,10 +77,14 @@
   std::mutex mutex;
   std::vector<Priority> served;
   std::vector<std::thread> threads;
+  std::atomic<std::uint32_t> attempts{0};
   const auto wait = [&](Priority priority) {
     const Instant now = MonotonicNow();
-    const bool entered = admission.Wait({priority, now + seconds(20), true}, now,
-                                        [&](Instant) { return admission.TryEnterFromQueue(); });
+    const bool entered = admission.Wait({priority, now + seconds(20), true}, now, [&](Instant) {
+      const bool placed = admission.TryEnterFromQueue();
+      attempts.fetch_add(1);
+      return placed;
+    });
     const std::lock_guard<std::mutex> lock(mutex);
     if (entered) served.push_back(priority);
     admission.Leave(Admission::Signal::kNeutral, Duration::zero(), now);
@@ -91,7 +95,9 @@
         Priority::kNotRepeatable}) {
     threads.emplace_back(wait, priority);
     ++queued;
-    while (admission.waiting() != queued) std::this_thread::yield();
+    // Each call tries once after it has queued; a place that becomes free during that attempt may
+    // be taken out of order.
+    while (attempts.load() != queued) std::this_thread::yield();
   }
   admission.Leave(Admission::Signal::kNeutral, Duration::zero(), MonotonicNow());
   for (auto& thread : threads) thread.join();
@@ -109,6 +115,19 @@
   CHECK(admission.ExpectedWait(Priority::kNormal) == milliseconds(50));
 }
 
+// Guards against a wakeup that is lost because the place became free between a call's failed
+// attempt and its joining the queue.
+TEST_CASE("a place that became free before the call queued is taken") {
+  Admission admission(std::chrono::hours(1));
+  admission.SetCapacity({1, 0, 1});
+  REQUIRE(admission.TryEnter());
+  REQUIRE_FALSE(admission.TryEnter());
+  admission.Leave(Admission::Signal::kNeutral, Duration::zero(), Instant{});
+  const Instant now = MonotonicNow();
+  CHECK(admission.Wait({Priority::kNormal, now + seconds(1), true}, now,
+                       [&](Instant) { return admission.TryEnterFromQueue(); }));
+}
+
 // Guards against a signal that is lost because the call it woke could not use what became free.
 TEST_CASE("a call that can't use a freed place passes the signal on") {
   Admission admission(std::chrono::hours(1));
--- a/tests/upstream/upstream_state_test.cc
+++ b/tests/upstream/upstream_state_test.cc
@@ -53,6 +53,18 @@
   }
 }
 
+// Guards against a long queue that is taken for a cold start: with six calls per slot an answer
+// takes six times as long.
+TEST_CASE("a queue that the upstream reports explains slow answers", "[cold-start]") {
+  CollapseDetector detector;
+  Learn(&detector, Instant{});
+  for (int i = 0; i < 50; ++i) {
+    const Instant now = Instant{} + seconds(1) + milliseconds(i);
+    REQUIRE(detector.Observe(Call(AttemptEnd::kAnswered, milliseconds(60), 6.0), now) ==
+            Verdict::kNormal);
+  }
+}
+
 // Guards against a warm upstream that turned cold with no signal and keeps getting full load.
 TEST_CASE("an upstream that turns cold is found", "[cold-start]") {
   for (const AttemptEnd end :
