Let stand-in callers name themselves and check the sessions of the documentation

Cause: the order of an address answer depends on the caller's id, and all stand-in callers of a machine share one IP address. Examples in the documentation drift unless something compares them.

Change: the address request carries ?caller=NAME. The golden session of a caller gains a deadline and a refusal; a test requires each session block of docs/callers.md to be part of a golden file.

--- a/standins/caller/address_book.cc
+++ b/standins/caller/address_book.cc
@@ -11,7 +11,7 @@
 using Json = nlohmann::json;
 
 constexpr auto kAskTimeout = std::chrono::seconds(1);
-constexpr char kAddressTarget[] = "/primroseweir/addresses";
+constexpr char kAddressTarget[] = "/primroseweir/addresses?caller=";
 
 absl::Status Invalid(const std::string& message) {
   return MakeError(absl::StatusCode::kDataLoss, {"read address answer", ""}, message);
@@ -50,7 +50,7 @@
   absl::Status last = Invalid("no address is known");
   for (const SocketAddress& address : candidates) {
     const Instant asked = MonotonicNow();
-    const auto answer = Get(address, kAddressTarget, kAskTimeout);
+    const auto answer = Get(address, kAddressTarget + caller_, kAskTimeout);
     if (!answer.ok()) {
       last = answer.status();
       continue;
--- a/standins/caller/address_book.h
+++ b/standins/caller/address_book.h
@@ -6,6 +6,7 @@
 
 #include <mutex>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "primroseweir/base/socket_address.h"
@@ -25,8 +26,10 @@
 // several threads.
 class AddressBook {
  public:
-  // `known` are the addresses that the caller asks at first, before it has an answer.
-  explicit AddressBook(std::vector<SocketAddress> known) : known_(std::move(known)) {}
+  // `known` are the addresses that the caller asks at first, before it has an answer. The order of
+  // the answer depends on the caller's id, so that callers spread.
+  explicit AddressBook(std::vector<SocketAddress> known, std::string caller = "caller")
+      : known_(std::move(known)), caller_(std::move(caller)) {}
 
   // The kept answer, or a new one when none is valid. Errors: Unavailable, no address answered.
   absl::StatusOr<AddressAnswer> Current();
@@ -39,6 +42,7 @@
 
   std::mutex mutex_;
   std::vector<SocketAddress> known_;
+  const std::string caller_;
   AddressAnswer kept_;
 };
 
--- a/standins/caller/load.cc
+++ b/standins/caller/load.cc
@@ -125,7 +125,7 @@
 }
 
 LoadResult RunLoad(const LoadPlan& plan, const std::atomic<bool>& stop) {
-  Shared shared{plan, stop, AddressBook(plan.addresses), MonotonicNow(), {}, {}, {}};
+  Shared shared{plan, stop, AddressBook(plan.addresses, plan.name), MonotonicNow(), {}, {}, {}};
   std::vector<std::thread> threads;
   threads.reserve(static_cast<std::size_t>(plan.concurrency));
   for (int i = 0; i < plan.concurrency; ++i) threads.emplace_back(RunThread, i, &shared);
--- a/standins/naive/naive_entry.cc
+++ b/standins/naive/naive_entry.cc
@@ -113,7 +113,7 @@
 }
 
 bool NaiveEntry::Serve(const HttpHead& request, const std::string& body, Socket* caller) {
-  if (request.target == "/primroseweir/addresses") return ServeAddresses(caller);
+  if (request.target.rfind("/primroseweir/addresses", 0) == 0) return ServeAddresses(caller);
   const std::size_t slash = request.target.find('/', 1);
   const std::string service = request.target.substr(1, slash - 1);
   const std::string rest = slash == std::string::npos ? "/" : request.target.substr(slash);
--- a/tests/process/golden_test.cc
+++ b/tests/process/golden_test.cc
@@ -1,9 +1,17 @@
+#include <fstream>
+#include <iterator>
+
 #include "process_helpers.h"
 #include "support/session.h"
 
 namespace primroseweir::testing {
 namespace {
 
+std::string ReadFile(const std::string& path) {
+  std::ifstream file(path);
+  return {std::istreambuf_iterator<char>(file), {}};
+}
+
 std::string Key(const standins::HttpAnswer& addresses, const std::string& suffix) {
   const auto body = Site::Json::parse(addresses.body);
   return body["call_key_prefix"].get<std::string>() + "." + suffix;
@@ -39,9 +47,37 @@
                "POST /ice-board/echo HTTP/1.1\nHost: desk\nTransfer-Encoding: chunked\n\n"
                "4\nfour\n5\n five\n0\n\n");
   session.Call(0, "GET /no-such-service/x HTTP/1.1\nHost: desk\n\n");
+  session.Note("all upstreams of ice-board need longer than the deadline");
+  for (const std::string& id : site.UpstreamIds(kReads)) {
+    site.Control(id, "/modes", R"({"straggle":100000})");
+  }
+  session.Call(0, "GET /ice-board/read/a HTTP/1.1\nHost: desk\nPrimroseweir-Deadline-Ms: 100\n\n");
+  session.Note("all upstreams of chart-distribution refuse");
+  for (const std::string& id : site.UpstreamIds(kDownloads)) {
+    site.Control(id, "/modes", R"({"refuse":true})");
+  }
+  session.Call(1, "GET /chart-distribution/download/c?size=40 HTTP/1.1\nHost: desk\n\n");
   session.CheckAgainst("caller");
 }
 
+// Guards against examples in the documentation that the system does not answer like that.
+TEST_CASE("each session in the documentation is part of a golden file") {
+  std::string golden;
+  for (const char* name : {"caller", "framing", "operator"}) {
+    golden += ReadFile(std::string("tests/process/golden/") + name + ".txt");
+  }
+  const std::string page = ReadFile("docs/callers.md");
+  const std::string open = "```session\n";
+  int sessions = 0;
+  for (std::size_t at = 0; (at = page.find(open, at)) != std::string::npos; ++sessions) {
+    at += open.size();
+    const std::string example = page.substr(at, page.find("```", at) - at);
+    INFO(example);
+    CHECK(golden.find(example) != std::string::npos);
+  }
+  CHECK(sessions > 0);
+}
+
 // Guards against framing that two parsers read differently.
 TEST_CASE("golden session of malformed requests") {
   Site site(SmallPlan("golden-framing"));
--- a/tests/standins/caller_test.cc
+++ b/tests/standins/caller_test.cc
@@ -25,7 +25,7 @@
   explicit FakeEntry(ScriptedServer::Script script)
       : server(network.Host(10, 8080),
                [this, script](const HttpHead& head, const std::string& body) {
-                 if (head.target == "/primroseweir/addresses") return Addresses();
+                 if (head.target.rfind("/primroseweir/addresses", 0) == 0) return Addresses();
                  ++calls;
                  keys.insert(head.Value("Primroseweir-Call-Key"));
                  attempts += head.Value("Primroseweir-Attempt");
