Watch the platform from the entry instance

EntryInstance starts the watch when the settings name a configuration service, passes it the live seats of its data centre and asks it in the freshness check when no peer answers. Entry tests pass; they name no configuration service, so the watch itself is covered by a real process only.

--- a/include/primroseweir/entry/entry_instance.h
+++ b/include/primroseweir/entry/entry_instance.h
@@ -27,6 +27,7 @@
 namespace primroseweir {
 
 class InstanceFleet;
+class WatchController;
 
 // One entry instance: wires the modules together and owns their life cycle.
 class EntryInstance {
@@ -54,9 +55,11 @@
  private:
   void MakeGossip();
   void MakeChain();
+  void MakeWatch();
   void ConnectModules();
   void Adopt(const std::shared_ptr<const ConfigurationSnapshot>& snapshot, Instant now);
   void TakeView(const MembershipView& view, Instant now);
+  void Refresh(Duration time);
   void RunUpkeep();
   void EndUpkeep();
 
@@ -71,6 +74,8 @@
   StartedCallTable started_calls_;
   std::atomic<bool> seat_taken_{false};
   std::unique_ptr<GossipController> gossip_;
+  // Null when the settings name no configuration service.
+  std::unique_ptr<WatchController> watch_;
   std::unique_ptr<InstanceFleet> fleet_;
   std::unique_ptr<FreshnessCheck> freshness_;
   std::unique_ptr<FilterChain> chain_;
--- a/src/entry/entry_instance.cc
+++ b/src/entry/entry_instance.cc
@@ -8,7 +8,9 @@
 
 #include "primroseweir/base/random.h"
 #include "primroseweir/base/rendezvous.h"
+#include "primroseweir/configuration/platform_client.h"
 #include "primroseweir/configuration/snapshot.h"
+#include "primroseweir/configuration/watch_controller.h"
 #include "primroseweir/entry/instance_fleet.h"
 #include "primroseweir/filters/address_filter.h"
 #include "primroseweir/filters/body_filter.h"
@@ -82,8 +84,13 @@
 
 EntryInstance::~EntryInstance() {
   EndUpkeep();
-  // The server's threads use everything else.
+  // The server's threads use everything else. Gossip and watch call each other, so that the threads
+  // of both end before either object does.
   server_.reset();
+  if (gossip_ != nullptr) {
+    gossip_->Stop();
+  }
+  watch_.reset();
   gossip_.reset();
 }
 
@@ -101,10 +108,12 @@
   MakeChain();
   server_->set_handler(chain_.get());
   ConnectModules();
+  MakeWatch();
   status = gossip_->Start();
   if (!status.ok()) {
     return status;
   }
+  TakeView(*gossip_->View(), MonotonicNow());
   upkeep_ = std::thread([this] { RunUpkeep(); });
   status = server_->Start();
   events_.Emit("entry_started", {{"caller_address", server_->address().ToString()},
@@ -168,9 +177,8 @@
   dispatch.router = &router_;
   dispatch.pool = &pool_;
   dispatch.ensure_fresh = [this](Instant now) { return freshness_->Ensure(now); };
-  freshness_ = std::make_unique<FreshnessCheck>(
-      [this] { return configuration_.LastHeard(); },
-      [this](Duration time) { gossip_->RefreshNow(time).status().IgnoreError(); });
+  freshness_ = std::make_unique<FreshnessCheck>([this] { return configuration_.LastHeard(); },
+                                                [this](Duration time) { Refresh(time); });
   std::vector<std::unique_ptr<Filter>> filters;
   filters.push_back(std::make_unique<RequestIdFilter>(settings_.id.value()));
   filters.push_back(std::make_unique<AddressFilter>(fleet_.get(), &issuer_));
@@ -182,6 +190,32 @@
   chain_ = std::make_unique<FilterChain>(std::move(filters), &events_);
 }
 
+void EntryInstance::MakeWatch() {
+  if (settings_.configuration_service.empty()) {
+    return;
+  }
+  WatchController::Options options;
+  options.choice.data_centre = settings_.data_centre;
+  options.choice.seat = settings_.seat;
+  options.choice.seats = settings_.seats;
+  options.choice.random_seed = EntropySeed();
+  PlatformClient::Options client;
+  client.addresses = settings_.configuration_service;
+  watch_ = std::make_unique<WatchController>(
+      options, [client] { return std::make_unique<PlatformClient>(client); }, &configuration_,
+      &events_);
+}
+
+// Peers are asked first: one that follows the platform answers within milliseconds.
+void EntryInstance::Refresh(Duration time) {
+  const auto start = MonotonicNow();
+  const bool answered = gossip_->RefreshNow(time).ok();
+  const auto left = time - (MonotonicNow() - start);
+  if (!answered && watch_ != nullptr && left > Duration::zero()) {
+    watch_->RefreshDeclarations(left);
+  }
+}
+
 // ---- changes ----
 
 // The pool learns of new upstreams before the router sends calls to them.
@@ -195,14 +229,21 @@
 
 void EntryInstance::TakeView(const MembershipView& view, Instant now) {
   std::set<Seat> live;
+  std::set<Seat> live_here;
   for (const auto& member : view.members) {
     if (member.state != MemberState::kDead) {
       live.insert(member.seat);
     }
+    if (member.state != MemberState::kDead && member.data_centre == settings_.data_centre) {
+      live_here.insert(member.seat);
+    }
   }
   seat_taken_.store(view.seat_taken);
   pool_.SetSeatTaken(view.seat_taken);
   router_.SetLiveSeats(live, now);
+  if (watch_ != nullptr) {
+    watch_->SetLiveSeats(live_here);
+  }
 }
 
 // ---- upkeep ----
