--- /dev/null
+++ b/apps/primroseweir-ctl/admin_client.cc
@@ -0,0 +1,48 @@
+#include "admin_client.h"
+
+#include <cxxtools/http/client.h>
+#include <cxxtools/http/replyheader.h>
+#include <cxxtools/http/request.h>
+
+#include <exception>
+
+#include "primroseweir/base/error.h"
+#include "primroseweir/base/socket_address.h"
+
+namespace primroseweir::ctl {
+namespace {
+
+constexpr double kTimeoutMilliseconds = 2'000;
+constexpr unsigned kOk = 200;
+
+}  // namespace
+
+AdminAnswer ReadAdminPort(const std::string& address, const std::string& path,
+                          const std::string& query, const std::string& token) {
+  AdminAnswer answer;
+  answer.address = address;
+  const auto parsed = ParseSocketAddress(address);
+  if (!parsed.ok()) {
+    answer.error = MessageOf(parsed.status());
+    return answer;
+  }
+  try {
+    cxxtools::http::Client client(parsed->ip, parsed->port);
+    cxxtools::http::Request request(path);
+    request.qparams(query);
+    request.setHeader("Authorization", ("Bearer " + token).c_str());
+    client.execute(request, cxxtools::Milliseconds(kTimeoutMilliseconds));
+    client.readBody();
+    const unsigned status = client.header().httpReturnCode();
+    if (status != kOk) {
+      answer.error = "status " + std::to_string(status);
+    } else {
+      answer.body = nlohmann::json::parse(client.body());
+    }
+  } catch (const std::exception& error) {
+    answer.error = error.what();
+  }
+  return answer;
+}
+
+}  // namespace primroseweir::ctl
--- /dev/null
+++ b/include/primroseweir/admin/metrics.h
@@ -0,0 +1,63 @@
+#ifndef PRIMROSEWEIR_ADMIN_METRICS_H_
+#define PRIMROSEWEIR_ADMIN_METRICS_H_
+
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/gauge.h>
+#include <prometheus/registry.h>
+
+#include <cstddef>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+
+#include "primroseweir/admin/detail/atomic_histogram.h"
+#include "primroseweir/admin/service_metrics.h"
+#include "primroseweir/base/ids.h"
+#include "primroseweir/base/time.h"
+
+namespace primroseweir {
+
+// The metrics of an entry instance. Safe for several threads; ObserveAddedTime and the counters
+// take no lock.
+class Metrics {
+ public:
+  Metrics();
+
+  // The counters of a service, made at the first call. Takes a lock: resolve them when the routing
+  // table changes, not for each call.
+  const ServiceMetrics* ForService(const ServiceName& service);
+
+  // Time that the system added to a call beyond that of its upstream.
+  void ObserveAddedTime(Duration added) { added_time_.Observe(added); }
+
+  prometheus::Counter& probes() { return *probes_; }
+  prometheus::Counter& peer_bytes_sent() { return *peer_bytes_sent_; }
+  prometheus::Counter& peer_bytes_received() { return *peer_bytes_received_; }
+
+  void SetConfigurationRevision(Revision revision);
+  // Number of upstreams in a state such as "warm", "warming" or "leaving".
+  void SetUpstreams(const std::string& state, std::size_t count);
+
+  // All metrics in the Prometheus text format.
+  std::string Text() const;
+
+ private:
+  prometheus::Registry registry_;
+  detail::AtomicHistogram added_time_;
+  prometheus::Family<prometheus::Counter>& calls_;
+  prometheus::Family<prometheus::Counter>& retries_;
+  prometheus::Family<prometheus::Counter>& hedges_;
+  prometheus::Family<prometheus::Gauge>& upstreams_;
+  prometheus::Counter* probes_;
+  prometheus::Counter* peer_bytes_sent_;
+  prometheus::Counter* peer_bytes_received_;
+  prometheus::Gauge* revision_;
+  std::mutex mutex_;
+  std::map<ServiceName, std::unique_ptr<ServiceMetrics>> services_;
+};
+
+}  // namespace primroseweir
+
+#endif  // PRIMROSEWEIR_ADMIN_METRICS_H_
--- /dev/null
+++ b/src/admin/metrics.cc
@@ -0,0 +1,67 @@
+#include "primroseweir/admin/metrics.h"
+
+#include <prometheus/text_serializer.h>
+
+#include <utility>
+
+namespace primroseweir {
+namespace {
+
+prometheus::Family<prometheus::Counter>& Counters(prometheus::Registry* registry, const char* name,
+                                                  const char* help) {
+  return prometheus::BuildCounter().Name(name).Help(help).Register(*registry);
+}
+
+prometheus::Family<prometheus::Gauge>& Gauges(prometheus::Registry* registry, const char* name,
+                                              const char* help) {
+  return prometheus::BuildGauge().Name(name).Help(help).Register(*registry);
+}
+
+}  // namespace
+
+Metrics::Metrics()
+    : added_time_("primroseweir_added_seconds", "Time added to a call beyond that of its upstream"),
+      calls_(Counters(&registry_, "primroseweir_calls_total", "Calls by service and outcome")),
+      retries_(Counters(&registry_, "primroseweir_retries_total", "Second executions of a call")),
+      hedges_(Counters(&registry_, "primroseweir_hedges_total", "Hedged calls")),
+      upstreams_(Gauges(&registry_, "primroseweir_upstreams", "Upstreams by state")),
+      probes_(&Counters(&registry_, "primroseweir_probes_total", "Probes sent").Add({})) {
+  auto& bytes = Counters(&registry_, "primroseweir_peer_bytes_total",
+                         "Bytes exchanged with other instances, by direction");
+  peer_bytes_sent_ = &bytes.Add({{"direction", "sent"}});
+  peer_bytes_received_ = &bytes.Add({{"direction", "received"}});
+  revision_ = &Gauges(&registry_, "primroseweir_configuration_revision",
+                      "Revision of the configuration in force")
+                   .Add({});
+}
+
+const ServiceMetrics* Metrics::ForService(const ServiceName& service) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  std::unique_ptr<ServiceMetrics>& metrics = services_[service];
+  if (metrics == nullptr) {
+    metrics = std::make_unique<ServiceMetrics>();
+    const std::string& name = service.value();
+    metrics->ran = &calls_.Add({{"service", name}, {"outcome", "ran"}});
+    metrics->not_run = &calls_.Add({{"service", name}, {"outcome", "not-run"}});
+    metrics->unknown = &calls_.Add({{"service", name}, {"outcome", "unknown"}});
+    metrics->retries = &retries_.Add({{"service", name}});
+    metrics->hedges = &hedges_.Add({{"service", name}});
+  }
+  return metrics.get();
+}
+
+void Metrics::SetConfigurationRevision(Revision revision) {
+  revision_->Set(static_cast<double>(revision.value()));
+}
+
+void Metrics::SetUpstreams(const std::string& state, std::size_t count) {
+  upstreams_.Add({{"state", state}}).Set(static_cast<double>(count));
+}
+
+std::string Metrics::Text() const {
+  std::vector<prometheus::MetricFamily> families = registry_.Collect();
+  for (auto& family : added_time_.Collect()) families.push_back(std::move(family));
+  return prometheus::TextSerializer().Serialize(families);
+}
+
+}  // namespace primroseweir
--- /dev/null
+++ b/src/admin/operator_report.cc
@@ -0,0 +1,124 @@
+#include "primroseweir/admin/operator_report.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <tuple>
+#include <utility>
+
+#include "primroseweir/base/event.h"
+
+namespace primroseweir {
+namespace {
+
+using nlohmann::json;
+using Fields = std::vector<std::pair<std::string, std::string>>;
+
+// Key=value pairs with the quoting of events.
+std::string Line(Fields fields) {
+  Event event;
+  const std::size_t head = FormatEvent(event).size();
+  event.fields = std::move(fields);
+  return FormatEvent(event).substr(std::min(head + 1, FormatEvent(event).size()));
+}
+
+std::string ValueText(const json& value) {
+  return value.is_string() ? value.get<std::string>()
+                           : value.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+void AddMembers(const json& object, Fields* fields) {
+  if (!object.is_object()) return;
+  for (const auto& [key, value] : object.items()) {
+    if (!value.is_structured()) fields->emplace_back(key, ValueText(value));
+  }
+}
+
+std::string ErrorLine(const AdminAnswer& answer) {
+  return Line({{"admin", answer.address}, {"result", "no-answer"}, {"error", answer.error}});
+}
+
+std::uint64_t RevisionOf(const AdminAnswer& answer) {
+  if (!answer.body.is_object()) return 0;
+  const auto found = answer.body.find("configuration_revision");
+  return found != answer.body.end() && found->is_number_integer() ? found->get<std::uint64_t>() : 0;
+}
+
+// One event of the time line with its place in the order.
+struct Placed {
+  std::int64_t microseconds = 0;
+  std::uint32_t counter = 0;
+  std::string process;
+  std::uint64_t sequence = 0;
+  std::string line;
+
+  auto Key() const { return std::tie(microseconds, counter, process, sequence); }
+};
+
+Placed Place(const std::string& process, const json& source) {
+  Event event;
+  event.time.microseconds = source.at("us").get<std::int64_t>();
+  event.time.counter = source.at("counter").get<std::uint32_t>();
+  event.sequence = source.at("seq").get<std::uint64_t>();
+  event.name = source.at("event").get<std::string>();
+  for (const json& field : source.at("fields")) {
+    event.fields.emplace_back(field.at(0).get<std::string>(), field.at(1).get<std::string>());
+  }
+  return {event.time.microseconds, event.time.counter, process, event.sequence, FormatEvent(event)};
+}
+
+}  // namespace
+
+std::vector<std::string> StatusLines(const std::vector<AdminAnswer>& answers) {
+  std::uint64_t highest = 0;
+  for (const AdminAnswer& answer : answers) highest = std::max(highest, RevisionOf(answer));
+  std::vector<std::string> lines;
+  for (const AdminAnswer& answer : answers) {
+    if (!answer.error.empty()) {
+      lines.push_back(ErrorLine(answer));
+      continue;
+    }
+    Fields fields = {{"admin", answer.address}};
+    AddMembers(answer.body, &fields);
+    fields.emplace_back("behind", RevisionOf(answer) < highest ? "1" : "0");
+    lines.push_back(Line(std::move(fields)));
+  }
+  return lines;
+}
+
+std::vector<std::string> ExplainLines(const AdminAnswer& answer) {
+  if (!answer.error.empty()) return {ErrorLine(answer)};
+  std::vector<std::string> lines;
+  Fields head = {{"admin", answer.address}};
+  AddMembers(answer.body, &head);
+  lines.push_back(Line(head));
+  if (!answer.body.is_object() || !answer.body.contains("upstreams")) return lines;
+  for (const json& upstream : answer.body.at("upstreams")) {
+    Fields fields = {{"admin", answer.address}};
+    AddMembers(upstream, &fields);
+    lines.push_back(Line(std::move(fields)));
+  }
+  return lines;
+}
+
+std::vector<std::string> TimelineLines(const std::vector<AdminAnswer>& answers) {
+  std::vector<std::string> lines;
+  std::vector<Placed> events;
+  for (const AdminAnswer& answer : answers) {
+    if (!answer.error.empty()) {
+      lines.push_back(ErrorLine(answer));
+      continue;
+    }
+    try {
+      const std::string process = answer.body.at("process").get<std::string>();
+      for (const json& event : answer.body.at("events")) events.push_back(Place(process, event));
+    } catch (const json::exception& error) {
+      lines.push_back(ErrorLine({answer.address, error.what(), {}}));
+    }
+  }
+  std::sort(events.begin(), events.end(),
+            [](const Placed& a, const Placed& b) { return a.Key() < b.Key(); });
+  for (Placed& event : events) lines.push_back(std::move(event.line));
+  return lines;
+}
+
+}  // namespace primroseweir
--- /dev/null
+++ b/tests/admin/admin_server_test.cc
@@ -0,0 +1,150 @@
+#include "primroseweir/admin/admin_server.h"
+
+#include <cxxtools/http/client.h>
+#include <cxxtools/http/request.h>
+
+#include <catch2/catch.hpp>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "primroseweir/admin/metrics.h"
+#include "primroseweir/base/error.h"
+#include "primroseweir/base/event_log.h"
+#include "support/loopback.h"
+
+namespace primroseweir {
+namespace {
+
+struct Answer {
+  unsigned status = 0;
+  std::string body;
+};
+
+// An admin port over fixed providers.
+struct Fixture {
+  Fixture() {
+    AdminServer::Providers providers;
+    providers.status = [] { return nlohmann::json{{"instance", "entry-1"}}; };
+    providers.explain = [](const ServiceName& service) -> absl::StatusOr<nlohmann::json> {
+      if (service.value() == "ice-board") return nlohmann::json{{"service", "ice-board"}};
+      return MakeError(absl::StatusCode::kNotFound, {"explain", ""}, "no such service");
+    };
+    providers.healthy = [this] { return healthy; };
+    providers.events = &events;
+    providers.metrics = &metrics;
+    auto started = AdminServer::Start({RandomLoopback(), "secret"}, providers);
+    REQUIRE(started.ok());
+    server = std::move(*started);
+  }
+
+  Answer Get(const std::string& target, const std::string& token = "Bearer secret",
+             const std::string& method = "GET") const {
+    cxxtools::http::Client client(server->address().ip, server->address().port);
+    cxxtools::http::Request request(target.substr(0, target.find('?')));
+    if (target.find('?') != std::string::npos) {
+      request.qparams(target.substr(target.find('?') + 1));
+    }
+    request.method(method);
+    if (!token.empty()) request.setHeader("Authorization", token.c_str());
+    client.execute(request);
+    client.readBody();
+    return {client.header().httpReturnCode(), client.body()};
+  }
+
+  bool healthy = true;
+  EventLog events{"entry-1"};
+  Metrics metrics;
+  std::unique_ptr<AdminServer> server;
+};
+
+// Guards against a process that reads the state of the fleet without the operators' token.
+TEST_CASE("every path needs the operator token") {
+  const Fixture f;
+  for (const char* path :
+       {"/metrics", "/status", "/explain?service=ice-board", "/events", "/healthz", "/other"}) {
+    for (const char* token : {"", "secret", "Bearer", "Bearer secre", "Bearer secret2",
+                              "Bearer Secret", "Basic secret"}) {
+      CHECK(f.Get(path, token).status == 401);
+    }
+  }
+  CHECK(f.Get("/status").status == 200);
+}
+
+TEST_CASE("an empty token is refused") {
+  CHECK(AdminServer::Start({RandomLoopback(), ""}, {}).status().code() ==
+        absl::StatusCode::kInvalidArgument);
+}
+
+TEST_CASE("the admin port is read only") {
+  const Fixture f;
+  CHECK(f.Get("/status", "Bearer secret", "POST").status == 405);
+  CHECK(f.Get("/status", "Bearer secret", "DELETE").status == 405);
+}
+
+TEST_CASE("status, explanation and health come from the providers") {
+  Fixture f;
+  CHECK(f.Get("/status").body == "{\"instance\":\"entry-1\"}\n");
+  CHECK(f.Get("/explain?service=ice-board").body == "{\"service\":\"ice-board\"}\n");
+  CHECK(f.Get("/explain?service=other").status == 404);
+  CHECK(f.Get("/healthz").status == 200);
+  f.healthy = false;
+  CHECK(f.Get("/healthz").status == 503);
+  CHECK(f.Get("/").status == 404);
+}
+
+TEST_CASE("events are listed after a number, in order") {
+  Fixture f;
+  f.events.Emit("first", {{"key", "text"}});
+  f.events.Emit("second", {{"bytes", "\xff"}});
+  const auto all = nlohmann::json::parse(f.Get("/events").body);
+  CHECK(all.at("process") == "entry-1");
+  REQUIRE(all.at("events").size() == 2);
+  CHECK(all.at("events")[0].at("event") == "first");
+  CHECK(all.at("events")[0].at("fields")[1] == nlohmann::json({"key", "text"}));
+  CHECK(nlohmann::json::parse(f.Get("/events?after=1").body).at("events").size() == 1);
+  CHECK(f.Get("/events?after=x").status == 400);
+}
+
+TEST_CASE("metrics are written as Prometheus text") {
+  Fixture f;
+  const ServiceMetrics* service = f.metrics.ForService(ServiceName("ice-board"));
+  CHECK(service == f.metrics.ForService(ServiceName("ice-board")));
+  service->ran->Increment();
+  service->not_run->Increment(2);
+  service->retries->Increment();
+  f.metrics.probes().Increment();
+  f.metrics.peer_bytes_sent().Increment(1200);
+  f.metrics.SetConfigurationRevision(Revision(17));
+  f.metrics.SetUpstreams("warm", 4);
+  f.metrics.ObserveAddedTime(std::chrono::microseconds(1'900));
+  f.metrics.ObserveAddedTime(std::chrono::microseconds(1'901));
+  const std::string text = f.Get("/metrics").body;
+  for (const char* line :
+       {"primroseweir_calls_total{outcome=\"ran\",service=\"ice-board\"} 1",
+        "primroseweir_calls_total{outcome=\"not-run\",service=\"ice-board\"} 2",
+        "primroseweir_retries_total{service=\"ice-board\"} 1", "primroseweir_probes_total 1",
+        "primroseweir_peer_bytes_total{direction=\"sent\"} 1200",
+        "primroseweir_configuration_revision 17", "primroseweir_upstreams{state=\"warm\"} 4",
+        "primroseweir_added_seconds_bucket{le=\"0.0019\"} 1",
+        "primroseweir_added_seconds_bucket{le=\"+Inf\"} 2", "primroseweir_added_seconds_count 2"}) {
+    INFO(line);
+    CHECK(text.find(line) != std::string::npos);
+  }
+}
+
+// Guards against counts that are lost when several threads of the call path write them.
+TEST_CASE("added times are counted by several threads") {
+  Metrics metrics;
+  std::vector<std::thread> threads;
+  for (int t = 0; t < 4; ++t) {
+    threads.emplace_back([&metrics] {
+      for (int i = 0; i < 10'000; ++i) metrics.ObserveAddedTime(std::chrono::microseconds(i));
+    });
+  }
+  for (auto& thread : threads) thread.join();
+  CHECK(metrics.Text().find("primroseweir_added_seconds_count 40000") != std::string::npos);
+}
+
+}  // namespace
+}  // namespace primroseweir
