--- a/include/primroseweir/peer/datagram_packer.h
+++ b/include/primroseweir/peer/datagram_packer.h
@@ -21,6 +21,9 @@
   bool Add(const UpstreamObservation& observation);
   bool Add(const CrashStrike& strike);
 
+  // Adds as many heartbeats as fit into `bytes`, beginning with the first, and answers how many.
+  std::size_t AddHeartbeats(const SeatHeartbeats& heartbeats, std::size_t bytes);
+
   // Bytes that are left.
   std::size_t room() const { return limit_ > size() ? limit_ - size() : 0; }
 
@@ -43,6 +46,7 @@
   const std::size_t limit_;
   std::string head_;
   Section members_;
+  std::string heartbeats_;
   Section observations_;
   Section strikes_;
 };
--- a/include/primroseweir/peer/gossip_message.h
+++ b/include/primroseweir/peer/gossip_message.h
@@ -9,6 +9,7 @@
 #include "primroseweir/limits/crash_strike.h"
 #include "primroseweir/peer/configuration_state.h"
 #include "primroseweir/peer/member_record.h"
+#include "primroseweir/peer/seat_heartbeats.h"
 #include "primroseweir/upstream/observation.h"
 
 namespace primroseweir {
@@ -28,6 +29,7 @@
 struct GossipMessage {
   GossipHeader header;
   std::vector<MemberRecord> members;
+  SeatHeartbeats heartbeats;
   std::vector<UpstreamObservation> observations;
   std::vector<CrashStrike> strikes;
 };
--- a/tests/membership/gossip_controller_test.cc
+++ b/tests/membership/gossip_controller_test.cc
@@ -127,7 +127,8 @@
   REQUIRE(fleet.AllSee(8, seconds(5)));
   fleet[6].RaiseEpoch("ib-7", 3);
   CHECK(fleet.All([](TestInstance& i) { return i.EpochOf("ib-7") == 3; }, seconds(2)));
-  fleet[1].controller().SendUrgent({{}, {CrashStrike{42, UpstreamId("ib-1"), milliseconds(5)}}});
+  fleet[1].controller().SendUrgent(
+      {{}, {CrashStrike{42, UpstreamId("ib-1"), milliseconds(5), false}}});
   std::size_t reached = 0;
   CHECK(WaitFor(
       [&] {
--- a/tests/membership/test_instance.h
+++ b/tests/membership/test_instance.h
@@ -73,11 +73,13 @@
       return network_->Passes(address(), to);
     };
     controller_ = std::make_unique<GossipController>(settings, Hooks(), &events_);
+    running_ = controller_.get();
   }
 
   absl::Status Start() { return controller_->Start(); }
   GossipController& controller() { return *controller_; }
-  SocketAddress address() const { return controller_->local_address(); }
+  // Also called by the controller's threads while Crash waits for them.
+  SocketAddress address() const { return running_->local_address(); }
   // Ends without a farewell, as in a crash.
   void Crash() { controller_.reset(); }
 
@@ -200,6 +202,7 @@
   std::set<std::uint64_t> strikes_;
   Revision heard_;
   std::unique_ptr<GossipController> controller_;
+  GossipController* running_ = nullptr;
 };
 
 // Waits until `condition` holds; false after `timeout`.
