Serve the admin port and probe upstreams from the entry instance

Cause: the entry instance had no admin port, so that primroseweir-ctl could not read it, and upstreams without traffic were never measured. Change: AdminServer with status and explain pages, metrics of probes and peer bytes, a ProbeRunner that takes its connections from the pool, and the digest of all keys in the gossip.

--- a/include/primroseweir/entry/entry_instance.h
+++ b/include/primroseweir/entry/entry_instance.h
@@ -26,7 +26,11 @@
 
 namespace primroseweir {
 
+class AdminServer;
 class InstanceFleet;
+class Metrics;
+class ProbeController;
+class ProbeRunner;
 class WatchController;
 
 // One entry instance: wires the modules together and owns their life cycle.
@@ -55,12 +59,15 @@
  private:
   void MakeGossip();
   void MakeChain();
+  absl::Status StartAdmin();
+  void MakeProbes();
   void MakeWatch();
   void ConnectModules();
   void Adopt(const std::shared_ptr<const ConfigurationSnapshot>& snapshot, Instant now);
   void TakeView(const MembershipView& view, Instant now);
   void Refresh(Duration time);
   void RunUpkeep();
+  void CountTraffic();
   void EndUpkeep();
 
   const EntrySettings settings_;
@@ -80,6 +87,13 @@
   std::unique_ptr<FreshnessCheck> freshness_;
   std::unique_ptr<FilterChain> chain_;
   std::unique_ptr<HttpServer> server_;
+  std::unique_ptr<Metrics> metrics_;
+  std::unique_ptr<ProbeRunner> probe_runner_;
+  std::unique_ptr<ProbeController> probes_;
+  std::unique_ptr<AdminServer> admin_;
+  std::atomic<bool> leaving_{false};
+  std::uint64_t counted_bytes_sent_ = 0;
+  std::uint64_t counted_bytes_received_ = 0;
   std::mutex upkeep_mutex_;
   std::condition_variable upkeep_changed_;
   bool upkeep_ends_ = false;
--- /dev/null
+++ b/src/entry/admin_pages.cc
@@ -0,0 +1,126 @@
+#include "primroseweir/entry/admin_pages.h"
+
+#include <string>
+
+#include "primroseweir/configuration/verdict.h"
+
+namespace primroseweir {
+namespace {
+
+using nlohmann::json;
+
+const char* NameOf(MemberState state) {
+  switch (state) {
+    case MemberState::kAlive:
+      return "alive";
+    case MemberState::kSuspect:
+      return "suspect";
+    case MemberState::kLeaving:
+      return "leaving";
+    case MemberState::kDead:
+      return "dead";
+  }
+  return "unknown";
+}
+
+json MembersOf(const MembershipView& view) {
+  json members = json::array();
+  for (const Member& member : view.members) {
+    members.push_back({{"id", member.id.value()},
+                       {"data_centre", member.data_centre.value()},
+                       {"seat", member.seat.value()},
+                       {"state", NameOf(member.state)},
+                       {"caller_address", member.caller_address.ToString()},
+                       {"configuration_revision", member.revision.value()}});
+  }
+  return members;
+}
+
+json RejectionsOf(const std::vector<ConfigurationRejection>& rejections) {
+  json rejected = json::array();
+  for (const ConfigurationRejection& rejection : rejections) {
+    json reasons = json::array();
+    for (const Verdict& verdict : rejection.verdicts) reasons.push_back(FormatVerdict(verdict));
+    rejected.push_back(
+        {{"key", rejection.key}, {"revision", rejection.revision.value()}, {"reasons", reasons}});
+  }
+  return rejected;
+}
+
+std::string OutOf(const ConfigurationSnapshot& snapshot) {
+  std::string out;
+  for (const DataCentre& data_centre : snapshot.out) {
+    out += (out.empty() ? "" : ",") + data_centre.value();
+  }
+  return out.empty() ? "none" : out;
+}
+
+std::size_t AliveIn(const MembershipView& view) {
+  std::size_t alive = 0;
+  for (const Member& member : view.members) {
+    if (member.state == MemberState::kAlive) ++alive;
+  }
+  return alive;
+}
+
+json UpstreamOf(const UpstreamExplanation& upstream, const ConfigurationSnapshot& snapshot) {
+  json page = {{"id", upstream.id.value()},
+               {"data_centre", upstream.data_centre.value()},
+               {"use", UpstreamUseName(upstream.use)},
+               {"slots", upstream.slots},
+               {"epoch", upstream.epoch.value()},
+               {"window", upstream.window},
+               {"limit", upstream.limit},
+               {"in_flight", upstream.in_flight},
+               {"latency_us", ToMicroseconds(upstream.latency)},
+               {"baseline_us", ToMicroseconds(upstream.baseline)}};
+  if (upstream.report.has_value()) {
+    page["reported_in_flight"] = upstream.report->in_flight;
+    page["report_age_ms"] = ToMilliseconds(upstream.report->age);
+  }
+  for (const UpstreamRecord& record : snapshot.upstreams) {
+    if (record.id == upstream.id) page["address"] = record.address.ToString();
+  }
+  return page;
+}
+
+}  // namespace
+
+json StatusPage(const InstanceStatus& status, const ConfigurationSnapshot& snapshot,
+                const std::vector<ConfigurationRejection>& rejections, const MembershipView& view) {
+  return {{"id", status.self.id.value()},
+          {"data_centre", status.self.data_centre.value()},
+          {"seat", status.self.seat.value()},
+          {"incarnation", status.self.incarnation.value()},
+          {"state", status.leaving ? "leaving" : "serving"},
+          {"seat_taken", view.seat_taken},
+          {"configuration_revision", snapshot.revision.value()},
+          {"text_revision", snapshot.text_revision.value()},
+          {"declarations_revision", snapshot.declarations_revision.value()},
+          {"instances_revision", snapshot.instances_revision.value()},
+          {"out", OutOf(snapshot)},
+          {"services", snapshot.services.size()},
+          {"upstreams", snapshot.upstreams.size()},
+          {"unheard_ms", ToMilliseconds(status.unheard)},
+          {"connections", status.connections},
+          {"alive", AliveIn(view)},
+          {"rejected_count", rejections.size()},
+          {"rejected", RejectionsOf(rejections)},
+          {"members", MembersOf(view)}};
+}
+
+json ExplainPage(const ServiceExplanation& explanation, const ConfigurationSnapshot& snapshot) {
+  json upstreams = json::array();
+  for (const UpstreamExplanation& upstream : explanation.upstreams) {
+    upstreams.push_back(UpstreamOf(upstream, snapshot));
+  }
+  const std::string missing = explanation.missing_dependency.value();
+  return {{"service", explanation.service.value()},
+          {"missing_dependency", missing.empty() ? "none" : missing},
+          {"limit", explanation.limit},
+          {"in_flight", explanation.in_flight},
+          {"waiting", explanation.waiting},
+          {"upstreams", upstreams}};
+}
+
+}  // namespace primroseweir
--- a/src/entry/entry_instance.cc
+++ b/src/entry/entry_instance.cc
@@ -6,12 +6,15 @@
 #include <utility>
 #include <vector>
 
+#include "primroseweir/admin/admin_server.h"
+#include "primroseweir/admin/metrics.h"
 #include "primroseweir/base/random.h"
-#include "primroseweir/base/rendezvous.h"
 #include "primroseweir/configuration/platform_client.h"
 #include "primroseweir/configuration/snapshot.h"
 #include "primroseweir/configuration/watch_controller.h"
+#include "primroseweir/entry/admin_pages.h"
 #include "primroseweir/entry/instance_fleet.h"
+#include "primroseweir/entry/probe_runner.h"
 #include "primroseweir/filters/address_filter.h"
 #include "primroseweir/filters/body_filter.h"
 #include "primroseweir/filters/call_key_filter.h"
@@ -24,11 +27,13 @@
 #include "primroseweir/membership/gossip_settings.h"
 #include "primroseweir/membership/membership_view.h"
 #include "primroseweir/membership/urgent_items.h"
+#include "primroseweir/routing/probe_controller.h"
 
 namespace primroseweir {
 namespace {
 
-constexpr auto kUpkeepInterval = std::chrono::seconds(5);
+// Idle connections are closed after this many periods of the probe controller.
+constexpr int kPeriodsPerUpkeep = 50;
 // The low bits of an incarnation tell apart two starts in the same microsecond.
 constexpr std::uint64_t kRandomBits = 8;
 
@@ -55,10 +60,7 @@
 }
 
 ConfigurationState StateOf(const ConfigurationSnapshot& snapshot) {
-  const auto revisions = std::to_string(snapshot.text_revision.value()) + "/" +
-                         std::to_string(snapshot.declarations_revision.value()) + "/" +
-                         std::to_string(snapshot.instances_revision.value());
-  return {snapshot.revision, StableHash(revisions)};
+  return {snapshot.revision, snapshot.digest};
 }
 
 template <typename Item>
@@ -80,12 +82,14 @@
       pool_(PoolOptions(settings)),
       services_(std::make_shared<const ServiceTable>()),
       issuer_(settings.fleet_key, settings.id, incarnation_),
-      started_calls_(StartedCallTable::Options()) {}
+      started_calls_(StartedCallTable::Options()),
+      metrics_(std::make_unique<Metrics>()) {}
 
 EntryInstance::~EntryInstance() {
   EndUpkeep();
   // The server's threads use everything else. Gossip and watch call each other, so that the threads
   // of both end before either object does.
+  admin_.reset();
   server_.reset();
   if (gossip_ != nullptr) {
     gossip_->Stop();
@@ -114,6 +118,11 @@
     return status;
   }
   TakeView(*gossip_->View(), MonotonicNow());
+  MakeProbes();
+  status = StartAdmin();
+  if (!status.ok()) {
+    return status;
+  }
   upkeep_ = std::thread([this] { RunUpkeep(); });
   status = server_->Start();
   events_.Emit("entry_started", {{"caller_address", server_->address().ToString()},
@@ -206,6 +215,40 @@
       &events_);
 }
 
+absl::Status EntryInstance::StartAdmin() {
+  AdminServer::Providers providers;
+  providers.status = [this] {
+    const auto view = gossip_->View();
+    InstanceStatus status;
+    status.self.id = settings_.id;
+    status.self.data_centre = settings_.data_centre;
+    status.self.seat = settings_.seat;
+    status.self.incarnation = incarnation_;
+    status.leaving = leaving_.load();
+    status.connections = server_->connections();
+    status.unheard = MonotonicNow() - configuration_.LastHeard();
+    return StatusPage(status, *configuration_.Current(), configuration_.Rejections(), *view);
+  };
+  providers.explain = [this](const ServiceName& service) -> absl::StatusOr<nlohmann::json> {
+    const auto explanation = router_.Explain(service, MonotonicNow());
+    if (!explanation.ok()) return explanation.status();
+    return ExplainPage(*explanation, *configuration_.Current());
+  };
+  providers.healthy = [this] { return !leaving_.load(); };
+  providers.events = &events_;
+  providers.metrics = metrics_.get();
+  auto admin = AdminServer::Start({settings_.admin_address, settings_.operator_token}, providers);
+  if (!admin.ok()) return admin.status();
+  admin_ = std::move(*admin);
+  return absl::OkStatus();
+}
+
+void EntryInstance::MakeProbes() {
+  probe_runner_ = std::make_unique<ProbeRunner>(&pool_, [this] { metrics_->probes().Increment(); });
+  probes_ = std::make_unique<ProbeController>(
+      &router_, [this](UpstreamLease lease) { probe_runner_->Run(std::move(lease)); });
+}
+
 // Peers are asked first: one that follows the platform answers within milliseconds.
 void EntryInstance::Refresh(Duration time) {
   const auto start = MonotonicNow();
@@ -224,6 +267,12 @@
   services_.Store(std::make_shared<const ServiceTable>(snapshot->services));
   pool_.Apply(*snapshot);
   router_.Apply(snapshot, now);
+  metrics_->SetConfigurationRevision(snapshot->revision);
+  events_.Emit("configuration_in_force",
+               {{"revision", std::to_string(snapshot->revision.value())},
+                {"text", std::to_string(snapshot->text_revision.value())},
+                {"declarations", std::to_string(snapshot->declarations_revision.value())},
+                {"instances", std::to_string(snapshot->instances_revision.value())}});
   gossip_->SendUrgent({});
 }
 
@@ -250,11 +299,28 @@
 
 void EntryInstance::RunUpkeep() {
   std::unique_lock<std::mutex> lock(upkeep_mutex_);
-  while (!upkeep_changed_.wait_for(lock, kUpkeepInterval, [this] { return upkeep_ends_; })) {
-    pool_.CloseOld(MonotonicNow());
+  int periods = 0;
+  while (
+      !upkeep_changed_.wait_for(lock, ProbeController::kPeriod, [this] { return upkeep_ends_; })) {
+    const Instant now = MonotonicNow();
+    probes_->Tick(now);
+    if (++periods % kPeriodsPerUpkeep == 0) {
+      pool_.CloseOld(now);
+      CountTraffic();
+    }
   }
 }
 
+void EntryInstance::CountTraffic() {
+  const auto traffic = gossip_->traffic();
+  metrics_->peer_bytes_sent().Increment(
+      static_cast<double>(traffic.bytes_sent - counted_bytes_sent_));
+  metrics_->peer_bytes_received().Increment(
+      static_cast<double>(traffic.bytes_received - counted_bytes_received_));
+  counted_bytes_sent_ = traffic.bytes_sent;
+  counted_bytes_received_ = traffic.bytes_received;
+}
+
 void EntryInstance::EndUpkeep() {
   {
     const std::lock_guard<std::mutex> lock(upkeep_mutex_);
@@ -270,6 +336,7 @@
 
 void EntryInstance::Stop(Duration serve_on) {
   events_.Emit("entry_leaving", {{"serve_ms", std::to_string(ToMilliseconds(serve_on))}});
+  leaving_.store(true);
   gossip_->DeclareLeaving();
   std::this_thread::sleep_for(serve_on);
   server_->StopAccepting();
