Claim windows of idle upstreams; keep the configuration fresh in the background

Cause 1, seen with real processes ("a download never joins two versions"): all calls came to one instance without a share of the windows, and the owners' probes brought fresh reports, which counted as a sign that the owners send. No window was claimed and every call was refused as not run. Change 1: only a fresh report with calls in flight keeps a window from being claimed. Cause 2, seen in a trial of the call lane (99th percentile 201 ms with one instance): a call waited up to 200 ms, once a second, whenever nothing had been heard for 3 s. Change 2: the upkeep thread asks after 2 s of silence, and after an unanswered question no call waits until something is heard again.

--- a/include/primroseweir/entry/freshness_check.h
+++ b/include/primroseweir/entry/freshness_check.h
@@ -18,19 +18,29 @@
   FreshnessCheck(std::function<Instant()> last_heard, std::function<void(Duration)> refresh);
 
   // True when a revision was heard within kMaxAge. Otherwise asks, or waits for another call that
-  // asks, and answers false. A further question is put at the earliest kAskInterval after the last,
-  // so that an instance that reaches nobody keeps serving.
+  // asks, and answers false. After a question that nobody answered no further call waits until a
+  // revision is heard again, so that an instance that reaches nobody keeps serving.
   bool Ensure(Instant now);
 
+  // Asks when nothing was heard for kRenewAge, at most once in kRenewInterval, so that calls find
+  // the configuration fresh unless the process was paused. Call it often from one thread; it blocks
+  // for at most kAskTime.
+  void KeepFresh(Instant now);
+
   static constexpr Duration kMaxAge = std::chrono::seconds(3);
   static constexpr Duration kAskTime = std::chrono::milliseconds(200);
-  static constexpr Duration kAskInterval = std::chrono::seconds(1);
+  static constexpr Duration kRenewAge = std::chrono::seconds(2);
+  static constexpr Duration kRenewInterval = std::chrono::milliseconds(500);
 
  private:
+  bool Fresh(Instant now) const;
+
   const std::function<Instant()> last_heard_;
   const std::function<void(Duration)> refresh_;
   std::mutex mutex_;
-  Instant last_asked_ = Instant::min();
+  // What was last heard when a question went unanswered.
+  Instant asked_in_vain_ = Instant::max();
+  Instant last_renewed_ = Instant::min();
 };
 
 }  // namespace primroseweir
--- a/src/entry/entry_instance.cc
+++ b/src/entry/entry_instance.cc
@@ -304,6 +304,7 @@
       !upkeep_changed_.wait_for(lock, ProbeController::kPeriod, [this] { return upkeep_ends_; })) {
     const Instant now = MonotonicNow();
     probes_->Tick(now);
+    freshness_->KeepFresh(now);
     if (++periods % kPeriodsPerUpkeep == 0) {
       pool_.CloseOld(now);
       CountTraffic();
--- a/src/entry/freshness_check.cc
+++ b/src/entry/freshness_check.cc
@@ -9,20 +9,32 @@
     : last_heard_(std::move(last_heard)), refresh_(std::move(refresh)) {}
 
 bool FreshnessCheck::Ensure(Instant now) {
-  if (last_heard_() + kMaxAge >= now) {
+  if (Fresh(now)) {
     return true;
   }
   const std::lock_guard<std::mutex> lock(mutex_);
   // Another call may have asked meanwhile.
-  if (last_heard_() + kMaxAge >= now) {
+  if (Fresh(now)) {
     return false;
   }
-  if (last_asked_ != Instant::min() && now < last_asked_ + kAskInterval) {
+  if (asked_in_vain_ == last_heard_()) {
     return true;
   }
-  last_asked_ = now;
   refresh_(kAskTime);
+  if (!Fresh(now)) {
+    asked_in_vain_ = last_heard_();
+  }
   return false;
 }
 
+void FreshnessCheck::KeepFresh(Instant now) {
+  if (last_heard_() + kRenewAge >= now || now < last_renewed_ + kRenewInterval) {
+    return;
+  }
+  last_renewed_ = now;
+  refresh_(kAskTime);
+}
+
+bool FreshnessCheck::Fresh(Instant now) const { return last_heard_() + kMaxAge >= now; }
+
 }  // namespace primroseweir
--- a/src/routing/detail/placement.cc
+++ b/src/routing/detail/placement.cc
@@ -153,8 +153,10 @@
     if (state.leaving() || request.excluded.count(state.record().id) != 0) continue;
     if (state.window().limit() > 0) return false;
     const auto report = state.report();
-    // A report newer than the silence shows that an owner sends.
-    if (report && now - report->written < WarmUpWindow::kSilence) continue;
+    // Calls in flight by a report newer than the silence show that an owner sends. A report of an
+    // idle upstream does not: the owner's probes bring such reports although it has no callers.
+    const bool fresh = report && now - report->written < WarmUpWindow::kSilence;
+    if (fresh && report->in_flight > 0) continue;
     silent.push_back(&state);
   }
   for (UpstreamState* state : silent) {
