--- a/bench/site/added_time.cc
+++ b/bench/site/added_time.cc
@@ -24,10 +24,6 @@
 constexpr int kBenchPort = 9300;
 constexpr int kRelayHost = 250;
 
-double Milliseconds(Duration duration) {
-  return std::chrono::duration<double, std::milli>(duration).count();
-}
-
 testing::SitePlan Plan() {
   testing::ServicePlan service;
   service.name = kService;
@@ -66,9 +62,9 @@
       rows.push_back({{"route", named.name},
                       {"in_flight", concurrency},
                       {"repeat", repeat},
-                      {"p50_ms", Milliseconds(result.Percentile(0.5))},
-                      {"p99_ms", Milliseconds(result.Percentile(0.99))},
-                      {"p999_ms", Milliseconds(result.Percentile(0.999))},
+                      {"p50_ms", FractionalMilliseconds(result.Percentile(0.5))},
+                      {"p99_ms", FractionalMilliseconds(result.Percentile(0.99))},
+                      {"p999_ms", FractionalMilliseconds(result.Percentile(0.999))},
                       {"calls_per_second", result.CallsPerSecond()},
                       {"failed", result.failed}});
     }
--- a/bench/site/data_centre.cc
+++ b/bench/site/data_centre.cc
@@ -78,8 +78,8 @@
     for (const auto& [kind, calls] : result) {
       row[kind] = {{"right", calls.Of(CallEnd::kRight)},
                    {"other", calls.Count() - calls.Of(CallEnd::kRight)},
-                   {"p50_ms", ToMicroseconds(calls.Percentile(0.5)) / 1000.0},
-                   {"p99_ms", ToMicroseconds(calls.Percentile(0.99)) / 1000.0}};
+                   {"p50_ms", FractionalMilliseconds(calls.Percentile(0.5))},
+                   {"p99_ms", FractionalMilliseconds(calls.Percentile(0.99))}};
     }
     std::printf("%s\n", row.dump().c_str());
     rows.push_back(row);
--- a/bench/site/experiments.h
+++ b/bench/site/experiments.h
@@ -1,10 +1,18 @@
 #ifndef BENCH_SITE_EXPERIMENTS_H_
 #define BENCH_SITE_EXPERIMENTS_H_
 
+#include <chrono>
 #include <nlohmann/json.hpp>
 
+#include "primroseweir/base/time.h"
+
 namespace primroseweir::bench {
 
+// Milliseconds with their fraction, for tables.
+inline double FractionalMilliseconds(Duration duration) {
+  return std::chrono::duration<double, std::milli>(duration).count();
+}
+
 // Each experiment starts a site of its own, prints a table and answers its result as JSON.
 
 // Percentiles of a call direct to the upstream, through a bare relay and through an entry instance,
--- a/bench/site/overload.cc
+++ b/bench/site/overload.cc
@@ -57,8 +57,8 @@
                  {"not_run", calls.Of(CallEnd::kNotRun)},
                  {"unknown", calls.Of(CallEnd::kUnknown)},
                  {"wrong", calls.Of(CallEnd::kWrong) + calls.Of(CallEnd::kCut)},
-                 {"p50_ms", ToMicroseconds(calls.Percentile(0.5)) / 1000.0},
-                 {"p99_ms", ToMicroseconds(calls.Percentile(0.99)) / 1000.0}};
+                 {"p50_ms", FractionalMilliseconds(calls.Percentile(0.5))},
+                 {"p99_ms", FractionalMilliseconds(calls.Percentile(0.99))}};
   }
   return row;
 }
--- /dev/null
+++ b/examples/keys_call_key.cc
@@ -0,0 +1,27 @@
+// Issues a call key prefix and decides about calls with that key: the first starts, a repeated one
+// gets the first one's outcome.
+#include <iostream>
+
+#include "primroseweir/keys/call_key.h"
+#include "primroseweir/keys/call_key_issuer.h"
+#include "primroseweir/keys/started_call_table.h"
+
+using primroseweir::StartedCallTable;
+
+int main() {
+  const primroseweir::InstanceId instance("entry-1");
+  const primroseweir::CallKeyIssuer issuer("0123456789abcdef", instance,
+                                           primroseweir::Incarnation(1));
+  const std::string text = issuer.MakePrefix(primroseweir::MonotonicNow()) + ".booking-7";
+  const auto key = primroseweir::ParseCallKey(text);
+  if (!key.ok() || !issuer.Verify(*key) || !issuer.IsOwn(*key)) return 1;
+
+  StartedCallTable table{StartedCallTable::Options()};
+  constexpr std::uint64_t kFingerprint = 42;
+  const auto first = table.Begin(text, kFingerprint, key->expiry);
+  std::cout << "first_starts=" << (first.verdict == StartedCallTable::Verdict::kStart) << "\n";
+  table.Finish(text, {primroseweir::Outcome::kRan, nullptr});
+  const auto second = table.Begin(text, kFingerprint, key->expiry);
+  std::cout << "second_starts=" << (second.verdict == StartedCallTable::Verdict::kStart) << "\n";
+  return second.verdict == StartedCallTable::Verdict::kEnded ? 0 : 1;
+}
--- a/include/primroseweir/entry/entry_instance.h
+++ b/include/primroseweir/entry/entry_instance.h
@@ -61,6 +61,7 @@
   void MakeChain();
   absl::Status StartAdmin();
   void MakeProbes();
+  void WaitForConfiguration() const;
   void MakeWatch();
   void ConnectModules();
   void Adopt(const std::shared_ptr<const ConfigurationSnapshot>& snapshot, Instant now);
--- a/src/entry/entry_instance.cc
+++ b/src/entry/entry_instance.cc
@@ -32,6 +32,8 @@
 namespace primroseweir {
 namespace {
 
+constexpr Duration kFirstConfigurationTimeout = std::chrono::seconds(3);
+constexpr Duration kConfigurationPoll = std::chrono::milliseconds(5);
 // Idle connections are closed after this many periods of the probe controller.
 constexpr int kPeriodsPerUpkeep = 50;
 // The low bits of an incarnation tell apart two starts in the same microsecond.
@@ -124,6 +126,7 @@
     return status;
   }
   upkeep_ = std::thread([this] { RunUpkeep(); });
+  WaitForConfiguration();
   status = server_->Start();
   events_.Emit("entry_started", {{"caller_address", server_->address().ToString()},
                                  {"peer_address", gossip_->local_address().ToString()},
@@ -249,6 +252,18 @@
       &router_, [this](UpstreamLease lease) { probe_runner_->Run(std::move(lease)); });
 }
 
+// Callers that come before the first configuration would be told that there is no such service.
+// Their connections wait in the listener's queue meanwhile.
+void EntryInstance::WaitForConfiguration() const {
+  if (watch_ == nullptr) {
+    return;
+  }
+  const Instant end = MonotonicNow() + kFirstConfigurationTimeout;
+  while (configuration_.Current()->text_revision == Revision() && MonotonicNow() < end) {
+    std::this_thread::sleep_for(kConfigurationPoll);
+  }
+}
+
 // Peers are asked first: one that follows the platform answers within milliseconds.
 void EntryInstance::Refresh(Duration time) {
   const auto start = MonotonicNow();
--- a/src/filters/call_key_filter.cc
+++ b/src/filters/call_key_filter.cc
@@ -128,7 +128,7 @@
   RecordingSink sink(call->sink, BodyFilter::kBufferedBytes);
   auto* const outer = call->sink;
   call->sink = &sink;
-  const auto end = next(call);
+  auto end = next(call);
   call->sink = outer;
   table_->Finish(text, {end.outcome, sink.Take()});
   return end;
