--- a/bench/site/added_time.cc
+++ b/bench/site/added_time.cc
@@ -12,7 +12,6 @@
 namespace primroseweir::bench {
 namespace {
 
-using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 constexpr int kRepeats = 3;
--- a/bench/site/overload.cc
+++ b/bench/site/overload.cc
@@ -12,7 +12,6 @@
 namespace {
 
 using standins::CallEnd;
-using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 constexpr int kUpstreams = 6;
