--- /dev/null
+++ b/include/primroseweir/balance/balanced_upstream.h
@@ -0,0 +1,130 @@
+#ifndef PRIMROSEWEIR_BALANCE_BALANCED_UPSTREAM_H_
+#define PRIMROSEWEIR_BALANCE_BALANCED_UPSTREAM_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "primroseweir/balance/cold_pacer.h"
+#include "primroseweir/balance/load_report.h"
+#include "primroseweir/base/time.h"
+#include "primroseweir/configuration/upstream_record.h"
+
+namespace primroseweir {
+
+// How an attempt at an upstream ended, as far as the balance is concerned.
+enum class AttemptResult {
+  kAnswered,
+  // The upstream said that it did not run the call.
+  kRefused,
+  // The upstream answered with a failure of its own (5xx).
+  kFailed,
+  // The connection was lost before the answer was whole, or no connection could be opened.
+  kLost,
+  // No answer in time.
+  kTimedOut,
+  // The caller left, or another attempt answered first.
+  kCancelled,
+};
+
+// What this instance knows of one upstream. Owned by the thread of the event loop.
+class BalancedUpstream {
+ public:
+  BalancedUpstream(UpstreamRecord record, const ColdPacer::Bound& cold_bound);
+
+  // ---- listing ----
+
+  const UpstreamRecord& record() const { return record_; }
+  // The list changed something other than the process: state, slots or address.
+  void Update(const UpstreamRecord& record, const ColdPacer::Bound& cold_bound);
+  // No longer listed: takes no new calls.
+  void SetListed(bool listed) { listed_ = listed; }
+  // The data centre is out of service.
+  void SetOut(bool out) { out_ = out; }
+  // Another upstream answered at the address: takes no calls until it is listed anew.
+  void SetMisdirected() { misdirected_ = true; }
+  // Whether the list and the operators allow new calls.
+  bool usable() const {
+    return listed_ && !out_ && !misdirected_ && record_.state == ListedState::kLive;
+  }
+  bool listed() const { return listed_; }
+
+  // ---- cold start ----
+
+  // The upstream is cold until `until`. `instances` as for ColdPacer.
+  void SetCold(Instant until, std::size_t instances, Instant now, Random* random);
+  bool cold(Instant now) const { return now < cold_until_; }
+  Instant cold_until() const { return cold_until_; }
+  ColdPacer& pacer() { return pacer_; }
+  const ColdPacer::Bound& cold_bound() const { return cold_bound_; }
+
+  // ---- doubt ----
+
+  // A connection failed, or the data centre returned: the process may have restarted cold, so that
+  // only probes are sent until one is answered.
+  void Doubt(Instant now);
+  bool doubted() const { return doubted_; }
+  // A probe was answered: `warm_up_left` as stated there.
+  void Trust(Duration warm_up_left, std::size_t instances, Instant now, Random* random);
+  // Whether a probe is due; takes it.
+  bool TakeProbe(Instant now);
+
+  // ---- load ----
+
+  void NoteStart() { ++in_flight_; }
+  // An attempt that started at `started` ended. `usual` is the service's usual time to answer.
+  void NoteEnd(AttemptResult result, Instant started, Duration usual, Instant now);
+  void NoteReport(const UpstreamLoad& load, Instant now);
+  // Calls that other instances have there, by their own word.
+  void SetPeerInFlight(std::uint32_t calls) { peer_in_flight_ = calls; }
+  // A peer's view of how long work takes there.
+  void NotePeerSlowdown(double slowdown, Instant measured);
+
+  std::uint32_t in_flight() const { return in_flight_; }
+  // Calls that are probably there now, from all instances.
+  double occupancy(Instant now) const;
+  // Factor on the usual time to answer, from the newest reports and this instance's own calls.
+  double slowness(Instant now) const;
+  // Recent share of attempts that failed, 0 to 1.
+  double failures(Instant now) const;
+  double reported_slowdown() const { return slowdown_; }
+  Instant reported_at() const { return report_at_; }
+
+  // Neighbours on an upstream's machine change about this often; older reports count little.
+  static constexpr Duration kSlowdownMemory = std::chrono::milliseconds(150);
+  // What this instance saw of latencies and failures fades over this time, so that an upstream that
+  // was avoided is tried again.
+  static constexpr Duration kObservationMemory = std::chrono::milliseconds(2500);
+  // Reports of calls from instances that state nothing themselves.
+  static constexpr Duration kReportMemory = std::chrono::milliseconds(250);
+  // Between two probes of a doubted upstream by one instance.
+  static constexpr Duration kProbeInterval = std::chrono::milliseconds(400);
+
+ private:
+  UpstreamRecord record_;
+  ColdPacer::Bound cold_bound_;
+  bool listed_ = true;
+  bool out_ = false;
+  bool misdirected_ = false;
+  bool doubted_ = false;
+  Instant next_probe_;
+  Instant cold_until_;
+  ColdPacer pacer_;
+  std::uint32_t in_flight_ = 0;
+  std::uint32_t peer_in_flight_ = 0;
+  // Calls of others at the newest report.
+  double foreign_ = 0;
+  Instant report_at_;
+  double slowdown_ = 1;
+  Instant slowdown_at_;
+  // Logarithm of the observed slowness, 0 for as usual.
+  double log_slowness_ = 0;
+  Instant slowness_at_;
+  double failures_ = 0;
+  Instant failures_at_;
+};
+
+}  // namespace primroseweir
+
+#endif  // PRIMROSEWEIR_BALANCE_BALANCED_UPSTREAM_H_
--- /dev/null
+++ b/include/primroseweir/balance/call_policy.h
@@ -0,0 +1,70 @@
+#ifndef PRIMROSEWEIR_BALANCE_CALL_POLICY_H_
+#define PRIMROSEWEIR_BALANCE_CALL_POLICY_H_
+
+#include <cstdint>
+
+#include "primroseweir/base/time.h"
+#include "primroseweir/routes/route.h"
+
+namespace primroseweir {
+
+// Decides what follows an attempt of a call that did not bring a usable answer, and when a second
+// attempt runs beside a slow one.
+//
+// Load pattern: upstreams that fail in part, reset connections or fall silent, under calls of which
+// some must run at most once.
+class CallPolicy {
+ public:
+  // How the last attempt ended.
+  enum class Ending {
+    // The upstream stated that it did not run the call, or no byte of it was sent.
+    kNotRun,
+    // The upstream answered with a failure of its own.
+    kFailed,
+    // The answer is unusable, or none came: the call may have run.
+    kLost,
+  };
+
+  enum class Step {
+    // Send the call to another upstream.
+    kTryElsewhere,
+    // Pass the upstream's own failure on.
+    kPass,
+    // Answer that the call did not run.
+    kRefuse,
+    // Answer that the call failed and may have run.
+    kFail,
+  };
+
+  // What is known about the call.
+  struct State {
+    CallKind kind = CallKind::kRepeatable;
+    // Upstreams that the call was sent to, and how many are allowed.
+    std::uint32_t sends = 0;
+    std::uint32_t max_sends = 1;
+    // An attempt before the last one may have run.
+    bool may_have_run = false;
+  };
+
+  // The next step. kTryElsewhere still needs the budget's permission when the call was sent before;
+  // without it, WithoutRetry says what follows.
+  static Step After(Ending ending, const State& state);
+  static Step WithoutRetry(Ending ending, const State& state);
+
+  // Time after which a repeatable call gets a second attempt beside the first.
+  static Duration HedgeAfter(Duration objective, Duration usual);
+
+  // Seconds that a refused caller should stay away, by its time left: soon enough that it can still
+  // be served, and spread so that callers refused together do not return together. `spread` is
+  // uniform in [0, 1).
+  static Duration RetryAfter(Duration expected_wait, Duration left, double spread);
+
+  // A caller follows Retry-After up to this part of the time it has left.
+  static constexpr int kRetryAfterPart = 3;
+  static constexpr Duration kShortestRetryAfter = std::chrono::milliseconds(50);
+  static constexpr Duration kRetryAfterSpread = std::chrono::milliseconds(250);
+};
+
+}  // namespace primroseweir
+
+#endif  // PRIMROSEWEIR_BALANCE_CALL_POLICY_H_
--- /dev/null
+++ b/include/primroseweir/balance/cold_pacer.h
@@ -0,0 +1,53 @@
+#ifndef PRIMROSEWEIR_BALANCE_COLD_PACER_H_
+#define PRIMROSEWEIR_BALANCE_COLD_PACER_H_
+
+#include <cstddef>
+
+#include "primroseweir/base/time.h"
+
+namespace primroseweir {
+
+class Random;
+
+// Paces the calls of this instance to one cold upstream.
+//
+// Load pattern: an upstream that starts, returns or turns cold under full load. All instances
+// together must stay below its bound whether or not they are in touch, so each spaces its calls as
+// if the whole fleet sent as many; the start is random, so that instances that learn of the
+// upstream at the same moment do not send in the same one.
+class ColdPacer {
+ public:
+  // What the operators state of a cold upstream, over all instances.
+  struct Bound {
+    // Calls a second that it bears.
+    double rate = 0;
+    // Calls in any one second that must never be exceeded.
+    double ceiling = 0;
+  };
+
+  // The upstream turned cold.
+  void Start(const Bound& bound, std::size_t instances, Instant now, Random* random);
+
+  // Whether a call may be sent now.
+  bool Ready(Instant now) const { return now >= next_; }
+
+  // A call is sent. `instances` is the highest number of instances that may be running.
+  void NoteSent(const Bound& bound, std::size_t instances, Instant now);
+
+  // When the next call may be sent.
+  Instant next() const { return next_; }
+
+  // Time between two calls of one instance.
+  static Duration Spacing(const Bound& bound, std::size_t instances);
+
+  // Part of the ceiling that the fleet aims at: calls of independent instances bunch at random, and
+  // the rest keeps the bunches below the ceiling.
+  static constexpr double kUsedPart = 0.45;
+
+ private:
+  Instant next_;
+};
+
+}  // namespace primroseweir
+
+#endif  // PRIMROSEWEIR_BALANCE_COLD_PACER_H_
--- /dev/null
+++ b/include/primroseweir/balance/retry_ledger.h
@@ -0,0 +1,61 @@
+#ifndef PRIMROSEWEIR_BALANCE_RETRY_LEDGER_H_
+#define PRIMROSEWEIR_BALANCE_RETRY_LEDGER_H_
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+
+#include "primroseweir/base/time.h"
+
+namespace primroseweir {
+
+// Decides whether this instance may send a call of one service once more, so that the repeats of
+// all instances together stay below a fixed budget in every window.
+//
+// Load pattern: upstreams that fail or stall in part, under callers that repeat by themselves.
+// Each instance spends in proportion to its own first sends, which add up over the fleet whatever
+// the instances know of each other; only the fixed allowance is divided by the fleet's size.
+class RetryLedger {
+ public:
+  // Budget over all instances: `ratio` of the calls in `window` plus `allowance`.
+  struct Budget {
+    double ratio = 0.2;
+    double allowance = 0;
+    Duration window = std::chrono::seconds(10);
+  };
+
+  explicit RetryLedger(const Budget& budget);
+
+  // A call was sent for the first time.
+  void NoteFirst(Instant now);
+
+  // Takes the permission for one repeat; false when the budget is used up. `instances` is the
+  // highest number of instances that may be running.
+  bool TrySpend(std::size_t instances, Instant now);
+
+  // First sends and repeats in the window that ends now.
+  std::uint64_t firsts(Instant now);
+  std::uint64_t repeats(Instant now);
+
+  // Part of the budget that is used. The rest covers sends that other instances count in another
+  // window than the upstream does.
+  static constexpr double kUsedPart = 0.7;
+
+ private:
+  static constexpr std::size_t kBuckets = 50;
+  struct Bucket {
+    std::int64_t number = -1;
+    std::uint32_t firsts = 0;
+    std::uint32_t repeats = 0;
+  };
+
+  Bucket& At(Instant now);
+  std::uint64_t Sum(std::uint32_t Bucket::*member, Instant now);
+
+  const Budget budget_;
+  std::array<Bucket, kBuckets> buckets_{};
+};
+
+}  // namespace primroseweir
+
+#endif  // PRIMROSEWEIR_BALANCE_RETRY_LEDGER_H_
--- /dev/null
+++ b/include/primroseweir/balance/upstream_book.h
@@ -0,0 +1,124 @@
+#ifndef PRIMROSEWEIR_BALANCE_UPSTREAM_BOOK_H_
+#define PRIMROSEWEIR_BALANCE_UPSTREAM_BOOK_H_
+
+#include <cstddef>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "primroseweir/balance/balanced_upstream.h"
+#include "primroseweir/balance/service_load.h"
+#include "primroseweir/base/ids.h"
+#include "primroseweir/base/random.h"
+#include "primroseweir/base/time.h"
+#include "primroseweir/configuration/upstream_record.h"
+#include "primroseweir/routes/route.h"
+
+namespace primroseweir {
+
+class RouteTable;
+
+// All upstreams that this instance knows, and the choice among them. Owned by the thread of the
+// event loop.
+//
+// Load pattern: short calls at upstreams whose speed changes many times a second, seen through
+// reports that are tens of milliseconds old. The choice weighs what is known about each upstream
+// (calls there from all instances, slowdown, failures, distance) by its age into one expected time.
+class UpstreamBook {
+ public:
+  struct Options {
+    DataCentre data_centre;
+    std::uint64_t seed = 0;
+    // A cold upstream may get its stated rate times `cold_factor` plus `cold_extra` calls in any
+    // second, from all instances.
+    double cold_factor = 1;
+    double cold_extra = 0;
+  };
+
+  // What a choice is made for.
+  struct Query {
+    ServiceName service;
+    CallKind kind = CallKind::kRepeatable;
+    // Upstreams that the call was sent to before.
+    std::vector<UpstreamId> excluded;
+  };
+
+  // Why no upstream was chosen.
+  enum class Obstacle { kNone, kNoUpstream, kFull };
+
+  struct Choice {
+    std::shared_ptr<BalancedUpstream> upstream;
+    Obstacle obstacle = Obstacle::kNone;
+  };
+
+  explicit UpstreamBook(const Options& options);
+
+  // ---- state ----
+
+  // Takes the list, the data centres out of service and the terms of the services. Upstreams that
+  // stay keep their observations. Those that are new or restarted are cold as the list says; those
+  // of a data centre that comes back are doubted. Linear in the list.
+  void Apply(const std::vector<UpstreamRecord>& list, const std::set<DataCentre>& out,
+             const RouteTable& terms, Instant now);
+
+  // Highest number of instances that may be sending at the same time.
+  void SetFleetSize(std::size_t instances) { fleet_size_ = instances; }
+  std::size_t fleet_size() const { return fleet_size_; }
+
+  // ---- choice ----
+
+  // The upstream with the lowest expected time. A cold one is offered only when its pace allows a
+  // call. Linear in the upstreams of the service.
+  Choice Choose(const Query& query, Instant now);
+
+  // Counts a call as sent to that upstream.
+  void NoteStart(BalancedUpstream* upstream, Instant now);
+  // Ends an attempt. `occupancy` is what it met when it started.
+  void NoteEnd(BalancedUpstream* upstream, AttemptResult result, Instant started, double occupancy,
+               Instant now);
+
+  // Time until a call that waits now would find room, by the service's usual time to answer.
+  Duration ExpectedWait(const ServiceName& service, std::size_t waiting, Instant now) const;
+  // Usual time to answer of the service.
+  Duration Usual(const ServiceName& service) const;
+
+  // ---- upkeep ----
+
+  // Upstreams whose probe is due now.
+  std::vector<std::shared_ptr<BalancedUpstream>> DueProbes(Instant now);
+  void Trust(BalancedUpstream* upstream, Duration warm_up_left, Instant now);
+
+  // Null when unknown.
+  std::shared_ptr<BalancedUpstream> Find(const UpstreamId& id) const;
+  const std::map<UpstreamId, std::shared_ptr<BalancedUpstream>>& all() const { return upstreams_; }
+
+  // A call to another data centre costs this much more, so that the nearer one wins between equals.
+  static constexpr Duration kDistance = std::chrono::milliseconds(6);
+  // Large answers are expensive between data centres: they leave their own only when it is full.
+  static constexpr Duration kDownloadDistance = std::chrono::milliseconds(600);
+  // A failed attempt costs a second one.
+  static constexpr Duration kFailureCost = std::chrono::milliseconds(400);
+
+ private:
+  struct ServiceEntry {
+    std::vector<std::shared_ptr<BalancedUpstream>> upstreams;
+    ServiceLoad load;
+  };
+
+  ColdPacer::Bound ColdBoundOf(const UpstreamRecord& record, const RouteTable& terms) const;
+  void AddOrUpdate(const UpstreamRecord& record, const RouteTable& terms, Instant now);
+  double Cost(const BalancedUpstream& upstream, const ServiceEntry& service, CallKind kind,
+              std::uint32_t limit, Instant now) const;
+
+  const Options options_;
+  Random random_;
+  std::size_t fleet_size_ = 1;
+  std::map<UpstreamId, std::shared_ptr<BalancedUpstream>> upstreams_;
+  std::map<ServiceName, ServiceEntry> services_;
+};
+
+}  // namespace primroseweir
+
+#endif  // PRIMROSEWEIR_BALANCE_UPSTREAM_BOOK_H_
--- a/include/primroseweir/base/event.h
+++ b/include/primroseweir/base/event.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -24,6 +25,9 @@
 // an equals sign is quoted; line breaks are escaped, so that input can't forge a second line.
 std::string FormatEvent(const Event& event);
 
+// Appends ` key=value` with the same quoting. Linear in the value.
+void AppendLogField(std::string_view key, std::string_view value, std::string* line);
+
 }  // namespace primroseweir
 
 #endif  // PRIMROSEWEIR_BASE_EVENT_H_
--- a/include/primroseweir/configuration/upstream_record.h
+++ b/include/primroseweir/configuration/upstream_record.h
@@ -28,6 +28,11 @@
   // Time for which a probe occupies one slot.
   Duration probe_cost{};
   ListedState state = ListedState::kLive;
+  // How much longer the upstream stays cold, as of the moment when it was listed.
+  Duration warm_up_left{};
+  // Start of the upstream's process in milliseconds since 1970 by its own clock; 0 when unknown. A
+  // change means that an upstream restarted under its old id.
+  std::int64_t started_ms = 0;
 };
 
 }  // namespace primroseweir
--- /dev/null
+++ b/include/primroseweir/gateway/fleet_service.h
@@ -0,0 +1,114 @@
+#ifndef PRIMROSEWEIR_GATEWAY_FLEET_SERVICE_H_
+#define PRIMROSEWEIR_GATEWAY_FLEET_SERVICE_H_
+
+#include <absl/status/status.h>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "primroseweir/base/ids.h"
+#include "primroseweir/base/socket_address.h"
+#include "primroseweir/base/time.h"
+#include "primroseweir/fleet/fleet_table.h"
+#include "primroseweir/fleet/peer_loads.h"
+#include "primroseweir/gateway/page_port.h"
+#include "primroseweir/loop/timer.h"
+#include "primroseweir/loop/udp_socket.h"
+
+namespace primroseweir {
+
+class EventLoop;
+class Gateway;
+class HttpClientStream;
+class LineLog;
+class PublishedCache;
+
+// The exchange between the instances: heartbeats, calls in flight and crash strikes by datagram,
+// and the published copy over HTTP from a peer that knows more than this instance, for instances
+// that the platform does not serve at the moment.
+//
+// Datagrams are not signed: the deployment hands the instances no secret, and its network admits
+// only them to these ports.
+class FleetService {
+ public:
+  struct Options {
+    FleetMember self;
+    // Port of the datagrams, the same on all instances.
+    std::uint16_t datagram_port = 0;
+    // Port and path of the published copy, the same on all instances.
+    std::uint16_t copy_port = 0;
+    // Instances to ask first; they may be gone.
+    std::vector<std::string> seeds;
+    std::uint64_t seed = 0;
+  };
+
+  // `gateway`, `cache` and `log` outlive the service. `on_copy` is called after a peer's copy
+  // changed the cache.
+  FleetService(EventLoop* loop, const Options& options, Gateway* gateway, PublishedCache* cache,
+               LineLog* log, std::function<void()> on_copy);
+  ~FleetService();
+
+  // Errors: Unavailable, a port can't be bound.
+  absl::Status Start();
+
+  void SetSeeds(std::vector<std::string> seeds) { seeds_ = std::move(seeds); }
+  void SetLeaving(bool leaving);
+  // Tells the peers at once, after a change of the own state.
+  void Announce();
+
+  // IP addresses of the instances that a caller from that data centre should use.
+  std::vector<std::string> AddressesFor(const DataCentre& caller) const;
+  std::size_t live_peers() const { return table_.LivePeers(now_()).size(); }
+
+  // A peer's copy is asked for when it was ahead this long: usually the platform's own notice
+  // arrives within milliseconds.
+  static constexpr Duration kCopyDelay = std::chrono::milliseconds(300);
+  static constexpr Duration kCopyTimeout = std::chrono::milliseconds(500);
+  static constexpr Duration kLoadInterval = std::chrono::milliseconds(50);
+  // Seeds are asked this often even when peers are known, so that parts of a split fleet meet.
+  static constexpr int kBeatsPerSeedRound = 8;
+  static constexpr char kCopyPath[] = "/published";
+
+ private:
+  class Copy;
+
+  void Beat();
+  void SendLoad();
+  void Receive(const std::string& ip, std::string_view data);
+  void Send(const std::string& ip, const std::string& data);
+  std::string OwnState(bool with_members);
+  void TakeLoad(const std::string& ip, const LoadDigest& load, Instant now);
+  void FollowPeer(const FleetMember& peer, Instant now);
+  void NoteLost(Instant now);
+
+  EventLoop* const loop_;
+  const Options options_;
+  Gateway* const gateway_;
+  PublishedCache* const cache_;
+  LineLog* const log_;
+  const std::function<void()> on_copy_;
+  const std::function<Instant()> now_;
+  std::vector<std::string> seeds_;
+  FleetTable table_;
+  PeerLoads loads_;
+  UdpSocket socket_;
+  std::set<std::string> live_;
+  int beats_ = 0;
+  bool had_load_ = false;
+  std::vector<CrashStrike> strikes_;
+  // Since when a peer has been ahead of this instance.
+  Instant behind_since_ = Instant::max();
+  std::unique_ptr<Copy> copy_;
+  Timer beat_timer_;
+  Timer load_timer_;
+};
+
+}  // namespace primroseweir
+
+#endif  // PRIMROSEWEIR_GATEWAY_FLEET_SERVICE_H_
--- /dev/null
+++ b/include/primroseweir/gateway/gateway.h
@@ -0,0 +1,143 @@
+#ifndef PRIMROSEWEIR_GATEWAY_GATEWAY_H_
+#define PRIMROSEWEIR_GATEWAY_GATEWAY_H_
+
+#include <absl/status/status.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "primroseweir/balance/retry_ledger.h"
+#include "primroseweir/balance/upstream_book.h"
+#include "primroseweir/balance/wait_queue.h"
+#include "primroseweir/base/ids.h"
+#include "primroseweir/base/random.h"
+#include "primroseweir/base/time.h"
+#include "primroseweir/gateway/call_fields.h"
+#include "primroseweir/gateway/serving_state.h"
+#include "primroseweir/gateway/upstream_pool.h"
+#include "primroseweir/limits/crash_guard.h"
+#include "primroseweir/loop/http_port.h"
+#include "primroseweir/loop/request_sink.h"
+#include "primroseweir/loop/timer.h"
+#include "primroseweir/routes/split_chooser.h"
+
+namespace primroseweir {
+
+class EventLoop;
+class GatewayMetrics;
+class LineLog;
+class RoutedCall;
+class UpstreamProber;
+
+// The path of calls through one instance: a port for callers, the routes, the balance over the
+// upstreams and the calls under way. Belongs to the thread of its event loop.
+class Gateway : public RequestSink {
+ public:
+  struct Options {
+    SocketAddress callers;
+    CallFields fields;
+    UpstreamBook::Options book;
+    RetryLedger::Budget retries;
+    std::uint64_t seed = 0;
+  };
+
+  // `log` and `metrics` outlive the gateway.
+  Gateway(EventLoop* loop, const Options& options, LineLog* log, GatewayMetrics* metrics);
+  ~Gateway() override;
+
+  // Binds the callers' port. Errors: Unavailable.
+  absl::Status Listen();
+
+  // ---- state ----
+
+  // Puts a published state in force at once, for all calls that are not yet placed.
+  void Apply(std::shared_ptr<const ServingState> state, Instant now);
+  // The platform or a peer confirmed that the state is current.
+  void NoteHeard(Instant now) { state_heard_ = now; }
+  bool configured() const { return state_->routes != nullptr; }
+
+  // ---- stop ----
+
+  // Connections close after their present answer from now on.
+  void CloseKept() { port_.CloseKept(); }
+  // Accepts no further connections.
+  void StopAccepting() { port_.StopAccepting(); }
+  std::size_t calls() const { return calls_.size(); }
+
+  // ---- for calls ----
+
+  // Ends the call's registration; it is destroyed after the present event.
+  void Release(RoutedCall* call);
+  // Offers the service's room to the calls that wait for it.
+  void OfferRoom(const ServiceName& service, Instant now);
+  // An upstream broke a connection while it ran the request with that fingerprint.
+  void SuspectCrash(const UpstreamId& upstream, std::uint64_t fingerprint, Instant now);
+  // A doubted upstream refused connections: what it ran when it broke may have crashed it.
+  void ConfirmCrash(const UpstreamId& upstream, Instant now);
+  void ClearCrash(const UpstreamId& upstream) { suspects_.erase(upstream); }
+  void CountAnswer(const Route& route, Duration took);
+  void CountOwnAnswer(int status);
+
+  EventLoop* loop() const { return loop_; }
+  const CallFields& fields() const { return options_.fields; }
+  const ServingState& state() const { return *state_; }
+  Instant state_heard() const { return state_heard_; }
+  UpstreamBook& book() { return book_; }
+  UpstreamPool& pool() { return pool_; }
+  WaitQueue& queue(const ServiceName& service) { return queues_[service]; }
+  RetryLedger& ledger(const ServiceName& service);
+  SplitChooser& splits() { return splits_; }
+  CrashGuard& crash_guard() { return crash_guard_; }
+  Random& random() { return random_; }
+  LineLog& log() { return *log_; }
+  GatewayMetrics& metrics() { return *metrics_; }
+
+  // ---- requests ----
+
+  void OnRequest(HttpServerStream* stream, RequestHead* head, std::string body) override;
+  void OnCallerGone(HttpServerStream* stream) override;
+  void OnCallerReady(HttpServerStream* stream) override;
+
+  static constexpr Duration kTick = std::chrono::milliseconds(25);
+  // A crash must show this soon after the broken connection to be put down to the request.
+  static constexpr Duration kCrashWindow = std::chrono::seconds(2);
+
+ private:
+  struct Suspect {
+    std::uint64_t fingerprint = 0;
+    Instant since;
+  };
+
+  void Tick();
+
+  EventLoop* const loop_;
+  const Options options_;
+  LineLog* const log_;
+  GatewayMetrics* const metrics_;
+  std::shared_ptr<const ServingState> state_;
+  Instant state_heard_;
+  Random random_;
+  UpstreamBook book_;
+  UpstreamPool pool_;
+  SplitChooser splits_;
+  CrashGuard crash_guard_;
+  std::map<ServiceName, WaitQueue> queues_;
+  std::map<ServiceName, RetryLedger> ledgers_;
+  std::map<UpstreamId, std::vector<Suspect>> suspects_;
+  std::unordered_map<HttpServerStream*, std::unique_ptr<RoutedCall>> calls_;
+  // Ended calls that may still be on the stack.
+  std::vector<std::unique_ptr<RoutedCall>> released_;
+  std::unique_ptr<UpstreamProber> prober_;
+  HttpPort port_;
+  Timer tick_;
+};
+
+}  // namespace primroseweir
+
+#endif  // PRIMROSEWEIR_GATEWAY_GATEWAY_H_
--- /dev/null
+++ b/include/primroseweir/gateway/gateway_metrics.h
@@ -0,0 +1,52 @@
+#ifndef PRIMROSEWEIR_GATEWAY_GATEWAY_METRICS_H_
+#define PRIMROSEWEIR_GATEWAY_GATEWAY_METRICS_H_
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "primroseweir/base/time.h"
+
+namespace prometheus {
+class Counter;
+class Gauge;
+class Histogram;
+class Registry;
+template <typename T>
+class Family;
+}  // namespace prometheus
+
+namespace primroseweir {
+
+// Counters and latency histograms of a gateway, in the text format of Prometheus.
+class GatewayMetrics {
+ public:
+  GatewayMetrics();
+  ~GatewayMetrics();
+
+  // A call was answered by an upstream, `took` after it arrived.
+  void CountAnswer(const std::string& prefix, Duration took);
+  // The gateway answered a call itself.
+  void CountOwnAnswer(int status);
+  // Something else that is counted, by name: "probe", "repeat", "store_call", ...
+  void Count(const std::string& what);
+  void Set(const std::string& what, double value);
+
+  // All figures as text. Linear in their number.
+  std::string Text() const;
+
+ private:
+  std::shared_ptr<prometheus::Registry> registry_;
+  prometheus::Family<prometheus::Histogram>* answers_;
+  prometheus::Family<prometheus::Counter>* own_answers_;
+  prometheus::Family<prometheus::Counter>* events_;
+  prometheus::Family<prometheus::Gauge>* gauges_;
+  std::map<std::string, prometheus::Histogram*> histograms_;
+  std::map<int, prometheus::Counter*> by_status_;
+  std::map<std::string, prometheus::Counter*> by_event_;
+  std::map<std::string, prometheus::Gauge*> by_gauge_;
+};
+
+}  // namespace primroseweir
+
+#endif  // PRIMROSEWEIR_GATEWAY_GATEWAY_METRICS_H_
--- /dev/null
+++ b/include/primroseweir/gateway/routed_call.h
@@ -0,0 +1,126 @@
+#ifndef PRIMROSEWEIR_GATEWAY_ROUTED_CALL_H_
+#define PRIMROSEWEIR_GATEWAY_ROUTED_CALL_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "primroseweir/balance/call_policy.h"
+#include "primroseweir/balance/upstream_book.h"
+#include "primroseweir/balance/wait_queue.h"
+#include "primroseweir/base/ids.h"
+#include "primroseweir/base/time.h"
+#include "primroseweir/http/request_head.h"
+#include "primroseweir/http/response_head.h"
+#include "primroseweir/loop/http_client_listener.h"
+#include "primroseweir/loop/timer.h"
+#include "primroseweir/routes/route.h"
+
+namespace primroseweir {
+
+class Gateway;
+class HttpServerStream;
+class RouteTable;
+class UpstreamAttempt;
+
+// One caller's call from its request to its final answer. Every path ends in exactly one of Pass,
+// Refuse, Fail and OnCallerGone, after which the gateway has released the call.
+class RoutedCall {
+ public:
+  RoutedCall(Gateway* gateway, HttpServerStream* caller, RequestHead head, std::string body,
+             Instant now);
+  ~RoutedCall();
+
+  // Routes the call, then places it at an upstream, queues it or refuses it.
+  void Start(Instant now);
+  // Cancels everything that is under way. Called by the gateway when it releases the call.
+  void Stop();
+
+  // The caller took bytes of a streamed answer.
+  void OnCallerReady();
+  void OnCallerGone(Instant now);
+
+  void OnAttemptSent(Instant now);
+  void OnAttemptAnswer(UpstreamAttempt* attempt, ResponseHead* head, std::string piece, bool whole);
+  void OnAttemptFailure(UpstreamAttempt* attempt, HttpClientListener::Failure failure);
+
+  HttpServerStream* caller() const { return caller_; }
+  const ServiceName& service() const { return service_; }
+
+  // Deadline of callers that state none.
+  static constexpr Duration kDefaultDeadline = std::chrono::seconds(10);
+  // A streamed answer waits for the caller above this size.
+  static constexpr std::size_t kMaxPending = std::size_t{256} * 1024;
+  // Upstreams to which no connection could be opened, before the call is refused.
+  static constexpr std::size_t kMaxTried = 5;
+
+ private:
+  enum class Placement { kStarted, kNoRoom, kNoUpstream, kNoBudget };
+
+  // ---- route ----
+  // False when the call ended here.
+  bool FindRoute(Instant now);
+  void SetDeadline(Instant now);
+
+  // ---- placement ----
+  Placement TryStart(Instant now);
+  // Places the call, or lets it wait, or ends it as `without` says.
+  void Place(CallPolicy::Step without, Instant now);
+  bool Wait(Instant now);
+  void LeaveQueue();
+  void StartAttempt(std::shared_ptr<BalancedUpstream> upstream, Instant now);
+  void StartHedge();
+  RequestHead UpstreamHead(const UpstreamAttempt& attempt, Instant now) const;
+
+  // ---- endings of attempts ----
+  CallPolicy::State PolicyState() const;
+  // Ends an attempt that brought no usable answer, and goes on from there. `failure` is the
+  // upstream's own failure, for Step::kPass.
+  void EndAttempt(UpstreamAttempt* attempt, CallPolicy::Ending ending, AttemptResult result,
+                  const ResponseHead* failure, const std::string& body, Instant now);
+  void RemoveAttempt(UpstreamAttempt* attempt);
+  void Deliver(UpstreamAttempt* attempt, ResponseHead* head, std::string piece, bool whole,
+               Instant now);
+
+  // ---- final answers; each releases the call ----
+  void Pass(ResponseHead head, const std::string& body, Instant now);
+  void Refuse(std::string_view reason, Instant now);
+  void Fail(int status, std::string_view reason, Instant now);
+  void AnswerOwn(int status, std::string_view outcome, std::string_view reason,
+                 std::optional<Duration> retry_after, Instant now);
+  void OnDeadline();
+  void LogEnd(int status, std::string_view outcome, std::string_view reason, Instant now) const;
+
+  Gateway* const gateway_;
+  HttpServerStream* const caller_;
+  const RequestHead head_;
+  const std::string body_;
+  const Instant arrived_;
+  const std::string id_;
+  // Keeps route_ valid.
+  std::shared_ptr<const RouteTable> routes_;
+  const Route* route_ = nullptr;
+  ServiceName service_;
+  Instant deadline_;
+  std::uint64_t fingerprint_ = 0;
+  std::vector<UpstreamId> tried_;
+  std::uint32_t sends_ = 0;
+  // Attempts that were sent and ended without a word that the call did not run.
+  bool may_have_run_ = false;
+  bool streaming_ = false;
+  // The last choice's inputs, for the log.
+  double occupancy_ = 0;
+  std::vector<std::unique_ptr<UpstreamAttempt>> attempts_;
+  std::optional<WaitQueue::Ticket> ticket_;
+  Timer deadline_timer_;
+  Timer wait_timer_;
+  Timer hedge_timer_;
+};
+
+}  // namespace primroseweir
+
+#endif  // PRIMROSEWEIR_GATEWAY_ROUTED_CALL_H_
--- /dev/null
+++ b/include/primroseweir/gateway/upstream_attempt.h
@@ -0,0 +1,70 @@
+#ifndef PRIMROSEWEIR_GATEWAY_UPSTREAM_ATTEMPT_H_
+#define PRIMROSEWEIR_GATEWAY_UPSTREAM_ATTEMPT_H_
+
+#include <memory>
+#include <string>
+
+#include "primroseweir/balance/balanced_upstream.h"
+#include "primroseweir/base/time.h"
+#include "primroseweir/loop/http_client_listener.h"
+#include "primroseweir/loop/timer.h"
+
+namespace primroseweir {
+
+class HttpClientStream;
+class RoutedCall;
+class UpstreamBook;
+class UpstreamPool;
+struct RequestHead;
+
+// One try of a call at one upstream. Counts as in flight there until it is destroyed.
+class UpstreamAttempt : public HttpClientListener {
+ public:
+  struct Services {
+    EventLoop* loop = nullptr;
+    UpstreamBook* book = nullptr;
+    UpstreamPool* pool = nullptr;
+  };
+
+  // Starts the attempt. `call` outlives it.
+  UpstreamAttempt(const Services& services, std::shared_ptr<BalancedUpstream> upstream,
+                  RoutedCall* call, bool at_most_once, Instant now);
+  // An attempt that did not end by itself is cancelled: its connection closes.
+  ~UpstreamAttempt() override;
+
+  void Send(const RequestHead& head, const std::string& body, const std::string& echo_field,
+            const std::string& echo_value);
+
+  // Notes how the attempt ended.
+  void Finish(AttemptResult result, Instant now);
+
+  // Whether a byte of the request may have reached the upstream.
+  bool sent() const { return sent_; }
+  BalancedUpstream& upstream() const { return *upstream_; }
+  Instant started() const { return started_; }
+  double occupancy() const { return occupancy_; }
+  HttpClientStream* stream() const { return stream_.get(); }
+
+  void OnSent() override;
+  void OnAnswer(ResponseHead* head, std::string piece, bool whole) override;
+  void OnFailure(Failure failure) override;
+
+  // Longer than a lost opening packet would need on a healthy link, shorter than its repetition.
+  static constexpr Duration kConnectTimeout = std::chrono::milliseconds(250);
+
+ private:
+  const Services services_;
+  std::shared_ptr<BalancedUpstream> upstream_;
+  RoutedCall* const call_;
+  const Instant started_;
+  double occupancy_ = 0;
+  bool sent_ = false;
+  bool whole_ = false;
+  bool finished_ = false;
+  std::unique_ptr<HttpClientStream> stream_;
+  Timer connect_timer_;
+};
+
+}  // namespace primroseweir
+
+#endif  // PRIMROSEWEIR_GATEWAY_UPSTREAM_ATTEMPT_H_
--- /dev/null
+++ b/include/primroseweir/gateway/upstream_pool.h
@@ -0,0 +1,59 @@
+#ifndef PRIMROSEWEIR_GATEWAY_UPSTREAM_POOL_H_
+#define PRIMROSEWEIR_GATEWAY_UPSTREAM_POOL_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "primroseweir/base/ids.h"
+#include "primroseweir/base/time.h"
+
+namespace primroseweir {
+
+class EventLoop;
+class HttpClientStream;
+struct UpstreamRecord;
+
+// Idle connections to upstreams, newest first.
+class UpstreamPool {
+ public:
+  explicit UpstreamPool(EventLoop* loop);
+  ~UpstreamPool();
+
+  // An idle connection or a new one. `at_most_once` asks for one that was used a moment ago: a
+  // connection that went silent or was closed meanwhile would lose the call.
+  std::unique_ptr<HttpClientStream> Take(const UpstreamRecord& record, bool at_most_once,
+                                         Instant now);
+  // Gives back a connection; one that can't be used again is closed.
+  void Put(const UpstreamId& upstream, std::unique_ptr<HttpClientStream> stream);
+  // Closes the idle connections to an upstream.
+  void Drop(const UpstreamId& upstream);
+  // Closes connections that ended or that the upstream is about to close.
+  void Sweep(Instant now);
+
+  // Connections opened so far.
+  std::uint64_t opened() const { return opened_; }
+
+  // Idle time up to which a connection carries any call, without a word of the upstream.
+  static constexpr Duration kMaxIdle = std::chrono::seconds(8);
+  // Idle time up to which it carries a call that must run at most once.
+  static constexpr Duration kFresh = std::chrono::milliseconds(1500);
+  // Margin before the time at which the upstream closes the connection.
+  static constexpr Duration kMargin = std::chrono::milliseconds(800);
+  // Idle connections kept to one upstream.
+  static constexpr std::size_t kMaxPerUpstream = 6;
+
+ private:
+  using Streams = std::vector<std::unique_ptr<HttpClientStream>>;
+
+  EventLoop* const loop_;
+  std::map<UpstreamId, Streams> idle_;
+  std::uint64_t opened_ = 0;
+};
+
+}  // namespace primroseweir
+
+#endif  // PRIMROSEWEIR_GATEWAY_UPSTREAM_POOL_H_
--- /dev/null
+++ b/include/primroseweir/loop/http_client_listener.h
@@ -0,0 +1,37 @@
+#ifndef PRIMROSEWEIR_LOOP_HTTP_CLIENT_LISTENER_H_
+#define PRIMROSEWEIR_LOOP_HTTP_CLIENT_LISTENER_H_
+
+#include <string>
+
+namespace primroseweir {
+
+struct ResponseHead;
+
+// Receives the answer to the request of an HttpClientStream. Each function may destroy the stream.
+class HttpClientListener {
+ public:
+  // How a request ended without a whole answer.
+  enum class Failure {
+    // No connection could be opened: no byte of the request was sent.
+    kConnect,
+    // The connection was reset or broke.
+    kReset,
+    // The server closed the connection in the middle.
+    kClosed,
+    // The bytes received are no proper answer.
+    kMalformed,
+  };
+
+  virtual ~HttpClientListener() = default;
+
+  // The request left this process.
+  virtual void OnSent() {}
+  // A further piece of the answer; `whole` with the last one. Answers up to
+  // HttpClientStream::kBuffered come in one piece.
+  virtual void OnAnswer(ResponseHead* head, std::string piece, bool whole) = 0;
+  virtual void OnFailure(Failure failure) = 0;
+};
+
+}  // namespace primroseweir
+
+#endif  // PRIMROSEWEIR_LOOP_HTTP_CLIENT_LISTENER_H_
--- /dev/null
+++ b/include/primroseweir/loop/http_client_stream.h
@@ -0,0 +1,91 @@
+#ifndef PRIMROSEWEIR_LOOP_HTTP_CLIENT_STREAM_H_
+#define PRIMROSEWEIR_LOOP_HTTP_CLIENT_STREAM_H_
+
+#include <cstddef>
+#include <memory>
+#include <string>
+
+#include "primroseweir/base/socket_address.h"
+#include "primroseweir/base/time.h"
+#include "primroseweir/http/message_parser.h"
+#include "primroseweir/loop/http_client_listener.h"
+#include "primroseweir/loop/stream_handler.h"
+
+namespace primroseweir {
+
+class EventLoop;
+class TcpStream;
+struct RequestHead;
+
+// A connection to an HTTP server on an event loop: one request at a time, then its answer. Used
+// towards upstreams, the platform and other instances.
+//
+// With an echo field, an answer that echoes another value belongs to another request (a server may
+// send an extra or late answer): it is dropped, and the wait goes on.
+class HttpClientStream : public StreamHandler {
+ public:
+  // A field of the request that the server repeats in its answer; empty for none.
+  struct Echo {
+    std::string field;
+    std::string value;
+  };
+
+  // Starts to connect.
+  HttpClientStream(EventLoop* loop, const SocketAddress& address);
+  ~HttpClientStream() override;
+
+  // Sends a request, now or as soon as the connection is open. `listener` outlives the request.
+  void Send(const RequestHead& head, const std::string& body, Echo echo,
+            HttpClientListener* listener);
+  // Forgets the listener; the connection can't be used afterwards.
+  void Abandon();
+
+  // Holds back the rest of a large answer.
+  void PauseReading();
+  void ResumeReading();
+
+  // Whether the answer was whole and the connection may carry a further request.
+  bool reusable() const { return reusable_; }
+  bool connected() const { return connected_; }
+  // Whether the connection ended or received bytes while idle.
+  bool broken() const { return broken_; }
+  // When the last answer ended.
+  Instant idle_since() const { return idle_since_; }
+  // Time for which the server keeps an idle connection; zero when it did not say.
+  Duration kept_for() const { return kept_for_; }
+  const SocketAddress& address() const { return address_; }
+
+  void OnConnected() override;
+  void OnData(const char* data, std::size_t size) override;
+  void OnEnd(bool clean) override;
+
+  // Longer answers are handed over in pieces; shorter ones can be fetched again when they break.
+  static constexpr std::size_t kBuffered = std::size_t{768} * 1024;
+
+ private:
+  bool Consume();
+  bool BelongsHere();
+  void Complete();
+  void Fail(HttpClientListener::Failure failure);
+
+  const SocketAddress address_;
+  std::unique_ptr<TcpStream> stream_;
+  MessageParser parser_;
+  std::string input_;
+  std::string body_;
+  std::string unsent_;
+  Echo echo_;
+  HttpClientListener* listener_ = nullptr;
+  bool bodiless_ = false;
+  bool connected_ = false;
+  bool reusable_ = false;
+  bool broken_ = false;
+  // An answer of another request was dropped: the next one may be out of step too.
+  bool out_of_step_ = false;
+  Instant idle_since_;
+  Duration kept_for_{};
+};
+
+}  // namespace primroseweir
+
+#endif  // PRIMROSEWEIR_LOOP_HTTP_CLIENT_STREAM_H_
--- /dev/null
+++ b/include/primroseweir/loop/http_port.h
@@ -0,0 +1,73 @@
+#ifndef PRIMROSEWEIR_LOOP_HTTP_PORT_H_
+#define PRIMROSEWEIR_LOOP_HTTP_PORT_H_
+
+#include <absl/status/status.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <unordered_map>
+
+#include "primroseweir/base/socket_address.h"
+#include "primroseweir/base/time.h"
+#include "primroseweir/loop/timer.h"
+#include "primroseweir/routes/caller_limits.h"
+
+namespace primroseweir {
+
+class EventLoop;
+class HttpServerStream;
+class RequestSink;
+class TcpListener;
+class TcpStream;
+
+// An HTTP server port on an event loop. Requests reach the sink whole; requests that break the
+// limits or the framing are answered here (400, 408, 413, 431, 501).
+class HttpPort {
+ public:
+  // `sink` outlives the port. `limits` is asked at each request, since a configuration may change
+  // them.
+  HttpPort(EventLoop* loop, RequestSink* sink, std::function<CallerLimits()> limits);
+  ~HttpPort();
+
+  // Errors: Unavailable, the address can't be bound.
+  absl::Status Listen(const SocketAddress& address);
+  SocketAddress address() const;
+
+  // Answers from now on close their connection; idle connections close at once.
+  void CloseKept();
+  // Accepts no further connection.
+  void StopAccepting();
+
+  std::size_t connections() const { return streams_.size(); }
+  // Connections that are in the middle of a request or an answer.
+  std::size_t busy() const;
+  bool closing() const { return closing_; }
+  CallerLimits limits() const { return limits_(); }
+  EventLoop* loop() const { return loop_; }
+  RequestSink* sink() const { return sink_; }
+
+  // Called by a stream when it is done; destroys it.
+  void Remove(HttpServerStream* stream);
+
+  // Bounds descriptors and memory; connections beyond are closed at once.
+  static constexpr std::size_t kMaxConnections = 3000;
+  static constexpr Duration kSweepInterval = std::chrono::milliseconds(200);
+
+ private:
+  void Take(std::unique_ptr<TcpStream> stream);
+  void Sweep();
+
+  EventLoop* const loop_;
+  RequestSink* const sink_;
+  const std::function<CallerLimits()> limits_;
+  std::unique_ptr<TcpListener> listener_;
+  std::unordered_map<HttpServerStream*, std::unique_ptr<HttpServerStream>> streams_;
+  bool closing_ = false;
+  Timer sweep_;
+};
+
+}  // namespace primroseweir
+
+#endif  // PRIMROSEWEIR_LOOP_HTTP_PORT_H_
--- /dev/null
+++ b/include/primroseweir/loop/http_server_stream.h
@@ -0,0 +1,87 @@
+#ifndef PRIMROSEWEIR_LOOP_HTTP_SERVER_STREAM_H_
+#define PRIMROSEWEIR_LOOP_HTTP_SERVER_STREAM_H_
+
+#include <cstddef>
+#include <memory>
+#include <string>
+
+#include "primroseweir/base/time.h"
+#include "primroseweir/http/message_parser.h"
+#include "primroseweir/http/response_head.h"
+#include "primroseweir/loop/stream_handler.h"
+
+namespace primroseweir {
+
+class HttpPort;
+class TcpStream;
+
+// A caller's connection to an HttpPort: one request at a time, then its answer. Requests that are
+// sent ahead wait in a bounded buffer.
+class HttpServerStream : public StreamHandler {
+ public:
+  HttpServerStream(HttpPort* port, std::unique_ptr<TcpStream> stream, Instant now);
+  ~HttpServerStream() override;
+
+  // ---- answer ----
+
+  // Sends a whole answer.
+  void Answer(ResponseHead head, const std::string& body);
+  // Sends an answer in pieces: BeginAnswer, any number of WritePiece, EndAnswer. An unknown length
+  // is sent in chunks, or ends with the connection for HTTP/1.0 callers.
+  void BeginAnswer(ResponseHead head);
+  void WritePiece(const std::string& piece);
+  void EndAnswer();
+  // Cuts a begun answer, so that the caller can't take it for a whole one.
+  void Abort();
+  // Bytes that the caller has not taken yet.
+  std::size_t pending() const;
+
+  // ---- port ----
+
+  // Closes the connection when it broke a time limit; called by the port.
+  void CheckTime(Instant now);
+  // Closes the connection if it is idle.
+  void CloseIfIdle();
+  bool idle() const { return state_ == State::kIdle; }
+
+  void OnData(const char* data, std::size_t size) override;
+  void OnEnd(bool clean) override;
+  void OnDrained() override;
+
+  // Requests sent ahead of their turn are read up to this size.
+  static constexpr std::size_t kReadAhead = std::size_t{64} * 1024;
+  // After an answer that ends the connection, input is discarded this long: closing with unread
+  // input would reset the connection and could destroy the answer on its way.
+  static constexpr Duration kLinger = std::chrono::seconds(1);
+
+ private:
+  enum class State { kIdle, kReading, kServing, kLingering };
+
+  void Feed();
+  bool CheckHead();
+  void Deliver();
+  void Fault(int status);
+  void Finish();
+  void Remove();
+  Instant Now() const;
+
+  HttpPort* const port_;
+  std::unique_ptr<TcpStream> stream_;
+  MessageParser parser_;
+  std::string input_;
+  std::string body_;
+  State state_ = State::kIdle;
+  // Start of the present state, for its time limit.
+  Instant since_;
+  bool head_checked_ = false;
+  bool close_after_ = false;
+  bool chunked_ = false;
+  bool ended_ = false;
+  bool paused_ = false;
+  // Feed is running: a synchronous answer must not run it again.
+  bool feeding_ = false;
+};
+
+}  // namespace primroseweir
+
+#endif  // PRIMROSEWEIR_LOOP_HTTP_SERVER_STREAM_H_
--- /dev/null
+++ b/include/primroseweir/published/published_cache.h
@@ -0,0 +1,74 @@
+#ifndef PRIMROSEWEIR_PUBLISHED_PUBLISHED_CACHE_H_
+#define PRIMROSEWEIR_PUBLISHED_PUBLISHED_CACHE_H_
+
+#include <absl/status/statusor.h>
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "primroseweir/base/ids.h"
+#include "primroseweir/base/time.h"
+#include "primroseweir/published/published_item.h"
+
+namespace primroseweir {
+
+// This instance's copy of everything that is published, up to one revision. It never steps back,
+// whatever a stale reader or a peer offers.
+//
+// Items may vanish although nothing withdrew them: their leases lapse while the platform's store is
+// away, and are renewed after its return. Such items are kept for a while.
+class PublishedCache {
+ public:
+  // Items with this prefix may lapse; others vanish at once.
+  explicit PublishedCache(std::string lapsing_prefix);
+
+  // ---- changes; each answers whether anything changed ----
+
+  // Takes a full copy as of `at`, unless it is older than what is known. Items that may lapse and
+  // are missing stay until `keep_missing`.
+  bool Replace(const std::vector<PublishedItem>& items, Revision at, Instant keep_missing,
+               Instant now);
+  // One item was written.
+  bool Put(const PublishedItem& item);
+  // One item was withdrawn or lapsed at `revision`. It stays until `keep`.
+  bool Erase(const std::string& key, Revision revision, Instant keep, Instant now);
+  // Everything up to `at` is known.
+  void Advance(Revision at);
+  // Drops items whose time has passed.
+  bool Expire(Instant now);
+
+  // ---- view ----
+
+  Revision at() const { return at_; }
+  // Items in the order of their keys, kept ones included.
+  std::vector<PublishedItem> Items() const;
+
+  // ---- exchange between instances ----
+
+  // JSON: {"at": N, "items": [[key, value, revision], ...]}; kept items are left out.
+  std::string Encode() const;
+  struct Copy {
+    Revision at;
+    std::vector<PublishedItem> items;
+  };
+  // InvalidArgument for anything that Encode does not write.
+  static absl::StatusOr<Copy> Decode(const std::string& text);
+
+ private:
+  struct Entry {
+    PublishedItem item;
+    // Set when the item is missing: it is dropped at that time.
+    Instant drop_at = Instant::max();
+  };
+
+  bool MayLapse(const std::string& key) const;
+
+  const std::string lapsing_prefix_;
+  Revision at_;
+  std::map<std::string, Entry> entries_;
+};
+
+}  // namespace primroseweir
+
+#endif  // PRIMROSEWEIR_PUBLISHED_PUBLISHED_CACHE_H_
--- /dev/null
+++ b/include/primroseweir/published/published_item.h
@@ -0,0 +1,20 @@
+#ifndef PRIMROSEWEIR_PUBLISHED_PUBLISHED_ITEM_H_
+#define PRIMROSEWEIR_PUBLISHED_PUBLISHED_ITEM_H_
+
+#include <string>
+
+#include "primroseweir/base/ids.h"
+
+namespace primroseweir {
+
+// One value that operators or upstreams published, as stored.
+struct PublishedItem {
+  std::string key;
+  std::string value;
+  // Last change.
+  Revision revision;
+};
+
+}  // namespace primroseweir
+
+#endif  // PRIMROSEWEIR_PUBLISHED_PUBLISHED_ITEM_H_
--- /dev/null
+++ b/include/primroseweir/routes/route_table.h
@@ -0,0 +1,47 @@
+#ifndef PRIMROSEWEIR_ROUTES_ROUTE_TABLE_H_
+#define PRIMROSEWEIR_ROUTES_ROUTE_TABLE_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "primroseweir/base/ids.h"
+#include "primroseweir/routes/caller_limits.h"
+#include "primroseweir/routes/route.h"
+#include "primroseweir/routes/service_terms.h"
+
+namespace primroseweir {
+
+// The routes, services and limits of one configuration. Immutable once built.
+class RouteTable {
+ public:
+  // `version` is the operators' number of the configuration; it orders configurations.
+  RouteTable(std::uint64_t version, std::vector<Route> routes,
+             std::map<ServiceName, ServiceTerms> services, const CallerLimits& limits);
+
+  // The route of that host with the longest prefix that begins the path of `target`; null when none
+  // matches. A port in `host` and the query of `target` are ignored. Linear in the host's routes.
+  const Route* Find(std::string_view host, std::string_view target) const;
+
+  // Terms of a service; null when the configuration does not name it.
+  const ServiceTerms* FindService(const ServiceName& name) const;
+
+  std::uint64_t version() const { return version_; }
+  const std::vector<Route>& routes() const { return routes_; }
+  const CallerLimits& limits() const { return limits_; }
+
+ private:
+  const std::uint64_t version_;
+  const std::vector<Route> routes_;
+  const std::map<ServiceName, ServiceTerms> services_;
+  const CallerLimits limits_;
+  // Positions in routes_, longest prefix first.
+  std::unordered_map<std::string, std::vector<std::size_t>> by_host_;
+};
+
+}  // namespace primroseweir
+
+#endif  // PRIMROSEWEIR_ROUTES_ROUTE_TABLE_H_
--- /dev/null
+++ b/src/balance/balanced_upstream.cc
@@ -0,0 +1,142 @@
+#include "primroseweir/balance/balanced_upstream.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <utility>
+
+#include "primroseweir/base/random.h"
+
+namespace primroseweir {
+namespace {
+
+// Weight of one attempt in the running averages.
+constexpr double kLatencyWeight = 0.3;
+constexpr double kFailureWeight = 0.25;
+// A single outlier moves the observed slowness by this factor at most.
+constexpr double kLargestSlowness = 12;
+
+// Part of an observation of that age that still counts.
+double Fade(Duration age, Duration memory) {
+  if (age <= Duration::zero()) {
+    return 1;
+  }
+  return std::exp(-std::chrono::duration<double>(age) / std::chrono::duration<double>(memory));
+}
+
+bool SameProcess(const UpstreamRecord& a, const UpstreamRecord& b) {
+  return a.started_ms == b.started_ms && a.address == b.address;
+}
+
+}  // namespace
+
+BalancedUpstream::BalancedUpstream(UpstreamRecord record, const ColdPacer::Bound& cold_bound)
+    : record_(std::move(record)), cold_bound_(cold_bound) {}
+
+// ---- listing ----
+
+void BalancedUpstream::Update(const UpstreamRecord& record, const ColdPacer::Bound& cold_bound) {
+  if (!SameProcess(record, record_)) {
+    misdirected_ = false;
+    doubted_ = false;
+    log_slowness_ = 0;
+    failures_ = 0;
+    slowdown_ = 1;
+    foreign_ = 0;
+  }
+  record_ = record;
+  cold_bound_ = cold_bound;
+  listed_ = true;
+}
+
+// ---- cold start ----
+
+void BalancedUpstream::SetCold(Instant until, std::size_t instances, Instant now, Random* random) {
+  if (!cold(now) && until > now) {
+    pacer_.Start(cold_bound_, instances, now, random);
+  }
+  cold_until_ = std::max(until, cold_until_);
+}
+
+// ---- doubt ----
+
+void BalancedUpstream::Doubt(Instant now) {
+  if (!doubted_) {
+    doubted_ = true;
+    next_probe_ = now;
+  }
+}
+
+void BalancedUpstream::Trust(Duration warm_up_left, std::size_t instances, Instant now,
+                             Random* random) {
+  doubted_ = false;
+  if (warm_up_left > Duration::zero()) {
+    SetCold(now + warm_up_left, instances, now, random);
+  }
+}
+
+bool BalancedUpstream::TakeProbe(Instant now) {
+  if (!doubted_ || now < next_probe_) {
+    return false;
+  }
+  next_probe_ = now + kProbeInterval;
+  return true;
+}
+
+// ---- load ----
+
+void BalancedUpstream::NoteEnd(AttemptResult result, Instant started, Duration usual, Instant now) {
+  if (in_flight_ > 0) {
+    --in_flight_;
+  }
+  if (result == AttemptResult::kCancelled) {
+    return;
+  }
+  const bool failed = result != AttemptResult::kAnswered;
+  failures_ = failures(now) * (1 - kFailureWeight) + (failed ? kFailureWeight : 0);
+  failures_at_ = now;
+  const bool timed = result == AttemptResult::kAnswered || result == AttemptResult::kTimedOut;
+  if (!timed || usual <= Duration::zero()) {
+    return;
+  }
+  const double ratio =
+      std::chrono::duration<double>(now - started) / std::chrono::duration<double>(usual);
+  const double sample =
+      std::log(std::clamp(ratio, 1 / kLargestSlowness, kLargestSlowness));
+  const double known = log_slowness_ * Fade(now - slowness_at_, kObservationMemory);
+  log_slowness_ = known + kLatencyWeight * (sample - known);
+  slowness_at_ = now;
+}
+
+void BalancedUpstream::NoteReport(const UpstreamLoad& load, Instant now) {
+  // The answer that brings the report is no longer running there, but still counted here.
+  const double own = in_flight_ > 0 ? in_flight_ - 1 : 0;
+  foreign_ = std::max(0.0, static_cast<double>(load.running + load.waiting) - own);
+  report_at_ = now;
+  slowdown_ = load.slowdown;
+  slowdown_at_ = now;
+}
+
+void BalancedUpstream::NotePeerSlowdown(double slowdown, Instant measured) {
+  if (measured > slowdown_at_) {
+    slowdown_ = slowdown;
+    slowdown_at_ = measured;
+  }
+}
+
+double BalancedUpstream::occupancy(Instant now) const {
+  const double foreign = foreign_ * Fade(now - report_at_, kReportMemory);
+  return in_flight_ + std::max(static_cast<double>(peer_in_flight_), foreign);
+}
+
+double BalancedUpstream::slowness(Instant now) const {
+  const double seen = std::exp(log_slowness_ * Fade(now - slowness_at_, kObservationMemory));
+  const double stated = 1 + (slowdown_ - 1) * Fade(now - slowdown_at_, kSlowdownMemory);
+  return seen * stated;
+}
+
+double BalancedUpstream::failures(Instant now) const {
+  return failures_ * Fade(now - failures_at_, kObservationMemory);
+}
+
+}  // namespace primroseweir
--- /dev/null
+++ b/src/balance/upstream_book.cc
@@ -0,0 +1,192 @@
+#include "primroseweir/balance/upstream_book.h"
+
+#include <algorithm>
+#include <chrono>
+#include <limits>
+
+#include "primroseweir/routes/route_table.h"
+
+namespace primroseweir {
+namespace {
+
+double Seconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
+
+// Growth of the expected time with the part of an upstream's limit that is taken.
+constexpr double kLoadCost = 0.35;
+// A cold upstream runs at a fraction of its speed.
+constexpr double kColdFactor = 2;
+// Equal costs are told apart at random, so that instances do not pick the same upstream in step.
+constexpr double kJitter = 0.04;
+
+bool Contains(const std::vector<UpstreamId>& ids, const UpstreamId& id) {
+  return std::find(ids.begin(), ids.end(), id) != ids.end();
+}
+
+}  // namespace
+
+UpstreamBook::UpstreamBook(const Options& options) : options_(options), random_(options.seed) {}
+
+// ---- state ----
+
+void UpstreamBook::Apply(const std::vector<UpstreamRecord>& list, const std::set<DataCentre>& out,
+                         const RouteTable& terms, Instant now) {
+  std::set<UpstreamId> listed;
+  for (const auto& record : list) {
+    listed.insert(record.id);
+    AddOrUpdate(record, terms, now);
+  }
+  for (auto& [name, service] : services_) {
+    service.upstreams.clear();
+  }
+  for (auto it = upstreams_.begin(); it != upstreams_.end();) {
+    auto& upstream = it->second;
+    if (listed.count(it->first) == 0) {
+      upstream->SetListed(false);
+      it = upstreams_.erase(it);
+      continue;
+    }
+    const bool is_out = out.count(upstream->record().data_centre) != 0;
+    if (is_out) {
+      // Its upstreams may turn cold while they get no calls.
+      upstream->Doubt(now);
+    }
+    upstream->SetOut(is_out);
+    services_[upstream->record().service].upstreams.push_back(upstream);
+    ++it;
+  }
+}
+
+ColdPacer::Bound UpstreamBook::ColdBoundOf(const UpstreamRecord& record,
+                                           const RouteTable& terms) const {
+  ColdPacer::Bound bound;
+  if (const auto* service = terms.FindService(record.service)) {
+    bound.rate = service->cold_rate;
+    bound.ceiling = service->cold_rate * options_.cold_factor + options_.cold_extra;
+  }
+  return bound;
+}
+
+void UpstreamBook::AddOrUpdate(const UpstreamRecord& record, const RouteTable& terms, Instant now) {
+  const auto bound = ColdBoundOf(record, terms);
+  auto& known = upstreams_[record.id];
+  bool restarted = true;
+  if (known == nullptr) {
+    known = std::make_shared<BalancedUpstream>(record, bound);
+  } else {
+    restarted = known->record().started_ms != record.started_ms ||
+                known->record().warm_up_left != record.warm_up_left;
+    known->Update(record, bound);
+  }
+  if (restarted && record.warm_up_left > Duration::zero()) {
+    known->SetCold(now + record.warm_up_left, fleet_size_, now, &random_);
+  }
+}
+
+// ---- choice ----
+
+UpstreamBook::Choice UpstreamBook::Choose(const Query& query, Instant now) {
+  const auto found = services_.find(query.service);
+  if (found == services_.end()) {
+    return {nullptr, Obstacle::kNoUpstream};
+  }
+  const auto& service = found->second;
+  Choice choice;
+  choice.obstacle = Obstacle::kNoUpstream;
+  double best = std::numeric_limits<double>::max();
+  for (const auto& upstream : service.upstreams) {
+    if (!upstream->usable() || Contains(query.excluded, upstream->record().id)) {
+      continue;
+    }
+    const auto limit = service.load.Limit(upstream->record().slots);
+    const bool paced = upstream->cold(now) && !upstream->pacer().Ready(now);
+    if (upstream->doubted() || paced || upstream->occupancy(now) + 0.5 >= limit) {
+      choice.obstacle = choice.upstream ? Obstacle::kNone : Obstacle::kFull;
+      continue;
+    }
+    const double cost = Cost(*upstream, service, query.kind, limit, now) *
+                        (1 + kJitter * random_.Unit());
+    if (cost < best) {
+      best = cost;
+      choice.upstream = upstream;
+      choice.obstacle = Obstacle::kNone;
+    }
+  }
+  return choice;
+}
+
+double UpstreamBook::Cost(const BalancedUpstream& upstream, const ServiceEntry& service,
+                          CallKind kind, std::uint32_t limit, Instant now) const {
+  const double load = (upstream.occupancy(now) + 1) / limit;
+  double cost = Seconds(service.load.usual()) * upstream.slowness(now) * (1 + kLoadCost * load);
+  cost += upstream.failures(now) * Seconds(kFailureCost);
+  if (upstream.cold(now)) {
+    cost *= kColdFactor;
+  }
+  if (upstream.record().data_centre != options_.data_centre) {
+    cost += Seconds(kind == CallKind::kDownload ? kDownloadDistance : kDistance);
+  }
+  return cost;
+}
+
+void UpstreamBook::NoteStart(BalancedUpstream* upstream, Instant now) {
+  upstream->NoteStart();
+  if (upstream->cold(now)) {
+    upstream->pacer().NoteSent(upstream->cold_bound(), fleet_size_, now);
+  }
+}
+
+void UpstreamBook::NoteEnd(BalancedUpstream* upstream, AttemptResult result, Instant started,
+                           double occupancy, Instant now) {
+  auto& load = services_[upstream->record().service].load;
+  if (result == AttemptResult::kAnswered && !upstream->cold(now)) {
+    load.NoteAnswer(now - started, occupancy, upstream->record().slots);
+  }
+  upstream->NoteEnd(result, started, load.usual(), now);
+  if (result == AttemptResult::kLost) {
+    upstream->Doubt(now);
+  }
+}
+
+Duration UpstreamBook::ExpectedWait(const ServiceName& service, std::size_t waiting,
+                                    Instant now) const {
+  const auto found = services_.find(service);
+  if (found == services_.end()) {
+    return Duration::zero();
+  }
+  // Room at this instance comes back with its own calls.
+  double own = 0;
+  for (const auto& upstream : found->second.upstreams) {
+    own += upstream->in_flight();
+  }
+  const double usual = Seconds(found->second.load.usual());
+  const double wait = usual * static_cast<double>(waiting + 1) / std::max(own, 1.0);
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(wait));
+}
+
+Duration UpstreamBook::Usual(const ServiceName& service) const {
+  const auto found = services_.find(service);
+  return found == services_.end() ? ServiceLoad::kInitialUsual : found->second.load.usual();
+}
+
+// ---- upkeep ----
+
+std::vector<std::shared_ptr<BalancedUpstream>> UpstreamBook::DueProbes(Instant now) {
+  std::vector<std::shared_ptr<BalancedUpstream>> due;
+  for (const auto& [id, upstream] : upstreams_) {
+    if (upstream->usable() && upstream->TakeProbe(now)) {
+      due.push_back(upstream);
+    }
+  }
+  return due;
+}
+
+void UpstreamBook::Trust(BalancedUpstream* upstream, Duration warm_up_left, Instant now) {
+  upstream->Trust(warm_up_left, fleet_size_, now, &random_);
+}
+
+std::shared_ptr<BalancedUpstream> UpstreamBook::Find(const UpstreamId& id) const {
+  const auto found = upstreams_.find(id);
+  return found == upstreams_.end() ? nullptr : found->second;
+}
+
+}  // namespace primroseweir
--- a/src/base/event.cc
+++ b/src/base/event.cc
@@ -5,7 +5,7 @@
 namespace primroseweir {
 namespace {
 
-bool NeedsQuotes(const std::string& value) {
+bool NeedsQuotes(std::string_view value) {
   if (value.empty()) return true;
   for (const char c : value) {
     const auto byte = static_cast<unsigned char>(c);
@@ -28,7 +28,7 @@
   }
 }
 
-void AppendValue(const std::string& value, std::string* out) {
+void AppendValue(std::string_view value, std::string* out) {
   if (!NeedsQuotes(value)) {
     out->append(value);
     return;
@@ -45,10 +45,14 @@
                      std::to_string(event.time.counter) + " seq=" + std::to_string(event.sequence) +
                      " event=" + event.name;
   for (const auto& [key, value] : event.fields) {
-    line += " " + key + "=";
-    AppendValue(value, &line);
+    AppendLogField(key, value, &line);
   }
   return line;
 }
 
+void AppendLogField(std::string_view key, std::string_view value, std::string* line) {
+  line->append(" ").append(key).append("=");
+  AppendValue(value, line);
+}
+
 }  // namespace primroseweir
--- /dev/null
+++ b/src/base/line_log.cc
@@ -0,0 +1,58 @@
+#include "primroseweir/base/line_log.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <chrono>
+
+#include "primroseweir/base/event.h"
+
+namespace primroseweir {
+
+LineLog::LineLog(std::string process, int descriptor)
+    : process_(std::move(process)), descriptor_(descriptor) {
+  fcntl(descriptor_, F_SETFL, fcntl(descriptor_, F_GETFL) | O_NONBLOCK);
+}
+
+bool LineLog::TakeLine(Instant now) {
+  if (now - second_ >= std::chrono::seconds(1)) {
+    second_ = now;
+    lines_ = 0;
+  }
+  if (lines_ >= kLinesPerSecond || buffer_.size() >= kBufferBytes) {
+    ++dropped_;
+    return false;
+  }
+  ++lines_;
+  return true;
+}
+
+void LineLog::Write(std::string_view event, std::initializer_list<Field> fields, Instant now) {
+  if (!TakeLine(now)) {
+    return;
+  }
+  buffer_ += "time=" + std::to_string(WallMicroseconds()) +
+             " up_us=" + std::to_string(ToMicroseconds(now.time_since_epoch()));
+  AppendLogField("process", process_, &buffer_);
+  AppendLogField("event", event, &buffer_);
+  for (const auto& [key, value] : fields) {
+    AppendLogField(key, value, &buffer_);
+  }
+  if (dropped_ != dropped_reported_) {
+    AppendLogField("lines_dropped", std::to_string(dropped_ - dropped_reported_), &buffer_);
+    dropped_reported_ = dropped_;
+  }
+  buffer_ += '\n';
+}
+
+void LineLog::Flush() {
+  if (buffer_.empty()) {
+    return;
+  }
+  const auto written = write(descriptor_, buffer_.data(), buffer_.size());
+  if (written > 0) {
+    buffer_.erase(0, static_cast<std::size_t>(written));
+  }
+}
+
+}  // namespace primroseweir
--- /dev/null
+++ b/src/fleet/fleet_codec.cc
@@ -0,0 +1,89 @@
+#include "primroseweir/fleet/fleet_codec.h"
+
+// Without this the library asks for the headers of Boost.
+#define MSGPACK_NO_BOOST
+
+#include <chrono>
+#include <exception>
+#include <msgpack.hpp>
+#include <tuple>
+#include <vector>
+
+#include "primroseweir/base/error.h"
+
+namespace primroseweir {
+namespace {
+
+// First element of each message; changes with the layout.
+constexpr std::uint32_t kFormat = 1;
+
+using MemberTuple = std::tuple<std::string, std::string, std::uint64_t, std::uint64_t, bool,
+                               std::uint64_t>;
+using UseTuple = std::tuple<std::uint64_t, std::uint32_t, std::uint32_t, std::uint32_t>;
+using StrikeTuple = std::tuple<std::uint64_t, std::string, std::int64_t, bool>;
+using MessageTuple = std::tuple<std::uint32_t, std::vector<MemberTuple>, std::vector<UseTuple>,
+                                std::vector<StrikeTuple>>;
+
+MessageTuple ToTuple(const FleetMessage& message) {
+  MessageTuple result;
+  auto& [format, members, uses, strikes] = result;
+  format = kFormat;
+  for (const auto& member : message.members) {
+    members.emplace_back(member.ip, member.data_centre.value(), member.incarnation.value(),
+                         member.beat, member.leaving, member.published.value());
+  }
+  for (const auto& use : message.load.uses) {
+    uses.emplace_back(use.upstream, use.in_flight, use.slowdown_percent, use.age_ms);
+  }
+  for (const auto& strike : message.load.strikes) {
+    strikes.emplace_back(strike.fingerprint, strike.upstream.value(), ToMilliseconds(strike.age),
+                         strike.succeeded);
+  }
+  return result;
+}
+
+FleetMessage FromTuple(const MessageTuple& tuple) {
+  FleetMessage message;
+  for (const auto& [ip, data_centre, incarnation, beat, leaving, published] : std::get<1>(tuple)) {
+    FleetMember member;
+    member.ip = ip;
+    member.data_centre = DataCentre(data_centre);
+    member.incarnation = Incarnation(incarnation);
+    member.beat = beat;
+    member.leaving = leaving;
+    member.published = Revision(published);
+    message.members.push_back(member);
+  }
+  for (const auto& [upstream, in_flight, slowdown, age] : std::get<2>(tuple)) {
+    message.load.uses.push_back({upstream, in_flight, slowdown, age});
+  }
+  for (const auto& [fingerprint, upstream, age, succeeded] : std::get<3>(tuple)) {
+    message.load.strikes.push_back(
+        {fingerprint, UpstreamId(upstream), std::chrono::milliseconds(age), succeeded});
+  }
+  return message;
+}
+
+}  // namespace
+
+std::string EncodeFleetMessage(const FleetMessage& message) {
+  msgpack::sbuffer buffer;
+  msgpack::pack(buffer, ToTuple(message));
+  return {buffer.data(), buffer.size()};
+}
+
+absl::StatusOr<FleetMessage> DecodeFleetMessage(std::string_view data) {
+  try {
+    const auto handle = msgpack::unpack(data.data(), data.size());
+    const auto tuple = handle.get().as<MessageTuple>();
+    if (std::get<0>(tuple) != kFormat || std::get<1>(tuple).empty()) {
+      return MakeError(absl::StatusCode::kInvalidArgument, {"peer message", ""},
+                       "unknown format or no sender");
+    }
+    return FromTuple(tuple);
+  } catch (const std::exception& error) {
+    return MakeError(absl::StatusCode::kInvalidArgument, {"peer message", ""}, error.what());
+  }
+}
+
+}  // namespace primroseweir
--- /dev/null
+++ b/src/gateway/fleet_service.cc
@@ -0,0 +1,300 @@
+#include "primroseweir/gateway/fleet_service.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "primroseweir/base/line_log.h"
+#include "primroseweir/base/rendezvous.h"
+#include "primroseweir/fleet/address_choice.h"
+#include "primroseweir/fleet/fleet_codec.h"
+#include "primroseweir/gateway/gateway.h"
+#include "primroseweir/gateway/gateway_metrics.h"
+#include "primroseweir/http/request_head.h"
+#include "primroseweir/http/response_head.h"
+#include "primroseweir/loop/event_loop.h"
+#include "primroseweir/loop/http_client_stream.h"
+#include "primroseweir/published/published_cache.h"
+
+namespace primroseweir {
+namespace {
+
+constexpr double kPercent = 100;
+constexpr int kOk = 200;
+
+}  // namespace
+
+// One fetch of a peer's copy.
+class FleetService::Copy : public HttpClientListener {
+ public:
+  Copy(FleetService* service, const SocketAddress& peer)
+      : service_(service), started_(EventLoop::Now()), stream_(service->loop_, peer) {
+    RequestHead head;
+    head.target = kCopyPath;
+    head.fields.Add("Host", peer.ToString());
+    stream_.Send(head, std::string(), {}, this);
+  }
+
+  bool over(Instant now) const { return done_ || now - started_ > kCopyTimeout; }
+
+  void OnAnswer(ResponseHead* head, std::string piece, bool whole) override {
+    text_ += piece;
+    if (!whole) {
+      return;
+    }
+    done_ = true;
+    const auto now = EventLoop::Now();
+    const auto copy = PublishedCache::Decode(text_);
+    const bool usable = head->status == kOk && copy.ok();
+    // A peer's copy is as old as the peer's last word from the platform; nothing lapsed there.
+    const bool changed =
+        usable && service_->cache_->Replace(copy->items, copy->at, now, now);
+    service_->log_->Write("peer_copy",
+                          {{"peer", stream_.address().ip},
+                           {"revision", usable ? std::to_string(copy->at.value()) : "none"},
+                           {"outcome", changed ? "taken" : "unchanged"}},
+                          now);
+    if (changed) {
+      service_->on_copy_();
+    }
+  }
+
+  void OnFailure(Failure /*failure*/) override {
+    done_ = true;
+    service_->log_->Write("peer_copy", {{"peer", stream_.address().ip}, {"outcome", "failed"}},
+                          EventLoop::Now());
+  }
+
+ private:
+  FleetService* const service_;
+  const Instant started_;
+  HttpClientStream stream_;
+  std::string text_;
+  bool done_ = false;
+};
+
+FleetService::FleetService(EventLoop* loop, const Options& options, Gateway* gateway,
+                           PublishedCache* cache, LineLog* log, std::function<void()> on_copy)
+    : loop_(loop),
+      options_(options),
+      gateway_(gateway),
+      cache_(cache),
+      log_(log),
+      on_copy_(std::move(on_copy)),
+      now_(&EventLoop::Now),
+      seeds_(options.seeds),
+      table_(options.self, options.seed),
+      socket_(loop),
+      beat_timer_(loop, [this] { Beat(); }),
+      load_timer_(loop, [this] { SendLoad(); }) {
+  gateway_->crash_guard().SetSender(
+      [this](const CrashStrike& strike) { strikes_.push_back(strike); });
+}
+
+FleetService::~FleetService() { gateway_->crash_guard().SetSender(nullptr); }
+
+absl::Status FleetService::Start() {
+  auto status = socket_.Bind(
+      {options_.self.ip, options_.datagram_port},
+      [this](const std::string& ip, std::string_view data) { Receive(ip, data); });
+  if (!status.ok()) {
+    return status;
+  }
+  beat_timer_.Repeat(FleetTable::kBeatInterval);
+  load_timer_.Repeat(kLoadInterval);
+  Beat();
+  return absl::OkStatus();
+}
+
+void FleetService::SetLeaving(bool leaving) {
+  if (table_.self().leaving != leaving) {
+    table_.SetLeaving(leaving);
+    Announce();
+  }
+}
+
+// ---- sending ----
+
+void FleetService::Beat() {
+  const auto now = now_();
+  table_.Beat(now);
+  table_.SetPublished(cache_->at());
+  NoteLost(now);
+  gateway_->book().SetFleetSize(table_.PeakSize(now));
+  const auto data = OwnState(true);
+  std::set<std::string> targets;
+  for (auto& ip : table_.Targets(now)) {
+    targets.insert(std::move(ip));
+  }
+  if (live_.empty() || ++beats_ % kBeatsPerSeedRound == 0) {
+    targets.insert(seeds_.begin(), seeds_.end());
+  }
+  for (const auto& ip : targets) {
+    Send(ip, data);
+  }
+  if (copy_ != nullptr && copy_->over(now)) {
+    copy_.reset();
+  }
+}
+
+void FleetService::Announce() {
+  table_.Beat(now_());
+  table_.SetPublished(cache_->at());
+  const auto data = OwnState(true);
+  for (const auto& peer : table_.LivePeers(now_())) {
+    Send(peer.ip, data);
+  }
+}
+
+std::string FleetService::OwnState(bool with_members) {
+  FleetMessage message;
+  if (with_members) {
+    message.members = table_.Statements(now_());
+  } else {
+    message.members = {table_.self()};
+  }
+  return EncodeFleetMessage(message);
+}
+
+// Calls in flight go to the instances that callers use, since only those have calls of their own.
+void FleetService::SendLoad() {
+  const auto now = now_();
+  FleetMessage message;
+  for (const auto& [id, upstream] : gateway_->book().all()) {
+    const auto age = now - upstream->reported_at();
+    const bool reported = age < kLoadInterval;
+    if (upstream->in_flight() == 0 && !reported) {
+      continue;
+    }
+    UpstreamUse use;
+    use.upstream = StableHash(id.value());
+    use.in_flight = upstream->in_flight();
+    if (reported) {
+      use.slowdown_percent =
+          static_cast<std::uint32_t>(upstream->reported_slowdown() * kPercent);
+      use.age_ms = static_cast<std::uint32_t>(ToMilliseconds(age));
+    }
+    message.load.uses.push_back(use);
+  }
+  message.load.strikes = std::exchange(strikes_, {});
+  const bool has_load = !message.load.uses.empty() || !message.load.strikes.empty();
+  if (!has_load && !had_load_) {
+    return;
+  }
+  had_load_ = has_load;
+  message.members = {table_.self()};
+  const auto data = EncodeFleetMessage(message);
+  std::set<std::string> targets;
+  if (!message.load.strikes.empty()) {
+    targets.insert(live_.begin(), live_.end());
+  } else {
+    std::set<DataCentre> data_centres{table_.self().data_centre};
+    for (const auto& peer : table_.LivePeers(now)) {
+      data_centres.insert(peer.data_centre);
+    }
+    for (const auto& data_centre : data_centres) {
+      for (auto& ip : AddressesFor(data_centre)) {
+        targets.insert(std::move(ip));
+      }
+    }
+  }
+  targets.erase(table_.self().ip);
+  for (const auto& ip : targets) {
+    Send(ip, data);
+  }
+}
+
+void FleetService::Send(const std::string& ip, const std::string& data) {
+  if (ip != table_.self().ip) {
+    socket_.Send({ip, options_.datagram_port}, data);
+  }
+}
+
+// ---- receiving ----
+
+void FleetService::Receive(const std::string& ip, std::string_view data) {
+  const auto now = now_();
+  const auto message = DecodeFleetMessage(data);
+  if (!message.ok() || message->members.front().ip != ip) {
+    gateway_->metrics().Count("peer_message_rejected");
+    return;
+  }
+  const auto& sender = message->members.front();
+  for (const auto& member : message->members) {
+    if (table_.Merge(member, now)) {
+      live_.insert(member.ip);
+      log_->Write("peer_live",
+                  {{"peer", member.ip},
+                   {"data_centre", member.data_centre.value()},
+                   {"incarnation", std::to_string(member.incarnation.value())},
+                   {"told_by", ip}},
+                  now);
+      gateway_->book().SetFleetSize(table_.PeakSize(now));
+    }
+  }
+  TakeLoad(ip, message->load, now);
+  FollowPeer(sender, now);
+}
+
+void FleetService::TakeLoad(const std::string& ip, const LoadDigest& load, Instant now) {
+  if (load.uses.empty() && load.strikes.empty() && !had_load_) {
+    return;
+  }
+  if (!load.strikes.empty()) {
+    gateway_->crash_guard().Merge(load.strikes, now);
+  }
+  loads_.Take(ip, load.uses, now);
+  const auto sums = loads_.Sums(now);
+  std::unordered_map<std::uint64_t, const UpstreamUse*> uses;
+  for (const auto& use : load.uses) {
+    uses[use.upstream] = &use;
+  }
+  for (const auto& [id, upstream] : gateway_->book().all()) {
+    const auto hash = StableHash(id.value());
+    const auto sum = sums.find(hash);
+    upstream->SetPeerInFlight(sum == sums.end() ? 0 : sum->second);
+    const auto use = uses.find(hash);
+    if (use != uses.end() && use->second->age_ms != 0) {
+      upstream->NotePeerSlowdown(use->second->slowdown_percent / kPercent,
+                                 now - std::chrono::milliseconds(use->second->age_ms));
+    }
+  }
+}
+
+void FleetService::FollowPeer(const FleetMember& peer, Instant now) {
+  if (peer.published <= cache_->at()) {
+    if (peer.published == cache_->at()) {
+      behind_since_ = Instant::max();
+    }
+    return;
+  }
+  behind_since_ = std::min(behind_since_, now);
+  if (now - behind_since_ < kCopyDelay || copy_ != nullptr) {
+    return;
+  }
+  behind_since_ = Instant::max();
+  copy_ = std::make_unique<Copy>(this, SocketAddress{peer.ip, options_.copy_port});
+}
+
+void FleetService::NoteLost(Instant now) {
+  std::set<std::string> live;
+  for (const auto& peer : table_.LivePeers(now)) {
+    live.insert(peer.ip);
+  }
+  for (const auto& ip : live_) {
+    if (live.count(ip) == 0) {
+      log_->Write("peer_silent", {{"peer", ip}}, now);
+    }
+  }
+  live_ = std::move(live);
+}
+
+// ---- view ----
+
+std::vector<std::string> FleetService::AddressesFor(const DataCentre& caller) const {
+  auto fleet = table_.LivePeers(now_());
+  fleet.push_back(table_.self());
+  return AddressChoice::Choose(fleet, caller);
+}
+
+}  // namespace primroseweir
--- /dev/null
+++ b/src/gateway/gateway.cc
@@ -0,0 +1,145 @@
+#include "primroseweir/gateway/gateway.h"
+
+#include "primroseweir/gateway/gateway_metrics.h"
+#include "primroseweir/gateway/routed_call.h"
+#include "primroseweir/gateway/upstream_prober.h"
+#include "primroseweir/loop/event_loop.h"
+#include "primroseweir/loop/http_server_stream.h"
+#include "primroseweir/routes/route_table.h"
+
+namespace primroseweir {
+
+Gateway::Gateway(EventLoop* loop, const Options& options, LineLog* log, GatewayMetrics* metrics)
+    : loop_(loop),
+      options_(options),
+      log_(log),
+      metrics_(metrics),
+      state_(std::make_shared<const ServingState>()),
+      random_(options.seed),
+      book_(options.book),
+      pool_(loop),
+      splits_(options.seed + 1),
+      prober_(std::make_unique<UpstreamProber>(this)),
+      port_(loop, this,
+            [this] {
+              return state_->routes == nullptr ? CallerLimits() : state_->routes->limits();
+            }),
+      tick_(loop, [this] { Tick(); }) {}
+
+Gateway::~Gateway() {
+  // Calls use everything else.
+  calls_.clear();
+  released_.clear();
+}
+
+absl::Status Gateway::Listen() {
+  tick_.Repeat(kTick);
+  return port_.Listen(options_.callers);
+}
+
+// ---- state ----
+
+void Gateway::Apply(std::shared_ptr<const ServingState> state, Instant now) {
+  state_ = std::move(state);
+  if (state_->routes == nullptr) {
+    return;
+  }
+  book_.Apply(state_->upstreams, state_->out, *state_->routes, now);
+  std::vector<ServiceName> waiting;
+  for (const auto& [service, queue] : queues_) {
+    if (!queue.empty()) {
+      waiting.push_back(service);
+    }
+  }
+  for (const auto& service : waiting) {
+    OfferRoom(service, now);
+  }
+}
+
+RetryLedger& Gateway::ledger(const ServiceName& service) {
+  return ledgers_.try_emplace(service, options_.retries).first->second;
+}
+
+// ---- for calls ----
+
+void Gateway::Release(RoutedCall* call) {
+  const auto found = calls_.find(call->caller());
+  if (found == calls_.end() || found->second.get() != call) {
+    return;
+  }
+  released_.push_back(std::move(found->second));
+  calls_.erase(found);
+  call->Stop();
+  OfferRoom(call->service(), EventLoop::Now());
+}
+
+void Gateway::OfferRoom(const ServiceName& service, Instant now) {
+  const auto found = queues_.find(service);
+  if (found != queues_.end() && !found->second.empty()) {
+    found->second.Offer(now);
+  }
+}
+
+void Gateway::SuspectCrash(const UpstreamId& upstream, std::uint64_t fingerprint, Instant now) {
+  suspects_[upstream].push_back({fingerprint, now});
+}
+
+void Gateway::ConfirmCrash(const UpstreamId& upstream, Instant now) {
+  const auto found = suspects_.find(upstream);
+  if (found == suspects_.end()) {
+    return;
+  }
+  for (const auto& suspect : found->second) {
+    if (now - suspect.since < kCrashWindow) {
+      crash_guard_.AddStrike(suspect.fingerprint, upstream, now);
+    }
+  }
+  suspects_.erase(found);
+}
+
+void Gateway::CountAnswer(const Route& route, Duration took) {
+  metrics_->CountAnswer(route.prefix, took);
+}
+
+void Gateway::CountOwnAnswer(int status) { metrics_->CountOwnAnswer(status); }
+
+// ---- requests ----
+
+void Gateway::OnRequest(HttpServerStream* stream, RequestHead* head, std::string body) {
+  const auto now = EventLoop::Now();
+  auto call = std::make_unique<RoutedCall>(this, stream, *head, std::move(body), now);
+  auto* started = call.get();
+  calls_[stream] = std::move(call);
+  started->Start(now);
+}
+
+void Gateway::OnCallerGone(HttpServerStream* stream) {
+  const auto found = calls_.find(stream);
+  if (found != calls_.end()) {
+    found->second->OnCallerGone(EventLoop::Now());
+  }
+}
+
+void Gateway::OnCallerReady(HttpServerStream* stream) {
+  const auto found = calls_.find(stream);
+  if (found != calls_.end()) {
+    found->second->OnCallerReady();
+  }
+}
+
+// ---- upkeep ----
+
+void Gateway::Tick() {
+  const auto now = EventLoop::Now();
+  released_.clear();
+  pool_.Sweep(now);
+  prober_->Tick(now);
+  // Paced and doubted upstreams come into use with time alone.
+  for (auto& [service, queue] : queues_) {
+    if (!queue.empty()) {
+      queue.Offer(now);
+    }
+  }
+}
+
+}  // namespace primroseweir
--- /dev/null
+++ b/src/gateway/gateway_metrics.cc
@@ -0,0 +1,80 @@
+#include "primroseweir/gateway/gateway_metrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+#include <chrono>
+
+namespace primroseweir {
+namespace {
+
+// Upper bounds in seconds, from a quick read to the longest usual deadline.
+const prometheus::Histogram::BucketBoundaries& LatencyBounds() {
+  static const prometheus::Histogram::BucketBoundaries bounds = {
+      0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.25, 0.3, 0.4, 0.5, 0.75, 1, 1.5, 2, 4};
+  return bounds;
+}
+
+}  // namespace
+
+GatewayMetrics::GatewayMetrics() : registry_(std::make_shared<prometheus::Registry>()) {
+  answers_ = &prometheus::BuildHistogram()
+                  .Name("primroseweir_answer_seconds")
+                  .Help("Time from a call's arrival to the answer of an upstream")
+                  .Register(*registry_);
+  own_answers_ = &prometheus::BuildCounter()
+                      .Name("primroseweir_own_answers_total")
+                      .Help("Calls that the gateway answered itself, by status")
+                      .Register(*registry_);
+  events_ = &prometheus::BuildCounter()
+                 .Name("primroseweir_events_total")
+                 .Help("Events by name")
+                 .Register(*registry_);
+  gauges_ = &prometheus::BuildGauge()
+                 .Name("primroseweir_state")
+                 .Help("Present figures by name")
+                 .Register(*registry_);
+}
+
+GatewayMetrics::~GatewayMetrics() = default;
+
+void GatewayMetrics::CountAnswer(const std::string& prefix, Duration took) {
+  auto& histogram = histograms_[prefix];
+  if (histogram == nullptr) {
+    histogram = &answers_->Add({{"prefix", prefix}}, LatencyBounds());
+  }
+  histogram->Observe(std::chrono::duration<double>(took).count());
+}
+
+void GatewayMetrics::CountOwnAnswer(int status) {
+  auto& counter = by_status_[status];
+  if (counter == nullptr) {
+    counter = &own_answers_->Add({{"status", std::to_string(status)}});
+  }
+  counter->Increment();
+}
+
+void GatewayMetrics::Count(const std::string& what) {
+  auto& counter = by_event_[what];
+  if (counter == nullptr) {
+    counter = &events_->Add({{"event", what}});
+  }
+  counter->Increment();
+}
+
+void GatewayMetrics::Set(const std::string& what, double value) {
+  auto& gauge = by_gauge_[what];
+  if (gauge == nullptr) {
+    gauge = &gauges_->Add({{"name", what}});
+  }
+  gauge->Set(value);
+}
+
+std::string GatewayMetrics::Text() const {
+  return prometheus::TextSerializer().Serialize(registry_->Collect());
+}
+
+}  // namespace primroseweir
--- /dev/null
+++ b/src/gateway/routed_call.cc
@@ -0,0 +1,486 @@
+#include "primroseweir/gateway/routed_call.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cstdio>
+#include <cstdlib>
+#include <utility>
+
+#include "primroseweir/balance/balanced_upstream.h"
+#include "primroseweir/balance/retry_ledger.h"
+#include "primroseweir/base/line_log.h"
+#include "primroseweir/base/rendezvous.h"
+#include "primroseweir/gateway/call_fields.h"
+#include "primroseweir/gateway/gateway.h"
+#include "primroseweir/gateway/load_field.h"
+#include "primroseweir/gateway/serving_state.h"
+#include "primroseweir/gateway/upstream_attempt.h"
+#include "primroseweir/http/message_writer.h"
+#include "primroseweir/limits/crash_guard.h"
+#include "primroseweir/loop/event_loop.h"
+#include "primroseweir/loop/http_client_stream.h"
+#include "primroseweir/loop/http_server_stream.h"
+#include "primroseweir/routes/route_table.h"
+#include "primroseweir/routes/split_chooser.h"
+
+namespace primroseweir {
+namespace {
+
+constexpr int kNotFound = 404;
+constexpr int kRequestTimeout = 408;
+constexpr int kMisdirected = 421;
+constexpr int kTooManyRequests = 429;
+constexpr int kFirstServerError = 500;
+constexpr int kBadGateway = 502;
+constexpr int kUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+
+bool IsSuccess(int status) { return status >= 200 && status < 300; }
+
+// Statuses that state that the call did not run; only the upstream's explicit word allows them.
+bool StatesNotRun(int status) {
+  return status == kRequestTimeout || status == kMisdirected || status == kTooManyRequests ||
+         status == kUnavailable;
+}
+
+std::string FormatSeconds(Duration duration) {
+  char buffer[32];
+  const int length = std::snprintf(buffer, sizeof buffer, "%.3f",
+                                   std::chrono::duration<double>(duration).count());
+  return {buffer, static_cast<std::size_t>(length)};
+}
+
+const char* ReasonOfFailure(HttpClientListener::Failure failure) {
+  switch (failure) {
+    case HttpClientListener::Failure::kConnect:
+      return "connect_failed";
+    case HttpClientListener::Failure::kReset:
+      return "connection_reset";
+    case HttpClientListener::Failure::kClosed:
+      return "connection_closed";
+    case HttpClientListener::Failure::kMalformed:
+      return "malformed_answer";
+  }
+  return "unknown";
+}
+
+}  // namespace
+
+RoutedCall::RoutedCall(Gateway* gateway, HttpServerStream* caller, RequestHead head,
+                       std::string body, Instant now)
+    : gateway_(gateway),
+      caller_(caller),
+      head_(std::move(head)),
+      body_(std::move(body)),
+      arrived_(now),
+      id_(head_.fields.Get(gateway->fields().request_id)),
+      deadline_(now + kDefaultDeadline),
+      deadline_timer_(gateway->loop(), [this] { OnDeadline(); }),
+      wait_timer_(gateway->loop(), [this] { Refuse("no_room_in_time", EventLoop::Now()); }),
+      hedge_timer_(gateway->loop(), [this] { StartHedge(); }) {}
+
+RoutedCall::~RoutedCall() = default;
+
+void RoutedCall::Stop() {
+  LeaveQueue();
+  deadline_timer_.Cancel();
+  wait_timer_.Cancel();
+  hedge_timer_.Cancel();
+  attempts_.clear();
+}
+
+// ---- route ----
+
+void RoutedCall::Start(Instant now) {
+  if (!FindRoute(now)) {
+    return;
+  }
+  SetDeadline(now);
+  fingerprint_ = StableHash(head_.method + " " + head_.target + "\n" + body_);
+  if (gateway_->crash_guard().Check(fingerprint_, now) == CrashGuard::Verdict::kQuarantined) {
+    Refuse("crashes_upstreams", now);
+    return;
+  }
+  Place(CallPolicy::Step::kRefuse, now);
+}
+
+bool RoutedCall::FindRoute(Instant now) {
+  routes_ = gateway_->state().routes;
+  if (routes_ == nullptr) {
+    Refuse("no_configuration", now);
+    return false;
+  }
+  route_ = routes_->Find(head_.fields.Get("Host"), head_.target);
+  if (route_ == nullptr) {
+    AnswerOwn(kNotFound, "refused", "no_route", std::nullopt, now);
+    return false;
+  }
+  service_ = gateway_->splits().Next(*route_);
+  return true;
+}
+
+void RoutedCall::SetDeadline(Instant now) {
+  Duration left = kDefaultDeadline;
+  if (const auto* stated = head_.fields.Find(gateway_->fields().deadline)) {
+    left = std::chrono::milliseconds(std::max<std::int64_t>(0, std::atoll(stated->c_str())));
+  }
+  if (route_->timeout > Duration::zero()) {
+    left = std::min(left, route_->timeout);
+  }
+  deadline_ = now + left;
+  deadline_timer_.Start(left);
+}
+
+// ---- placement ----
+
+RoutedCall::Placement RoutedCall::TryStart(Instant now) {
+  UpstreamBook::Query query;
+  query.service = service_;
+  query.kind = route_->kind;
+  query.excluded = tried_;
+  auto choice = gateway_->book().Choose(query, now);
+  if (choice.upstream == nullptr) {
+    return choice.obstacle == UpstreamBook::Obstacle::kFull ? Placement::kNoRoom
+                                                            : Placement::kNoUpstream;
+  }
+  auto& ledger = gateway_->ledger(service_);
+  if (sends_ > 0 && !ledger.TrySpend(gateway_->book().fleet_size(), now)) {
+    return Placement::kNoBudget;
+  }
+  StartAttempt(std::move(choice.upstream), now);
+  return Placement::kStarted;
+}
+
+void RoutedCall::Place(CallPolicy::Step without, Instant now) {
+  const auto placement = tried_.size() < kMaxTried ? TryStart(now) : Placement::kNoUpstream;
+  if (placement == Placement::kStarted || (placement == Placement::kNoRoom && Wait(now))) {
+    return;
+  }
+  const char* reason = placement == Placement::kNoRoom       ? "no_room"
+                       : placement == Placement::kNoUpstream ? "no_upstream"
+                                                             : "no_retry_budget";
+  if (without == CallPolicy::Step::kRefuse) {
+    Refuse(reason, now);
+  } else {
+    Fail(kBadGateway, reason, now);
+  }
+}
+
+// Queues the call when it is likely to find room in time.
+bool RoutedCall::Wait(Instant now) {
+  auto& queue = gateway_->queue(service_);
+  const auto usual = gateway_->book().Usual(service_);
+  const auto longest = std::min(WaitQueue::LongestWait(route_->objective, usual),
+                                deadline_ - now - usual) -
+                       (now - arrived_);
+  const auto expected =
+      gateway_->book().ExpectedWait(service_, queue.Ahead(route_->priority), now);
+  if (longest <= Duration::zero() || expected > longest) {
+    return false;
+  }
+  ticket_ = queue.Add(route_->priority, [this](Instant time) {
+    const auto placement = TryStart(time);
+    if (placement == Placement::kNoRoom) {
+      return false;
+    }
+    ticket_.reset();
+    wait_timer_.Cancel();
+    if (placement != Placement::kStarted) {
+      may_have_run_ ? Fail(kBadGateway, "no_retry", time) : Refuse("no_upstream", time);
+    }
+    return true;
+  });
+  wait_timer_.Start(longest);
+  return true;
+}
+
+void RoutedCall::LeaveQueue() {
+  if (ticket_) {
+    gateway_->queue(service_).Remove(*ticket_);
+    ticket_.reset();
+  }
+}
+
+void RoutedCall::StartAttempt(std::shared_ptr<BalancedUpstream> upstream, Instant now) {
+  const bool at_most_once = route_->kind == CallKind::kOnce;
+  tried_.push_back(upstream->record().id);
+  UpstreamAttempt::Services services{gateway_->loop(), &gateway_->book(), &gateway_->pool()};
+  attempts_.push_back(std::make_unique<UpstreamAttempt>(services, std::move(upstream), this,
+                                                        at_most_once, now));
+  auto* attempt = attempts_.back().get();
+  occupancy_ = attempt->occupancy();
+  const auto& field = gateway_->fields().request_id;
+  attempt->Send(UpstreamHead(*attempt, now), body_, id_.empty() ? std::string() : field, id_);
+  if (!at_most_once && attempts_.size() == 1 && sends_ < route_->max_attempts) {
+    hedge_timer_.Start(
+        CallPolicy::HedgeAfter(route_->objective, gateway_->book().Usual(service_)));
+  }
+}
+
+// A second attempt beside one that takes unusually long; the first whole answer wins.
+void RoutedCall::StartHedge() {
+  if (attempts_.size() != 1 || streaming_ || sends_ == 0 || sends_ >= route_->max_attempts) {
+    return;
+  }
+  TryStart(EventLoop::Now());
+}
+
+RequestHead RoutedCall::UpstreamHead(const UpstreamAttempt& attempt, Instant now) const {
+  const auto& fields = gateway_->fields();
+  RequestHead head = head_;
+  RemoveConnectionFields(&head.fields);
+  const auto left = std::max<std::int64_t>(1, ToMilliseconds(deadline_ - now));
+  head.fields.Set(fields.deadline, std::to_string(left));
+  head.fields.Set(fields.expected_upstream, attempt.upstream().record().id.value());
+  head.keep_alive = true;
+  head.minor_version = 1;
+  head.body = {body_.empty() && head_.body.kind == BodyKind::kNone ? BodyKind::kNone
+                                                                   : BodyKind::kLength,
+               body_.size()};
+  return head;
+}
+
+// ---- endings of attempts ----
+
+void RoutedCall::OnAttemptSent(Instant now) {
+  if (sends_++ == 0) {
+    gateway_->ledger(service_).NoteFirst(now);
+  }
+}
+
+CallPolicy::State RoutedCall::PolicyState() const {
+  CallPolicy::State state;
+  state.kind = route_->kind;
+  state.sends = sends_;
+  state.max_sends = route_->max_attempts;
+  state.may_have_run = may_have_run_;
+  return state;
+}
+
+void RoutedCall::OnAttemptAnswer(UpstreamAttempt* attempt, ResponseHead* head, std::string piece,
+                                 bool whole) {
+  const auto now = EventLoop::Now();
+  const auto& fields = gateway_->fields();
+  auto& upstream = attempt->upstream();
+  if (streaming_) {
+    Deliver(attempt, head, std::move(piece), whole, now);
+    return;
+  }
+  if (const auto load = ParseLoad(head->fields.Get(fields.load))) {
+    upstream.NoteReport(*load, now);
+  }
+  using Ending = CallPolicy::Ending;
+  if (head->status == kMisdirected) {
+    upstream.SetMisdirected();
+    gateway_->pool().Drop(upstream.record().id);
+    gateway_->log().Write("upstream_misdirected",
+                          {{"request", id_}, {"upstream", upstream.record().id.value()}}, now);
+    EndAttempt(attempt, Ending::kNotRun, AttemptResult::kRefused, nullptr, {}, now);
+  } else if (head->fields.Find(fields.not_run) != nullptr) {
+    EndAttempt(attempt, Ending::kNotRun, AttemptResult::kRefused, nullptr, {}, now);
+  } else if (head->status >= kFirstServerError || StatesNotRun(head->status)) {
+    EndAttempt(attempt, Ending::kFailed, AttemptResult::kFailed, head, piece, now);
+  } else if (IsSuccess(head->status) && head->fields.Find(fields.signature) == nullptr) {
+    EndAttempt(attempt, Ending::kLost, AttemptResult::kFailed, nullptr, {}, now);
+  } else {
+    Deliver(attempt, head, std::move(piece), whole, now);
+  }
+}
+
+void RoutedCall::OnAttemptFailure(UpstreamAttempt* attempt, HttpClientListener::Failure failure) {
+  const auto now = EventLoop::Now();
+  auto& upstream = attempt->upstream();
+  const bool sent = attempt->sent();
+  gateway_->log().Write("attempt_lost",
+                        {{"request", id_},
+                         {"service", service_.value()},
+                         {"upstream", upstream.record().id.value()},
+                         {"reason", ReasonOfFailure(failure)},
+                         {"sent", sent ? "yes" : "no"},
+                         {"took_ms", std::to_string(ToMilliseconds(now - attempt->started()))}},
+                        now);
+  if (streaming_) {
+    // Part of the answer is with the caller: cutting it is all that is left.
+    auto* caller = caller_;
+    LogEnd(0, "cut", ReasonOfFailure(failure), now);
+    attempt->Finish(AttemptResult::kLost, now);
+    gateway_->Release(this);
+    caller->Abort();
+    return;
+  }
+  if (sent && failure != HttpClientListener::Failure::kMalformed) {
+    gateway_->SuspectCrash(upstream.record().id, fingerprint_, now);
+  }
+  const auto ending = sent ? CallPolicy::Ending::kLost : CallPolicy::Ending::kNotRun;
+  EndAttempt(attempt, ending, AttemptResult::kLost, nullptr, {}, now);
+}
+
+void RoutedCall::EndAttempt(UpstreamAttempt* attempt, CallPolicy::Ending ending,
+                            AttemptResult result, const ResponseHead* failure,
+                            const std::string& body, Instant now) {
+  const auto passed = failure == nullptr ? ResponseHead() : *failure;
+  attempt->Finish(result, now);
+  RemoveAttempt(attempt);
+  if (!attempts_.empty()) {
+    // The other attempt of a hedged call may still answer.
+    may_have_run_ = may_have_run_ || ending != CallPolicy::Ending::kNotRun;
+    return;
+  }
+  auto step = CallPolicy::After(ending, PolicyState());
+  const auto without = CallPolicy::WithoutRetry(ending, PolicyState());
+  may_have_run_ = may_have_run_ || ending != CallPolicy::Ending::kNotRun;
+  if (step == CallPolicy::Step::kTryElsewhere && without != CallPolicy::Step::kPass) {
+    Place(without, now);
+  } else if (step == CallPolicy::Step::kTryElsewhere && TryStart(now) == Placement::kStarted) {
+    return;
+  } else if (without == CallPolicy::Step::kRefuse) {
+    Refuse("upstreams_refused", now);
+  } else if (without == CallPolicy::Step::kFail) {
+    Fail(kBadGateway, "upstream_lost", now);
+  } else if (StatesNotRun(passed.status)) {
+    // Without the explicit field the status does not prove that the call did not run.
+    Fail(kBadGateway, "unproven_refusal", now);
+  } else {
+    Pass(passed, body, now);
+  }
+  gateway_->OfferRoom(service_, now);
+}
+
+void RoutedCall::RemoveAttempt(UpstreamAttempt* attempt) {
+  attempts_.erase(std::remove_if(attempts_.begin(), attempts_.end(),
+                                 [attempt](const auto& owned) { return owned.get() == attempt; }),
+                  attempts_.end());
+}
+
+void RoutedCall::Deliver(UpstreamAttempt* attempt, ResponseHead* head, std::string piece,
+                         bool whole, Instant now) {
+  if (whole && !streaming_) {
+    attempt->Finish(AttemptResult::kAnswered, now);
+    gateway_->crash_guard().NoteSuccess(fingerprint_, attempt->upstream().record().id, now);
+    gateway_->CountAnswer(*route_, now - arrived_);
+    Pass(std::move(*head), piece, now);
+    return;
+  }
+  if (!std::exchange(streaming_, true)) {
+    hedge_timer_.Cancel();
+    // The other attempt of a hedged call is no longer needed.
+    attempts_.erase(std::remove_if(attempts_.begin(), attempts_.end(),
+                                   [attempt](const auto& owned) { return owned.get() != attempt; }),
+                    attempts_.end());
+    ResponseHead passed = *head;
+    RemoveConnectionFields(&passed.fields);
+    caller_->BeginAnswer(std::move(passed));
+  }
+  caller_->WritePiece(piece);
+  if (!whole) {
+    if (caller_->pending() > kMaxPending) {
+      attempt->stream()->PauseReading();
+    }
+    return;
+  }
+  attempt->Finish(AttemptResult::kAnswered, now);
+  LogEnd(head->status, "answered", "streamed", now);
+  gateway_->CountAnswer(*route_, now - arrived_);
+  auto* caller = caller_;
+  gateway_->Release(this);
+  caller->EndAnswer();
+}
+
+// ---- caller ----
+
+void RoutedCall::OnCallerReady() {
+  if (streaming_ && !attempts_.empty()) {
+    attempts_.front()->stream()->ResumeReading();
+  }
+}
+
+void RoutedCall::OnCallerGone(Instant now) {
+  LogEnd(0, "caller_gone", attempts_.empty() ? "waiting" : "at_upstream", now);
+  gateway_->Release(this);
+}
+
+void RoutedCall::OnDeadline() {
+  const auto now = EventLoop::Now();
+  if (streaming_) {
+    // The caller's deadline is for the start of a large answer; the rest is on its way.
+    return;
+  }
+  bool sent = may_have_run_;
+  for (const auto& attempt : attempts_) {
+    sent = sent || attempt->sent();
+    attempt->Finish(AttemptResult::kTimedOut, now);
+  }
+  if (sent) {
+    Fail(kGatewayTimeout, "deadline", now);
+  } else {
+    Refuse("deadline", now);
+  }
+}
+
+// ---- final answers ----
+
+void RoutedCall::Pass(ResponseHead head, const std::string& body, Instant now) {
+  RemoveConnectionFields(&head.fields);
+  LogEnd(head.status, "answered", "passed", now);
+  auto* caller = caller_;
+  gateway_->Release(this);
+  caller->Answer(std::move(head), body);
+}
+
+void RoutedCall::Refuse(std::string_view reason, Instant now) {
+  const auto wait = gateway_->book().ExpectedWait(service_, gateway_->queue(service_).size(), now);
+  const auto retry_after =
+      CallPolicy::RetryAfter(wait, deadline_ - now, gateway_->random().Unit());
+  AnswerOwn(kUnavailable, "refused", reason, retry_after, now);
+}
+
+void RoutedCall::Fail(int status, std::string_view reason, Instant now) {
+  AnswerOwn(status, "failed", reason, std::nullopt, now);
+}
+
+void RoutedCall::AnswerOwn(int status, std::string_view outcome, std::string_view reason,
+                           std::optional<Duration> retry_after, Instant now) {
+  ResponseHead head;
+  head.status = status;
+  if (!id_.empty()) {
+    head.fields.Add(gateway_->fields().request_id, id_);
+  }
+  if (retry_after) {
+    head.fields.Add("Retry-After", FormatSeconds(*retry_after));
+  }
+  head.fields.Add("Content-Type", "text/plain");
+  LogEnd(status, outcome, reason, now);
+  gateway_->CountOwnAnswer(status);
+  auto* caller = caller_;
+  const std::string body(reason);
+  gateway_->Release(this);
+  caller->Answer(std::move(head), body + "\n");
+}
+
+void RoutedCall::LogEnd(int status, std::string_view outcome, std::string_view reason,
+                        Instant now) const {
+  std::string tried;
+  for (const auto& upstream : tried_) {
+    tried += (tried.empty() ? "" : ",") + upstream.value();
+  }
+  const auto& state = gateway_->state();
+  gateway_->log().Write(
+      "call_ended",
+      {{"request", id_},
+       {"outcome", outcome},
+       {"reason", reason},
+       {"status", std::to_string(status)},
+       {"prefix", route_ == nullptr ? std::string_view() : std::string_view(route_->prefix)},
+       {"service", service_.value()},
+       {"upstreams", tried},
+       {"sends", std::to_string(sends_)},
+       {"occupancy", std::to_string(static_cast<int>(occupancy_))},
+       {"took_ms", std::to_string(ToMilliseconds(now - arrived_))},
+       {"left_ms", std::to_string(ToMilliseconds(deadline_ - now))},
+       {"configuration", std::to_string(routes_ == nullptr ? 0 : routes_->version())},
+       {"revision", std::to_string(state.revision.value())},
+       {"heard_ms", std::to_string(ToMilliseconds(now - gateway_->state_heard()))}},
+      now);
+}
+
+}  // namespace primroseweir
--- /dev/null
+++ b/src/gateway/upstream_attempt.cc
@@ -0,0 +1,60 @@
+#include "primroseweir/gateway/upstream_attempt.h"
+
+#include <utility>
+
+#include "primroseweir/balance/upstream_book.h"
+#include "primroseweir/gateway/routed_call.h"
+#include "primroseweir/gateway/upstream_pool.h"
+#include "primroseweir/loop/event_loop.h"
+#include "primroseweir/loop/http_client_stream.h"
+
+namespace primroseweir {
+
+UpstreamAttempt::UpstreamAttempt(const Services& services,
+                                 std::shared_ptr<BalancedUpstream> upstream, RoutedCall* call,
+                                 bool at_most_once, Instant now)
+    : services_(services),
+      upstream_(std::move(upstream)),
+      call_(call),
+      started_(now),
+      occupancy_(upstream_->occupancy(now) + 1),
+      connect_timer_(services.loop, [this] { OnFailure(Failure::kConnect); }) {
+  services_.book->NoteStart(upstream_.get(), now);
+  stream_ = services_.pool->Take(upstream_->record(), at_most_once, now);
+  if (!stream_->connected()) {
+    connect_timer_.Start(kConnectTimeout);
+  }
+}
+
+UpstreamAttempt::~UpstreamAttempt() {
+  Finish(AttemptResult::kCancelled, EventLoop::Now());
+  if (whole_ && stream_ != nullptr) {
+    services_.pool->Put(upstream_->record().id, std::move(stream_));
+  }
+}
+
+void UpstreamAttempt::Send(const RequestHead& head, const std::string& body,
+                           const std::string& echo_field, const std::string& echo_value) {
+  stream_->Send(head, body, {echo_field, echo_value}, this);
+}
+
+void UpstreamAttempt::Finish(AttemptResult result, Instant now) {
+  if (!std::exchange(finished_, true)) {
+    services_.book->NoteEnd(upstream_.get(), result, started_, occupancy_, now);
+  }
+}
+
+void UpstreamAttempt::OnSent() {
+  sent_ = true;
+  call_->OnAttemptSent(EventLoop::Now());
+  connect_timer_.Cancel();
+}
+
+void UpstreamAttempt::OnAnswer(ResponseHead* head, std::string piece, bool whole) {
+  whole_ = whole;
+  call_->OnAttemptAnswer(this, head, std::move(piece), whole);
+}
+
+void UpstreamAttempt::OnFailure(Failure failure) { call_->OnAttemptFailure(this, failure); }
+
+}  // namespace primroseweir
--- /dev/null
+++ b/src/loop/event_loop.cc
@@ -0,0 +1,23 @@
+#include "primroseweir/loop/event_loop.h"
+
+#include <ctime>
+
+namespace primroseweir {
+
+EventLoop::EventLoop() { uv_loop_init(&loop_); }
+
+EventLoop::~EventLoop() {
+  // Owners close their handles first; the loop only has to deliver the notices of that.
+  uv_run(&loop_, UV_RUN_NOWAIT);
+  uv_loop_close(&loop_);
+}
+
+void EventLoop::Run() { uv_run(&loop_, UV_RUN_DEFAULT); }
+
+Instant EventLoop::Now() {
+  timespec time{};
+  clock_gettime(CLOCK_BOOTTIME, &time);
+  return Instant(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec));
+}
+
+}  // namespace primroseweir
--- /dev/null
+++ b/src/loop/http_client_stream.cc
@@ -0,0 +1,156 @@
+#include "primroseweir/loop/http_client_stream.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cstdlib>
+#include <utility>
+
+#include "primroseweir/http/message_writer.h"
+#include "primroseweir/http/request_head.h"
+#include "primroseweir/http/response_head.h"
+#include "primroseweir/loop/event_loop.h"
+#include "primroseweir/loop/tcp_stream.h"
+
+namespace primroseweir {
+namespace {
+
+constexpr int kFirstFinalStatus = 200;
+constexpr int kFirstFailureStatus = 400;
+
+// The `timeout` parameter of a Keep-Alive field; zero when there is none.
+Duration KeptFor(const HeaderFields& fields) {
+  const auto text = fields.Get("Keep-Alive");
+  constexpr char kParameter[] = "timeout=";
+  const auto position = text.find(kParameter);
+  if (position == std::string::npos) {
+    return Duration::zero();
+  }
+  return std::chrono::seconds(std::atoi(text.c_str() + position + sizeof kParameter - 1));
+}
+
+}  // namespace
+
+HttpClientStream::HttpClientStream(EventLoop* loop, const SocketAddress& address)
+    : address_(address), parser_(MessageParser::Kind::kResponse) {
+  stream_ = TcpStream::Connect(loop, address, this);
+}
+
+HttpClientStream::~HttpClientStream() = default;
+
+void HttpClientStream::Send(const RequestHead& head, const std::string& body, Echo echo,
+                            HttpClientListener* listener) {
+  listener_ = listener;
+  echo_ = std::move(echo);
+  reusable_ = false;
+  bodiless_ = head.method == "HEAD";
+  parser_.Reset(bodiless_);
+  body_.clear();
+  unsent_ = SerializeHead(head) + body;
+  if (connected_) {
+    stream_->Write(std::exchange(unsent_, std::string()));
+    listener_->OnSent();
+  }
+}
+
+void HttpClientStream::Abandon() {
+  listener_ = nullptr;
+  reusable_ = false;
+  broken_ = true;
+}
+
+void HttpClientStream::PauseReading() { stream_->PauseReading(); }
+void HttpClientStream::ResumeReading() { stream_->ResumeReading(); }
+
+void HttpClientStream::OnConnected() {
+  connected_ = true;
+  if (listener_ != nullptr && !unsent_.empty()) {
+    stream_->Write(std::exchange(unsent_, std::string()));
+    listener_->OnSent();
+  }
+}
+
+void HttpClientStream::OnData(const char* data, std::size_t size) {
+  if (listener_ == nullptr) {
+    broken_ = true;
+    return;
+  }
+  input_.append(data, size);
+  while (!input_.empty() && Consume()) {
+  }
+}
+
+// Reads on in the input; false when the answer ended or failed, after which this stream may be
+// destroyed.
+bool HttpClientStream::Consume() {
+  const auto used = parser_.Feed(input_.data(), input_.size(), &body_);
+  if (!used.ok()) {
+    Fail(HttpClientListener::Failure::kMalformed);
+    return false;
+  }
+  input_.erase(0, *used);
+  if (parser_.message_complete()) {
+    if (parser_.response()->status < kFirstFinalStatus) {
+      parser_.Reset(bodiless_);
+      return true;
+    }
+    if (!BelongsHere()) {
+      out_of_step_ = true;
+      parser_.Reset(bodiless_);
+      body_.clear();
+      return true;
+    }
+    Complete();
+    return false;
+  }
+  if (parser_.head_complete() && body_.size() > kBuffered && BelongsHere()) {
+    listener_->OnAnswer(parser_.response(), std::exchange(body_, std::string()), false);
+    return false;
+  }
+  return true;
+}
+
+bool HttpClientStream::BelongsHere() {
+  if (echo_.field.empty()) {
+    return true;
+  }
+  const auto* value = parser_.response()->fields.Find(echo_.field);
+  // A server that refuses a request before it has read it can't repeat the field.
+  return value == nullptr ? parser_.response()->status >= kFirstFailureStatus
+                          : *value == echo_.value;
+}
+
+void HttpClientStream::Complete() {
+  auto* head = parser_.response();
+  kept_for_ = KeptFor(head->fields);
+  idle_since_ = EventLoop::Now();
+  // An answer before the whole request was taken leaves the connection out of step.
+  reusable_ = head->keep_alive && input_.empty() && !out_of_step_ && !broken_ &&
+              stream_->pending() == 0;
+  auto* listener = std::exchange(listener_, nullptr);
+  listener->OnAnswer(head, std::exchange(body_, std::string()), true);
+}
+
+void HttpClientStream::Fail(HttpClientListener::Failure failure) {
+  broken_ = true;
+  reusable_ = false;
+  if (auto* listener = std::exchange(listener_, nullptr)) {
+    listener->OnFailure(failure);
+  }
+}
+
+void HttpClientStream::OnEnd(bool clean) {
+  const bool was_connected = connected_;
+  broken_ = true;
+  if (listener_ == nullptr) {
+    return;
+  }
+  if (clean && parser_.head_complete() && parser_.FeedEnd().ok() && BelongsHere()) {
+    Complete();
+    return;
+  }
+  using Failure = HttpClientListener::Failure;
+  const auto ended = clean ? Failure::kClosed : Failure::kReset;
+  Fail(was_connected ? ended : Failure::kConnect);
+}
+
+}  // namespace primroseweir
--- /dev/null
+++ b/src/loop/http_port.cc
@@ -0,0 +1,75 @@
+#include "primroseweir/loop/http_port.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "primroseweir/loop/event_loop.h"
+#include "primroseweir/loop/http_server_stream.h"
+#include "primroseweir/loop/request_sink.h"
+#include "primroseweir/loop/tcp_listener.h"
+#include "primroseweir/loop/tcp_stream.h"
+
+namespace primroseweir {
+
+HttpPort::HttpPort(EventLoop* loop, RequestSink* sink, std::function<CallerLimits()> limits)
+    : loop_(loop), sink_(sink), limits_(std::move(limits)), sweep_(loop, [this] { Sweep(); }) {}
+
+HttpPort::~HttpPort() = default;
+
+absl::Status HttpPort::Listen(const SocketAddress& address) {
+  listener_ = std::make_unique<TcpListener>(loop_);
+  auto status = listener_->Listen(
+      address, [this](std::unique_ptr<TcpStream> stream) { Take(std::move(stream)); });
+  if (status.ok()) {
+    sweep_.Repeat(kSweepInterval);
+  }
+  return status;
+}
+
+SocketAddress HttpPort::address() const { return listener_->address(); }
+
+void HttpPort::CloseKept() {
+  closing_ = true;
+  std::vector<HttpServerStream*> streams;
+  for (const auto& [stream, owned] : streams_) {
+    streams.push_back(stream);
+  }
+  for (auto* stream : streams) {
+    stream->CloseIfIdle();
+  }
+}
+
+void HttpPort::StopAccepting() { listener_.reset(); }
+
+std::size_t HttpPort::busy() const {
+  return static_cast<std::size_t>(std::count_if(
+      streams_.begin(), streams_.end(), [](const auto& entry) { return !entry.first->idle(); }));
+}
+
+void HttpPort::Remove(HttpServerStream* stream) { streams_.erase(stream); }
+
+void HttpPort::Take(std::unique_ptr<TcpStream> stream) {
+  if (streams_.size() >= kMaxConnections) {
+    return;
+  }
+  auto* accepted = stream.get();
+  auto server = std::make_unique<HttpServerStream>(this, std::move(stream), EventLoop::Now());
+  auto* handler = server.get();
+  streams_.emplace(handler, std::move(server));
+  accepted->Accept(handler);
+}
+
+void HttpPort::Sweep() {
+  const auto now = EventLoop::Now();
+  std::vector<HttpServerStream*> streams;
+  streams.reserve(streams_.size());
+  for (const auto& [stream, owned] : streams_) {
+    streams.push_back(stream);
+  }
+  for (auto* stream : streams) {
+    stream->CheckTime(now);
+  }
+}
+
+}  // namespace primroseweir
--- /dev/null
+++ b/src/loop/tcp_listener.cc
@@ -0,0 +1,72 @@
+#include "primroseweir/loop/tcp_listener.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <uv.h>
+
+#include <array>
+#include <utility>
+
+#include "primroseweir/base/error.h"
+#include "primroseweir/loop/event_loop.h"
+#include "primroseweir/loop/tcp_stream.h"
+#include "stream_handle.h"
+
+namespace primroseweir {
+
+// Lives until libuv has closed the handle.
+struct TcpListener::Handle {
+  uv_tcp_t uv{};
+  OnAccept on_accept;
+
+  static void Accept(uv_stream_t* server, int status) {
+    auto* self = static_cast<Handle*>(server->data);
+    if (status != 0) {
+      return;
+    }
+    auto* handle = new TcpStream::Handle;
+    uv_tcp_init(server->loop, &handle->uv);
+    handle->uv.data = handle;
+    std::unique_ptr<TcpStream> stream(new TcpStream(handle));
+    if (uv_accept(server, handle->stream()) == 0 && self->on_accept) {
+      self->on_accept(std::move(stream));
+    }
+  }
+};
+
+TcpListener::TcpListener(EventLoop* loop) : handle_(new Handle) {
+  uv_tcp_init(loop->uv(), &handle_->uv);
+  handle_->uv.data = handle_;
+}
+
+TcpListener::~TcpListener() {
+  handle_->on_accept = nullptr;
+  uv_close(reinterpret_cast<uv_handle_t*>(&handle_->uv),
+           [](uv_handle_t* handle) { delete static_cast<Handle*>(handle->data); });
+}
+
+absl::Status TcpListener::Listen(const SocketAddress& address, OnAccept on_accept) {
+  handle_->on_accept = std::move(on_accept);
+  sockaddr_in local{};
+  uv_ip4_addr(address.ip.c_str(), address.port, &local);
+  int status = uv_tcp_bind(&handle_->uv, reinterpret_cast<const sockaddr*>(&local), 0);
+  if (status == 0) {
+    status = uv_listen(reinterpret_cast<uv_stream_t*>(&handle_->uv), kBacklog, &Handle::Accept);
+  }
+  if (status != 0) {
+    return MakeError(absl::StatusCode::kUnavailable, {"listen", address.ToString()},
+                     uv_strerror(status));
+  }
+  return absl::OkStatus();
+}
+
+SocketAddress TcpListener::address() const {
+  sockaddr_in local{};
+  int size = sizeof local;
+  uv_tcp_getsockname(&handle_->uv, reinterpret_cast<sockaddr*>(&local), &size);
+  std::array<char, INET_ADDRSTRLEN> text{};
+  uv_ip4_name(&local, text.data(), text.size());
+  return {text.data(), ntohs(local.sin_port)};
+}
+
+}  // namespace primroseweir
--- /dev/null
+++ b/src/loop/tcp_stream.cc
@@ -0,0 +1,165 @@
+#include "primroseweir/loop/tcp_stream.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <uv.h>
+
+#include <array>
+#include <utility>
+
+#include "primroseweir/loop/event_loop.h"
+#include "primroseweir/loop/stream_handler.h"
+#include "stream_handle.h"
+
+namespace primroseweir {
+namespace {
+
+constexpr int kKeepaliveSeconds = 1;
+constexpr int kKeepaliveProbes = 2;
+constexpr std::size_t kReadBytes = std::size_t{64} * 1024;
+
+// One buffer serves all streams: libuv reads and hands over one piece at a time.
+void Allocate(uv_handle_t* /*handle*/, std::size_t /*suggested*/, uv_buf_t* buffer) {
+  static std::array<char, kReadBytes> memory;
+  *buffer = uv_buf_init(memory.data(), memory.size());
+}
+
+struct PendingWrite {
+  uv_write_t request{};
+  std::string data;
+};
+
+}  // namespace
+
+void TcpStream::Handle::End(bool clean) {
+  uv_read_stop(stream());
+  if (auto* owner = std::exchange(handler, nullptr)) {
+    owner->OnEnd(clean);
+  }
+}
+
+std::unique_ptr<TcpStream> TcpStream::Connect(EventLoop* loop, const SocketAddress& address,
+                                              StreamHandler* handler) {
+  auto* handle = new Handle;
+  uv_tcp_init_ex(loop->uv(), &handle->uv, AF_INET);
+  handle->uv.data = handle;
+  handle->handler = handler;
+  std::unique_ptr<TcpStream> stream(new TcpStream(handle));
+  stream->SetOptions();
+  sockaddr_in target{};
+  uv_ip4_addr(address.ip.c_str(), address.port, &target);
+  handle->connect.data = handle;
+  uv_tcp_connect(&handle->connect, &handle->uv, reinterpret_cast<const sockaddr*>(&target),
+                 [](uv_connect_t* request, int status) {
+                   auto* self = static_cast<Handle*>(request->data);
+                   if (self->handler == nullptr) {
+                     return;
+                   }
+                   if (status != 0) {
+                     self->End(false);
+                     return;
+                   }
+                   // The handler may destroy the stream, which ends the reading too.
+                   TcpStream::StartReading(self);
+                   self->handler->OnConnected();
+                 });
+  return stream;
+}
+
+TcpStream::~TcpStream() {
+  handle_->handler = nullptr;
+  const auto deleted = [](uv_handle_t* handle) { delete static_cast<Handle*>(handle->data); };
+  if (!handle_->reset || uv_tcp_close_reset(&handle_->uv, deleted) != 0) {
+    uv_close(handle_->handle(), deleted);
+  }
+}
+
+void TcpStream::Accept(StreamHandler* handler) {
+  handle_->handler = handler;
+  SetOptions();
+  StartReading(handle_);
+}
+
+void TcpStream::StartReading(Handle* handle) {
+  uv_read_start(handle->stream(), &Allocate,
+                [](uv_stream_t* stream, ssize_t count, const uv_buf_t* buffer) {
+                  auto* self = static_cast<Handle*>(stream->data);
+                  if (self->handler == nullptr || count == 0) {
+                    return;
+                  }
+                  if (count < 0) {
+                    self->End(count == UV_EOF);
+                    return;
+                  }
+                  self->handler->OnData(buffer->base, static_cast<std::size_t>(count));
+                });
+}
+
+void TcpStream::Write(std::string data) {
+  if (data.empty() || handle_->handler == nullptr) {
+    return;
+  }
+  auto buffer = uv_buf_init(data.data(), static_cast<unsigned>(data.size()));
+  const int sent = uv_try_write(handle_->stream(), &buffer, 1);
+  if (sent == static_cast<int>(data.size())) {
+    return;
+  }
+  // Failures other than a full buffer come again, and are reported, at the queued write.
+  auto* pending = new PendingWrite;
+  pending->data = std::move(data);
+  if (sent > 0) {
+    pending->data.erase(0, static_cast<std::size_t>(sent));
+  }
+  pending->request.data = pending;
+  buffer = uv_buf_init(pending->data.data(), static_cast<unsigned>(pending->data.size()));
+  uv_write(&pending->request, handle_->stream(), &buffer, 1, [](uv_write_t* request, int status) {
+    const std::unique_ptr<PendingWrite> done(static_cast<PendingWrite*>(request->data));
+    auto* self = static_cast<Handle*>(request->handle->data);
+    if (self->handler == nullptr) {
+      return;
+    }
+    if (status != 0) {
+      self->End(false);
+    } else if (uv_stream_get_write_queue_size(self->stream()) == 0) {
+      self->handler->OnDrained();
+    }
+  });
+}
+
+std::size_t TcpStream::pending() const { return uv_stream_get_write_queue_size(handle_->stream()); }
+
+void TcpStream::ShutdownWrite() {
+  auto* request = new uv_shutdown_t;
+  const auto done = [](uv_shutdown_t* finished, int /*status*/) { delete finished; };
+  if (uv_shutdown(request, handle_->stream(), done) != 0) {
+    delete request;
+  }
+}
+
+void TcpStream::Reset() { handle_->reset = true; }
+
+void TcpStream::PauseReading() { uv_read_stop(handle_->stream()); }
+
+void TcpStream::ResumeReading() {
+  if (handle_->handler != nullptr) {
+    StartReading(handle_);
+  }
+}
+
+void TcpStream::SetOptions() {
+  uv_tcp_nodelay(&handle_->uv, 1);
+  uv_tcp_keepalive(&handle_->uv, 1, kKeepaliveSeconds);
+  uv_os_fd_t descriptor = -1;
+  if (uv_fileno(handle_->handle(), &descriptor) != 0) {
+    return;
+  }
+  const auto set = [descriptor](int name, unsigned value) {
+    setsockopt(descriptor, IPPROTO_TCP, name, &value, sizeof value);
+  };
+  set(TCP_KEEPINTVL, kKeepaliveSeconds);
+  set(TCP_KEEPCNT, kKeepaliveProbes);
+  set(TCP_USER_TIMEOUT, kDeadPeerMilliseconds);
+}
+
+}  // namespace primroseweir
