Ask upstreams for their load just before a call is sent

Cause: a quarter of the upstreams runs work five times slower for about 150 ms at a time, and a call keeps the speed it started with. Reports that came with answers were too old to avoid those.

--- a/include/primroseweir/balance/balanced_upstream.h
+++ b/include/primroseweir/balance/balanced_upstream.h
@@ -67,6 +67,9 @@
   bool doubted() const { return doubted_; }
   // A probe was answered: `warm_up_left` as stated there.
   void Trust(Duration warm_up_left, std::size_t instances, Instant now, Random* random);
+  // The upstream itself answered a probe with a failure. After kIgnoredProbes of them in a row the
+  // upstream is no longer doubted.
+  void NoteUnhealthy();
   // Whether a probe is due; takes it.
   bool TakeProbe(Instant now);
 
@@ -75,7 +78,9 @@
   void NoteStart() { ++in_flight_; }
   // An attempt that started at `started` ended. `usual` is the service's usual time to answer.
   void NoteEnd(AttemptResult result, Instant started, Duration usual, Instant now);
-  void NoteReport(const UpstreamLoad& load, Instant now);
+  // An answer to a call that is still counted here, or to a probe, stated the load.
+  enum class ReportSource { kAnswer, kProbe };
+  void NoteReport(const UpstreamLoad& load, ReportSource source, Instant now);
   // Calls that other instances have there, by their own word.
   void SetPeerInFlight(std::uint32_t calls) { peer_in_flight_ = calls; }
   // A peer's view of how long work takes there.
@@ -89,6 +94,10 @@
   // Recent share of attempts that failed, 0 to 1.
   double failures(Instant now) const;
   double reported_slowdown() const { return slowdown_; }
+  // Whether the upstream states its load at all.
+  bool reports_load() const { return report_at_ != Instant(); }
+  // Hash of the id, under which instances exchange what they know.
+  std::uint64_t hash() const { return hash_; }
   Instant reported_at() const { return report_at_; }
 
   // Neighbours on an upstream's machine change about this often; older reports count little.
@@ -100,15 +109,20 @@
   static constexpr Duration kReportMemory = std::chrono::milliseconds(250);
   // Between two probes of a doubted upstream by one instance.
   static constexpr Duration kProbeInterval = std::chrono::milliseconds(400);
+  // Probes in a row that the right upstream answered with a failure, after which a call tells more
+  // than a further probe: health answers may be wrong in either direction.
+  static constexpr int kIgnoredProbes = 4;
 
  private:
   UpstreamRecord record_;
+  const std::uint64_t hash_;
   ColdPacer::Bound cold_bound_;
   bool listed_ = true;
   bool out_ = false;
   bool misdirected_ = false;
   bool doubted_ = false;
   Instant next_probe_;
+  int unhealthy_probes_ = 0;
   Instant cold_until_;
   ColdPacer pacer_;
   std::uint32_t in_flight_ = 0;
--- a/include/primroseweir/balance/upstream_book.h
+++ b/include/primroseweir/balance/upstream_book.h
@@ -43,6 +43,8 @@
     CallKind kind = CallKind::kRepeatable;
     // Upstreams that the call was sent to before.
     std::vector<UpstreamId> excluded;
+    // Longest expected time to answer that is still useful; upstreams beyond count as full.
+    Duration acceptable = Duration::max();
   };
 
   // Why no upstream was chosen.
@@ -51,6 +53,10 @@
   struct Choice {
     std::shared_ptr<BalancedUpstream> upstream;
     Obstacle obstacle = Obstacle::kNone;
+    // Upstreams with old reports that might be a better choice than this one, best first: a probe
+    // of them is worth its price before the call is sent. Empty when the choice rests on fresh
+    // reports, or when the upstreams state no load.
+    std::vector<std::shared_ptr<BalancedUpstream>> unsure;
   };
 
   explicit UpstreamBook(const Options& options);
@@ -69,7 +75,7 @@
 
   // ---- choice ----
 
-  // The upstream with the lowest expected time. A cold one is offered only when its pace allows a
+  // The upstream with the lowest expected time within what is acceptable. A cold one is offered only when its pace allows a
   // call. Linear in the upstreams of the service.
   Choice Choose(const Query& query, Instant now);
 
@@ -94,6 +100,10 @@
   std::shared_ptr<BalancedUpstream> Find(const UpstreamId& id) const;
   const std::map<UpstreamId, std::shared_ptr<BalancedUpstream>>& all() const { return upstreams_; }
 
+  // A report of this age still tells whether neighbours slow the upstream down.
+  static constexpr Duration kFreshReport = std::chrono::milliseconds(20);
+  // Upstreams that are probed for one call.
+  static constexpr std::size_t kProbedPerCall = 2;
   // A call to another data centre costs this much more, so that the nearer one wins between equals.
   static constexpr Duration kDistance = std::chrono::milliseconds(6);
   // Large answers are expensive between data centres: they leave their own only when it is full.
--- a/include/primroseweir/gateway/gateway.h
+++ b/include/primroseweir/gateway/gateway.h
@@ -76,6 +76,9 @@
   void Release(RoutedCall* call);
   // Offers the service's room to the calls that wait for it.
   void OfferRoom(const ServiceName& service, Instant now);
+  // A probe brought news of an upstream of the service.
+  void OnReport(const ServiceName& service, Instant now);
+  UpstreamProber& prober() { return *prober_; }
   // An upstream broke a connection while it ran the request with that fingerprint.
   void SuspectCrash(const UpstreamId& upstream, std::uint64_t fingerprint, Instant now);
   // A doubted upstream refused connections: what it ran when it broke may have crashed it.
--- a/include/primroseweir/gateway/routed_call.h
+++ b/include/primroseweir/gateway/routed_call.h
@@ -48,6 +48,10 @@
   void OnAttemptAnswer(UpstreamAttempt* attempt, ResponseHead* head, std::string piece, bool whole);
   void OnAttemptFailure(UpstreamAttempt* attempt, HttpClientListener::Failure failure);
 
+  // A probe that the call waits for was answered.
+  void OnReport(Instant now);
+  bool probing() const { return probing_; }
+
   HttpServerStream* caller() const { return caller_; }
   const ServiceName& service() const { return service_; }
 
@@ -57,9 +61,17 @@
   static constexpr std::size_t kMaxPending = std::size_t{256} * 1024;
   // Upstreams to which no connection could be opened, before the call is refused.
   static constexpr std::size_t kMaxTried = 5;
+  // Time that a call waits for probes of upstreams with old reports: two data centres apart, an
+  // answer takes about 2 ms.
+  static constexpr Duration kProbeWait = std::chrono::milliseconds(5);
 
  private:
-  enum class Placement { kStarted, kNoRoom, kNoUpstream, kNoBudget };
+  enum class Placement { kStarted, kProbing, kNoRoom, kNoUpstream, kNoBudget };
+  // Whether a choice may rest on old reports, and whether slow upstreams may be chosen.
+  struct Effort {
+    bool may_probe = true;
+    bool any_speed = false;
+  };
 
   // ---- route ----
   // False when the call ended here.
@@ -67,10 +79,14 @@
   void SetDeadline(Instant now);
 
   // ---- placement ----
-  Placement TryStart(Instant now);
+  Placement TryStart(Effort effort, Instant now);
   // Places the call, or lets it wait, or ends it as `without` says.
   void Place(CallPolicy::Step without, Instant now);
   bool Wait(Instant now);
+  // The wait is over without an upstream that answers in time: any that has room is taken.
+  void OnWaitEnd();
+  // Expected time to answer beyond which an upstream does not help this call.
+  Duration Acceptable(Instant now) const;
   void LeaveQueue();
   void StartAttempt(std::shared_ptr<BalancedUpstream> upstream, Instant now);
   void StartHedge();
@@ -112,12 +128,14 @@
   // Attempts that were sent and ended without a word that the call did not run.
   bool may_have_run_ = false;
   bool streaming_ = false;
+  bool probing_ = false;
   // The last choice's inputs, for the log.
   double occupancy_ = 0;
   std::vector<std::unique_ptr<UpstreamAttempt>> attempts_;
   std::optional<WaitQueue::Ticket> ticket_;
   Timer deadline_timer_;
   Timer wait_timer_;
+  Timer probe_timer_;
   Timer hedge_timer_;
 };
 
--- a/include/primroseweir/gateway/upstream_attempt.h
+++ b/include/primroseweir/gateway/upstream_attempt.h
@@ -42,7 +42,9 @@
   bool sent() const { return sent_; }
   BalancedUpstream& upstream() const { return *upstream_; }
   Instant started() const { return started_; }
+  // What was known of the upstream at the choice: calls there, this one included, and slowness.
   double occupancy() const { return occupancy_; }
+  double slowness() const { return slowness_; }
   HttpClientStream* stream() const { return stream_.get(); }
 
   void OnSent() override;
@@ -58,6 +60,7 @@
   RoutedCall* const call_;
   const Instant started_;
   double occupancy_ = 0;
+  double slowness_ = 1;
   bool sent_ = false;
   bool whole_ = false;
   bool finished_ = false;
--- a/include/primroseweir/gateway/upstream_prober.h
+++ b/include/primroseweir/gateway/upstream_prober.h
@@ -1,33 +1,42 @@
 #ifndef PRIMROSEWEIR_GATEWAY_UPSTREAM_PROBER_H_
 #define PRIMROSEWEIR_GATEWAY_UPSTREAM_PROBER_H_
 
+#include <map>
 #include <memory>
-#include <vector>
 
+#include "primroseweir/base/ids.h"
 #include "primroseweir/base/time.h"
 
 namespace primroseweir {
 
+class BalancedUpstream;
 class Gateway;
 
-// Probes the upstreams that are in doubt, until one of their answers tells whether they run and how
-// long they stay cold.
+// Probes upstreams, over one kept connection to each: those in doubt, until one of their answers
+// tells whether they run and how long they stay cold, and those whose load a call needs to know
+// before it is sent.
 class UpstreamProber {
  public:
   // `gateway` outlives the prober.
   explicit UpstreamProber(Gateway* gateway);
   ~UpstreamProber();
 
-  // Starts the probes that are due and gives up those that take too long.
+  // Asks an upstream for its load, unless a probe of it is under way. False when it can't be asked.
+  bool Ask(const std::shared_ptr<BalancedUpstream>& upstream, Instant now);
+
+  // Starts the probes of doubted upstreams that are due, gives up those that take too long and
+  // closes connections that are no longer used.
   void Tick(Instant now);
 
   static constexpr Duration kTimeout = std::chrono::milliseconds(300);
+  // Idle probe connections are closed before the upstream closes them.
+  static constexpr Duration kMaxIdle = std::chrono::seconds(7);
 
  private:
-  class Probe;
+  class Line;
 
   Gateway* const gateway_;
-  std::vector<std::unique_ptr<Probe>> probes_;
+  std::map<UpstreamId, std::unique_ptr<Line>> lines_;
 };
 
 }  // namespace primroseweir
--- a/src/balance/balanced_upstream.cc
+++ b/src/balance/balanced_upstream.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "primroseweir/base/random.h"
+#include "primroseweir/base/rendezvous.h"
 
 namespace primroseweir {
 namespace {
@@ -31,7 +32,9 @@
 }  // namespace
 
 BalancedUpstream::BalancedUpstream(UpstreamRecord record, const ColdPacer::Bound& cold_bound)
-    : record_(std::move(record)), cold_bound_(cold_bound) {}
+    : record_(std::move(record)),
+      hash_(StableHash(record_.id.value())),
+      cold_bound_(cold_bound) {}
 
 // ---- listing ----
 
@@ -63,6 +66,7 @@
 void BalancedUpstream::Doubt(Instant now) {
   if (!doubted_) {
     doubted_ = true;
+    unhealthy_probes_ = 0;
     next_probe_ = now;
   }
 }
@@ -75,6 +79,12 @@
   }
 }
 
+void BalancedUpstream::NoteUnhealthy() {
+  if (++unhealthy_probes_ >= kIgnoredProbes) {
+    doubted_ = false;
+  }
+}
+
 bool BalancedUpstream::TakeProbe(Instant now) {
   if (!doubted_ || now < next_probe_) {
     return false;
@@ -108,9 +118,10 @@
   slowness_at_ = now;
 }
 
-void BalancedUpstream::NoteReport(const UpstreamLoad& load, Instant now) {
-  // The answer that brings the report is no longer running there, but still counted here.
-  const double own = in_flight_ > 0 ? in_flight_ - 1 : 0;
+void BalancedUpstream::NoteReport(const UpstreamLoad& load, ReportSource source, Instant now) {
+  // A call whose answer brings the report may no longer count there, but still counts here.
+  const double own =
+      source == ReportSource::kAnswer && in_flight_ > 0 ? in_flight_ - 1 : in_flight_;
   foreign_ = std::max(0.0, static_cast<double>(load.running + load.waiting) - own);
   report_at_ = now;
   slowdown_ = load.slowdown;
--- a/src/balance/upstream_book.cc
+++ b/src/balance/upstream_book.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
-#include <limits>
+#include <utility>
 
 #include "primroseweir/routes/route_table.h"
 
@@ -92,7 +92,7 @@
   const auto& service = found->second;
   Choice choice;
   choice.obstacle = Obstacle::kNoUpstream;
-  double best = std::numeric_limits<double>::max();
+  std::vector<std::pair<double, std::shared_ptr<BalancedUpstream>>> ranked;
   for (const auto& upstream : service.upstreams) {
     if (!upstream->usable() || Contains(query.excluded, upstream->record().id)) {
       continue;
@@ -100,15 +100,31 @@
     const auto limit = service.load.Limit(upstream->record().slots);
     const bool paced = upstream->cold(now) && !upstream->pacer().Ready(now);
     if (upstream->doubted() || paced || upstream->occupancy(now) + 0.5 >= limit) {
-      choice.obstacle = choice.upstream ? Obstacle::kNone : Obstacle::kFull;
+      choice.obstacle = Obstacle::kFull;
       continue;
     }
     const double cost = Cost(*upstream, service, query.kind, limit, now) *
                         (1 + kJitter * random_.Unit());
-    if (cost < best) {
-      best = cost;
-      choice.upstream = upstream;
-      choice.obstacle = Obstacle::kNone;
+    const double slow = Seconds(service.load.usual()) * upstream->slowness(now);
+    if (slow > Seconds(query.acceptable)) {
+      choice.obstacle = Obstacle::kFull;
+      continue;
+    }
+    ranked.emplace_back(cost, upstream);
+  }
+  if (ranked.empty()) {
+    return choice;
+  }
+  const auto shown = std::min(kProbedPerCall, ranked.size());
+  std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(shown),
+                    ranked.end(),
+                    [](const auto& a, const auto& b) { return a.first < b.first; });
+  choice.upstream = ranked.front().second;
+  choice.obstacle = Obstacle::kNone;
+  const bool fresh = now - choice.upstream->reported_at() < kFreshReport;
+  if (!fresh && choice.upstream->reports_load()) {
+    for (std::size_t i = 0; i < shown; ++i) {
+      choice.unsure.push_back(ranked[i].second);
     }
   }
   return choice;
--- a/src/gateway/fleet_service.cc
+++ b/src/gateway/fleet_service.cc
@@ -5,7 +5,6 @@
 #include <utility>
 
 #include "primroseweir/base/line_log.h"
-#include "primroseweir/base/rendezvous.h"
 #include "primroseweir/fleet/address_choice.h"
 #include "primroseweir/fleet/fleet_codec.h"
 #include "primroseweir/gateway/gateway.h"
@@ -167,7 +166,7 @@
       continue;
     }
     UpstreamUse use;
-    use.upstream = StableHash(id.value());
+    use.upstream = upstream->hash();
     use.in_flight = upstream->in_flight();
     if (reported) {
       use.slowdown_percent =
@@ -250,7 +249,7 @@
     uses[use.upstream] = &use;
   }
   for (const auto& [id, upstream] : gateway_->book().all()) {
-    const auto hash = StableHash(id.value());
+    const auto hash = upstream->hash();
     const auto sum = sums.find(hash);
     upstream->SetPeerInFlight(sum == sums.end() ? 0 : sum->second);
     const auto use = uses.find(hash);
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -80,6 +80,19 @@
   }
 }
 
+void Gateway::OnReport(const ServiceName& service, Instant now) {
+  std::vector<RoutedCall*> unsure;
+  for (const auto& [stream, call] : calls_) {
+    if (call->probing() && call->service() == service) {
+      unsure.push_back(call.get());
+    }
+  }
+  for (auto* call : unsure) {
+    call->OnReport(now);
+  }
+  OfferRoom(service, now);
+}
+
 void Gateway::SuspectCrash(const UpstreamId& upstream, std::uint64_t fingerprint, Instant now) {
   suspects_[upstream].push_back({fingerprint, now});
 }
--- a/src/gateway/routed_call.cc
+++ b/src/gateway/routed_call.cc
@@ -15,6 +15,7 @@
 #include "primroseweir/gateway/load_field.h"
 #include "primroseweir/gateway/serving_state.h"
 #include "primroseweir/gateway/upstream_attempt.h"
+#include "primroseweir/gateway/upstream_prober.h"
 #include "primroseweir/http/message_writer.h"
 #include "primroseweir/limits/crash_guard.h"
 #include "primroseweir/loop/event_loop.h"
@@ -26,6 +27,7 @@
 namespace primroseweir {
 namespace {
 
+constexpr double kPercent = 100;
 constexpr int kNotFound = 404;
 constexpr int kRequestTimeout = 408;
 constexpr int kMisdirected = 421;
@@ -76,15 +78,19 @@
       id_(head_.fields.Get(gateway->fields().request_id)),
       deadline_(now + kDefaultDeadline),
       deadline_timer_(gateway->loop(), [this] { OnDeadline(); }),
-      wait_timer_(gateway->loop(), [this] { Refuse("no_room_in_time", EventLoop::Now()); }),
+      wait_timer_(gateway->loop(), [this] { OnWaitEnd(); }),
+      probe_timer_(gateway->loop(),
+                   [this] { Place(CallPolicy::Step::kRefuse, EventLoop::Now()); }),
       hedge_timer_(gateway->loop(), [this] { StartHedge(); }) {}
 
 RoutedCall::~RoutedCall() = default;
 
 void RoutedCall::Stop() {
+  probing_ = false;
   LeaveQueue();
   deadline_timer_.Cancel();
   wait_timer_.Cancel();
+  probe_timer_.Cancel();
   hedge_timer_.Cancel();
   attempts_.clear();
 }
@@ -133,27 +139,64 @@
 
 // ---- placement ----
 
-RoutedCall::Placement RoutedCall::TryStart(Instant now) {
+Duration RoutedCall::Acceptable(Instant now) const {
+  if (sends_ > 0) {
+    return Duration::max();
+  }
+  return std::max<Duration>(route_->objective - (now - arrived_), Duration::zero());
+}
+
+RoutedCall::Placement RoutedCall::TryStart(Effort effort, Instant now) {
   UpstreamBook::Query query;
   query.service = service_;
   query.kind = route_->kind;
   query.excluded = tried_;
+  query.acceptable = effort.any_speed ? Duration::max() : Acceptable(now);
   auto choice = gateway_->book().Choose(query, now);
   if (choice.upstream == nullptr) {
     return choice.obstacle == UpstreamBook::Obstacle::kFull ? Placement::kNoRoom
                                                             : Placement::kNoUpstream;
   }
-  auto& ledger = gateway_->ledger(service_);
-  if (sends_ > 0 && !ledger.TrySpend(gateway_->book().fleet_size(), now)) {
+  if (effort.may_probe && !choice.unsure.empty()) {
+    for (const auto& upstream : choice.unsure) {
+      probing_ = gateway_->prober().Ask(upstream, now) || probing_;
+    }
+    if (probing_) {
+      probe_timer_.Start(kProbeWait);
+      return Placement::kProbing;
+    }
+  }
+  if (sends_ > 0 &&
+      !gateway_->ledger(service_).TrySpend(gateway_->book().fleet_size(), now)) {
     return Placement::kNoBudget;
   }
   StartAttempt(std::move(choice.upstream), now);
   return Placement::kStarted;
 }
 
+void RoutedCall::OnReport(Instant now) {
+  // The probes of one call come back together: a fresh one may still show a slow upstream, and then
+  // the next best is asked until the time for probes is over.
+  probing_ = false;
+  const auto placement = TryStart(Effort(), now);
+  if (placement == Placement::kStarted) {
+    probe_timer_.Cancel();
+  } else {
+    probing_ = true;
+  }
+}
+
 void RoutedCall::Place(CallPolicy::Step without, Instant now) {
-  const auto placement = tried_.size() < kMaxTried ? TryStart(now) : Placement::kNoUpstream;
-  if (placement == Placement::kStarted || (placement == Placement::kNoRoom && Wait(now))) {
+  const Effort effort{sends_ == 0 && !probing_, false};
+  const auto placement =
+      tried_.size() < kMaxTried ? TryStart(effort, now) : Placement::kNoUpstream;
+  probing_ = placement == Placement::kProbing;
+  if (placement == Placement::kStarted || probing_ ||
+      (placement == Placement::kNoRoom && Wait(now))) {
+    return;
+  }
+  if (placement == Placement::kNoRoom &&
+      TryStart({false, true}, now) == Placement::kStarted) {
     return;
   }
   const char* reason = placement == Placement::kNoRoom       ? "no_room"
@@ -170,16 +213,16 @@
 bool RoutedCall::Wait(Instant now) {
   auto& queue = gateway_->queue(service_);
   const auto usual = gateway_->book().Usual(service_);
-  const auto longest = std::min(WaitQueue::LongestWait(route_->objective, usual),
-                                deadline_ - now - usual) -
-                       (now - arrived_);
+  const auto longest =
+      std::min(WaitQueue::LongestWait(route_->objective, usual), deadline_ - now - usual) -
+      (now - arrived_);
   const auto expected =
       gateway_->book().ExpectedWait(service_, queue.Ahead(route_->priority), now);
   if (longest <= Duration::zero() || expected > longest) {
     return false;
   }
   ticket_ = queue.Add(route_->priority, [this](Instant time) {
-    const auto placement = TryStart(time);
+    const auto placement = TryStart({false, false}, time);
     if (placement == Placement::kNoRoom) {
       return false;
     }
@@ -194,6 +237,15 @@
   return true;
 }
 
+void RoutedCall::OnWaitEnd() {
+  const auto now = EventLoop::Now();
+  LeaveQueue();
+  if (TryStart({false, true}, now) == Placement::kStarted) {
+    return;
+  }
+  may_have_run_ ? Fail(kBadGateway, "no_room_in_time", now) : Refuse("no_room_in_time", now);
+}
+
 void RoutedCall::LeaveQueue() {
   if (ticket_) {
     gateway_->queue(service_).Remove(*ticket_);
@@ -222,7 +274,7 @@
   if (attempts_.size() != 1 || streaming_ || sends_ == 0 || sends_ >= route_->max_attempts) {
     return;
   }
-  TryStart(EventLoop::Now());
+  TryStart({false, false}, EventLoop::Now());
 }
 
 RequestHead RoutedCall::UpstreamHead(const UpstreamAttempt& attempt, Instant now) const {
@@ -267,8 +319,19 @@
     return;
   }
   if (const auto load = ParseLoad(head->fields.Get(fields.load))) {
-    upstream.NoteReport(*load, now);
+    upstream.NoteReport(*load, BalancedUpstream::ReportSource::kAnswer, now);
   }
+  gateway_->log().Write("attempt_answered",
+                        {{"request", id_},
+                         {"service", service_.value()},
+                         {"upstream", upstream.record().id.value()},
+                         {"status", std::to_string(head->status)},
+                         {"occupancy", std::to_string(static_cast<int>(attempt->occupancy()))},
+                         {"slowness_percent", std::to_string(static_cast<int>(
+                                                  attempt->slowness() * kPercent))},
+                         {"load", head->fields.Get(fields.load)},
+                         {"took_ms", std::to_string(ToMilliseconds(now - attempt->started()))}},
+                        now);
   using Ending = CallPolicy::Ending;
   if (head->status == kMisdirected) {
     upstream.SetMisdirected();
@@ -331,7 +394,7 @@
   may_have_run_ = may_have_run_ || ending != CallPolicy::Ending::kNotRun;
   if (step == CallPolicy::Step::kTryElsewhere && without != CallPolicy::Step::kPass) {
     Place(without, now);
-  } else if (step == CallPolicy::Step::kTryElsewhere && TryStart(now) == Placement::kStarted) {
+  } else if (step == CallPolicy::Step::kTryElsewhere && TryStart({false, true}, now) == Placement::kStarted) {
     return;
   } else if (without == CallPolicy::Step::kRefuse) {
     Refuse("upstreams_refused", now);
--- a/src/gateway/upstream_attempt.cc
+++ b/src/gateway/upstream_attempt.cc
@@ -18,6 +18,7 @@
       call_(call),
       started_(now),
       occupancy_(upstream_->occupancy(now) + 1),
+      slowness_(upstream_->slowness(now)),
       connect_timer_(services.loop, [this] { OnFailure(Failure::kConnect); }) {
   services_.book->NoteStart(upstream_.get(), now);
   stream_ = services_.pool->Take(upstream_->record(), at_most_once, now);
--- a/src/gateway/upstream_prober.cc
+++ b/src/gateway/upstream_prober.cc
@@ -1,8 +1,8 @@
 #include "primroseweir/gateway/upstream_prober.h"
 
-#include <algorithm>
 #include <chrono>
 #include <cstdlib>
+#include <string>
 #include <utility>
 
 #include "primroseweir/balance/balanced_upstream.h"
@@ -23,92 +23,148 @@
 
 }  // namespace
 
-// One probe of one upstream.
-class UpstreamProber::Probe : public HttpClientListener {
+// The probes of one upstream.
+class UpstreamProber::Line : public HttpClientListener {
  public:
-  Probe(Gateway* gateway, std::shared_ptr<BalancedUpstream> upstream, const std::string& target,
-        Instant now)
-      : gateway_(gateway), upstream_(std::move(upstream)), started_(now) {
+  Line(Gateway* gateway, std::shared_ptr<BalancedUpstream> upstream)
+      : gateway_(gateway), upstream_(std::move(upstream)) {}
+
+  const BalancedUpstream* upstream() const { return upstream_.get(); }
+  bool busy() const { return busy_; }
+  Instant started() const { return started_; }
+  bool Idle(Instant now) const { return !busy_ && now - started_ > kMaxIdle; }
+
+  void Ask(const std::string& target, Instant now) {
+    busy_ = true;
+    started_ = now;
+    const auto& address = upstream_->record().address;
+    if (stream_ == nullptr || !stream_->reusable() || stream_->broken()) {
+      stream_ = std::make_unique<HttpClientStream>(gateway_->loop(), address);
+      fresh_stream_ = true;
+    } else {
+      fresh_stream_ = false;
+    }
     RequestHead head;
     head.target = target;
-    head.fields.Add("Host", upstream_->record().address.ToString());
-    stream_ = std::make_unique<HttpClientStream>(gateway_->loop(), upstream_->record().address);
+    head.fields.Add("Host", address.ToString());
+    gateway_->metrics().Count("probe");
     stream_->Send(head, std::string(), {}, this);
   }
 
-  bool done() const { return done_; }
-  Instant started() const { return started_; }
+  // The upstream did not answer in time.
+  void GiveUp(Instant now) {
+    busy_ = false;
+    stream_.reset();
+    // A kept connection may have gone silent; a new one that is silent too tells of the upstream.
+    if (fresh_stream_) {
+      upstream_->Doubt(now);
+    }
+  }
 
   void OnAnswer(ResponseHead* head, std::string /*piece*/, bool whole) override {
     if (!whole) {
       return;
     }
-    done_ = true;
+    busy_ = false;
     const auto now = EventLoop::Now();
     const auto& fields = gateway_->fields();
-    const auto& id = upstream_->record().id;
     const auto answered_by = head->fields.Get(fields.upstream_id);
-    if (const auto load = ParseLoad(head->fields.Get(fields.load))) {
-      upstream_->NoteReport(*load, now);
+    const bool other = !answered_by.empty() && answered_by != upstream_->record().id.value();
+    if (other) {
+      upstream_->SetMisdirected();
+      Log("misdirected", answered_by, *head, now);
+      return;
     }
     const auto warm_up =
         std::chrono::milliseconds(std::atoll(head->fields.Get(fields.warm_up_left).c_str()));
-    const bool other = !answered_by.empty() && answered_by != id.value();
-    if (other) {
-      upstream_->SetMisdirected();
-    } else if (head->status == kOk) {
-      gateway_->book().Trust(upstream_.get(), warm_up, now);
-      gateway_->ClearCrash(id);
-      gateway_->OfferRoom(upstream_->record().service, now);
+    if (const auto load = ParseLoad(head->fields.Get(fields.load))) {
+      upstream_->NoteReport(*load, BalancedUpstream::ReportSource::kProbe, now);
     }
-    gateway_->log().Write("probe_answered",
-                          {{"upstream", id.value()},
-                           {"answered_by", answered_by},
-                           {"status", std::to_string(head->status)},
-                           {"warm_up_ms", std::to_string(warm_up.count())},
-                           {"outcome", other                  ? "misdirected"
-                                       : head->status == kOk ? "trusted"
-                                                             : "doubted"}},
-                          now);
+    Judge(head->status == kOk, warm_up, *head, now);
+    gateway_->OnReport(upstream_->record().service, now);
   }
 
   void OnFailure(Failure failure) override {
-    done_ = true;
+    busy_ = false;
+    const auto now = EventLoop::Now();
+    if (fresh_stream_) {
+      upstream_->Doubt(now);
+    }
     if (failure == Failure::kConnect) {
-      gateway_->ConfirmCrash(upstream_->record().id, EventLoop::Now());
+      gateway_->ConfirmCrash(upstream_->record().id, now);
     }
+    gateway_->OnReport(upstream_->record().service, now);
   }
 
  private:
+  void Judge(bool healthy, Duration warm_up, const ResponseHead& head, Instant now) {
+    const bool was_doubted = upstream_->doubted();
+    const bool was_cold = upstream_->cold(now);
+    if (healthy) {
+      gateway_->book().Trust(upstream_.get(), warm_up, now);
+      gateway_->ClearCrash(upstream_->record().id);
+    } else if (was_doubted) {
+      upstream_->NoteUnhealthy();
+    }
+    if (was_doubted || was_cold != upstream_->cold(now)) {
+      Log(upstream_->doubted() ? "doubted" : upstream_->cold(now) ? "cold" : "trusted",
+          upstream_->record().id.value(), head, now);
+    }
+  }
+
+  void Log(const char* outcome, const std::string& answered_by, const ResponseHead& head,
+           Instant now) {
+    const auto warm_up = head.fields.Get(gateway_->fields().warm_up_left);
+    gateway_->log().Write("probe_answered",
+                          {{"upstream", upstream_->record().id.value()},
+                           {"answered_by", answered_by},
+                           {"status", std::to_string(head.status)},
+                           {"warm_up_ms", warm_up},
+                           {"outcome", outcome}},
+                          now);
+  }
+
   Gateway* const gateway_;
   const std::shared_ptr<BalancedUpstream> upstream_;
-  const Instant started_;
   std::unique_ptr<HttpClientStream> stream_;
-  bool done_ = false;
+  bool busy_ = false;
+  bool fresh_stream_ = false;
+  Instant started_;
 };
 
 UpstreamProber::UpstreamProber(Gateway* gateway) : gateway_(gateway) {}
 UpstreamProber::~UpstreamProber() = default;
 
-void UpstreamProber::Tick(Instant now) {
-  probes_.erase(std::remove_if(probes_.begin(), probes_.end(),
-                               [now](const auto& probe) {
-                                 return probe->done() || now - probe->started() > kTimeout;
-                               }),
-                probes_.end());
+bool UpstreamProber::Ask(const std::shared_ptr<BalancedUpstream>& upstream, Instant now) {
   const auto& routes = gateway_->state().routes;
-  if (routes == nullptr) {
-    return;
+  const auto* terms =
+      routes == nullptr ? nullptr : routes->FindService(upstream->record().service);
+  if (terms == nullptr || terms->probe.empty()) {
+    return false;
+  }
+  auto& line = lines_[upstream->record().id];
+  if (line == nullptr || line->upstream() != upstream.get()) {
+    line = std::make_unique<Line>(gateway_, upstream);
+  }
+  if (!line->busy()) {
+    line->Ask(terms->probe, now);
+  }
+  return true;
+}
+
+void UpstreamProber::Tick(Instant now) {
+  for (auto it = lines_.begin(); it != lines_.end();) {
+    auto& line = *it->second;
+    if (line.busy() && now - line.started() > kTimeout) {
+      line.GiveUp(now);
+    }
+    it = line.Idle(now) ? lines_.erase(it) : std::next(it);
   }
   for (auto& upstream : gateway_->book().DueProbes(now)) {
-    const auto* terms = routes->FindService(upstream->record().service);
-    if (terms == nullptr || terms->probe.empty()) {
+    if (!Ask(upstream, now)) {
       // Nothing can be asked: the next call tells.
       gateway_->book().Trust(upstream.get(), Duration::zero(), now);
-      continue;
     }
-    gateway_->metrics().Count("probe");
-    probes_.push_back(std::make_unique<Probe>(gateway_, upstream, terms->probe, now));
   }
 }
 
