--- a/src/gateway/routed_call.cc
+++ b/src/gateway/routed_call.cc
@@ -45,6 +45,20 @@
          status == kUnavailable;
 }
 
+const char* NameOf(BodyKind kind) {
+  switch (kind) {
+    case BodyKind::kNone:
+      return "none";
+    case BodyKind::kLength:
+      return "length";
+    case BodyKind::kChunked:
+      return "chunked";
+    case BodyKind::kUntilClose:
+      return "until_close";
+  }
+  return "unknown";
+}
+
 std::string FormatSeconds(Duration duration) {
   char buffer[32];
   const int length = std::snprintf(buffer, sizeof buffer, "%.3f",
@@ -330,6 +344,7 @@
                          {"slowness_percent", std::to_string(static_cast<int>(
                                                   attempt->slowness() * kPercent))},
                          {"load", head->fields.Get(fields.load)},
+                         {"framing", NameOf(head->body.kind)},
                          {"took_ms", std::to_string(ToMilliseconds(now - attempt->started()))}},
                         now);
   using Ending = CallPolicy::Ending;
--- a/src/loop/tcp_stream.cc
+++ b/src/loop/tcp_stream.cc
@@ -30,6 +30,17 @@
   std::string data;
 };
 
+// libuv reports the end of the stream when a reset arrives together with the last bytes. The socket
+// still tells the two apart: an answer that ends with its connection is whole only after a proper end.
+bool EndedCleanly(uv_stream_t* stream) {
+  uv_os_fd_t descriptor = -1;
+  if (uv_fileno(reinterpret_cast<uv_handle_t*>(stream), &descriptor) != 0) {
+    return false;
+  }
+  char byte = 0;
+  return recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 }  // namespace
 
 void TcpStream::Handle::End(bool clean) {
@@ -89,7 +100,7 @@
                     return;
                   }
                   if (count < 0) {
-                    self->End(count == UV_EOF);
+                    self->End(count == UV_EOF && EndedCleanly(stream));
                     return;
                   }
                   self->handler->OnData(buffer->base, static_cast<std::size_t>(count));
