--- a/include/primroseweir/balance/balanced_upstream.h
+++ b/include/primroseweir/balance/balanced_upstream.h
@@ -94,8 +94,9 @@
   // Recent share of attempts that failed, 0 to 1.
   double failures(Instant now) const;
   double reported_slowdown() const { return slowdown_; }
-  // Whether the upstream states its load at all.
-  bool reports_load() const { return report_at_ != Instant(); }
+  // Whether the upstream may state its load: it did, or it was never asked.
+  bool may_report() const { return report_at_ != Instant() || !answered_probe_; }
+  void NoteProbeAnswered() { answered_probe_ = true; }
   // Hash of the id, under which instances exchange what they know.
   std::uint64_t hash() const { return hash_; }
   Instant reported_at() const { return report_at_; }
@@ -130,6 +131,7 @@
   // Calls of others at the newest report.
   double foreign_ = 0;
   Instant report_at_;
+  bool answered_probe_ = false;
   double slowdown_ = 1;
   Instant slowdown_at_;
   // Logarithm of the observed slowness, 0 for as usual.
--- a/include/primroseweir/balance/upstream_book.h
+++ b/include/primroseweir/balance/upstream_book.h
@@ -45,6 +45,8 @@
     std::vector<UpstreamId> excluded;
     // Longest expected time to answer that is still useful; upstreams beyond count as full.
     Duration acceptable = Duration::max();
+    // Upstreams of other data centres count as full, unless the own data centre has none.
+    bool near_only = false;
   };
 
   // Why no upstream was chosen.
@@ -106,8 +108,8 @@
   static constexpr std::size_t kProbedPerCall = 2;
   // A call to another data centre costs this much more, so that the nearer one wins between equals.
   static constexpr Duration kDistance = std::chrono::milliseconds(6);
-  // Large answers are expensive between data centres: they leave their own only when it is full.
-  static constexpr Duration kDownloadDistance = std::chrono::milliseconds(600);
+  // Large answers are expensive between data centres.
+  static constexpr Duration kDownloadDistance = std::chrono::milliseconds(300);
   // A failed attempt costs a second one.
   static constexpr Duration kFailureCost = std::chrono::milliseconds(400);
 
@@ -119,6 +121,9 @@
 
   ColdPacer::Bound ColdBoundOf(const UpstreamRecord& record, const RouteTable& terms) const;
   void AddOrUpdate(const UpstreamRecord& record, const RouteTable& terms, Instant now);
+  bool Near(const BalancedUpstream& upstream) const {
+    return upstream.record().data_centre == options_.data_centre;
+  }
   double Cost(const BalancedUpstream& upstream, const ServiceEntry& service, CallKind kind,
               std::uint32_t limit, Instant now) const;
 
--- a/include/primroseweir/fleet/fleet_member.h
+++ b/include/primroseweir/fleet/fleet_member.h
@@ -19,6 +19,8 @@
   std::uint64_t beat = 0;
   // Takes no new callers: it stops, or it has no configuration yet.
   bool leaving = false;
+  // The platform's store serves it: others of its data centre may follow it instead of the store.
+  bool reads_store = false;
   // Revision up to which the instance knows the published state.
   Revision published;
 };
--- a/include/primroseweir/fleet/fleet_table.h
+++ b/include/primroseweir/fleet/fleet_table.h
@@ -15,8 +15,10 @@
 // The instances of the fleet, by heartbeats that spread from instance to instance. There are no
 // fixed positions and no fixed size: instances are added, replaced and lost at any moment.
 //
-// An instance counts as live while its heartbeat advances. For sums over the fleet the table also
-// gives the highest number of instances that may be sending, which forgets slowly.
+// An instance counts as live while its heartbeat advances. Within a data centre heartbeats go to all
+// instances, or to some when there are many; between data centres, where bytes are expensive, they
+// spread slowly. For sums over the fleet the table also gives the highest number of instances that
+// may be sending, which forgets slowly.
 class FleetTable {
  public:
   FleetTable(const FleetMember& self, std::uint64_t seed);
@@ -26,6 +28,7 @@
   // Advances the own heartbeat.
   void Beat(Instant now);
   void SetLeaving(bool leaving) { self_.leaving = leaving; }
+  void SetReadsStore(bool reads) { self_.reads_store = reads; }
   void SetPublished(Revision revision) { self_.published = revision; }
   const FleetMember& self() const { return self_; }
 
@@ -35,28 +38,48 @@
   // about this instance from an earlier life of it raises the own incarnation above that one, since
   // the time of day, from which incarnations start, may have stepped back in between.
   bool Merge(const FleetMember& member, Instant now);
-  // Own state and all live members, for a heartbeat message. Linear.
+  // Own state and all live members, for a message. Linear.
   std::vector<FleetMember> Statements(Instant now) const;
-  // Up to kFanout instances to send the next heartbeat to: live ones, and in each call one that
-  // fell silent, so that two halves of a healed partition find each other.
-  std::vector<std::string> Targets(Instant now);
+
+  // Instances that get a message after a beat, and what it holds.
+  struct Targets {
+    // Only the own state.
+    std::vector<std::string> brief;
+    // All statements.
+    std::vector<std::string> full;
+  };
+  // `beats` counts the beats. Includes an instance that fell silent now and then, so that two halves
+  // of a healed partition find each other. Linear.
+  Targets TargetsOf(std::uint64_t beats, Instant now);
 
   // ---- view ----
 
   // Live instances other than this one.
   std::vector<FleetMember> LivePeers(Instant now) const;
+  bool Near(const FleetMember& member) const { return member.data_centre == self_.data_centre; }
+  // Whether this instance should read the platform's store: no live instance of its data centre that
+  // the store serves has a better rank. The store counts and prices each call, so that one instance
+  // of a data centre reads and the others follow it.
+  bool ShouldReadStore(Instant now) const;
   // Highest number of instances, this one included, that may be sending. Before any peer was heard
   // it is kUnknownFleet: an instance that is cut off from its start can't know the number.
   std::size_t PeakSize(Instant now) const;
 
   static constexpr Duration kBeatInterval = std::chrono::milliseconds(250);
-  // Six heartbeats.
-  static constexpr Duration kSilence = std::chrono::milliseconds(1500);
+  // Six heartbeats, for instances that hear each other directly.
+  static constexpr Duration kNearSilence = std::chrono::milliseconds(1500);
+  // For instances that hear of each other through others.
+  static constexpr Duration kFarSilence = std::chrono::milliseconds(4000);
   // Instances that are cut off go on sending; they count this long after they fell silent.
   static constexpr Duration kPeakMemory = std::chrono::seconds(60);
   // Silent instances are forgotten after this time.
   static constexpr Duration kForget = std::chrono::minutes(10);
-  static constexpr std::size_t kFanout = 6;
+  // Instances of one data centre that all send to each other.
+  static constexpr std::size_t kDirect = 8;
+  // Full statements after one beat, in a data centre with more instances than that.
+  static constexpr std::size_t kFullNear = 3;
+  // Full statements go to another data centre after every so many beats.
+  static constexpr std::uint64_t kBeatsPerFar = 4;
   static constexpr std::size_t kUnknownFleet = 64;
 
  private:
@@ -65,11 +88,14 @@
     Instant heard;
   };
 
-  bool Live(const Known& known, Instant now) const { return now - known.heard < kSilence; }
+  bool Live(const Known& known, Instant now) const;
+  std::string Pick(std::vector<std::string>* ips);
 
   FleetMember self_;
   Random random_;
   std::map<std::string, Known> peers_;
+  // Live instances of the own data centre, as of the last beat.
+  std::size_t near_ = 0;
 };
 
 }  // namespace primroseweir
--- a/include/primroseweir/gateway/fleet_service.h
+++ b/include/primroseweir/gateway/fleet_service.h
@@ -48,10 +48,10 @@
     std::uint64_t seed = 0;
   };
 
-  // `gateway`, `cache` and `log` outlive the service. `on_copy` is called after a peer's copy
-  // changed the cache.
+  // `gateway`, `cache` and `log` outlive the service. `on_copy` is called after each
+  // copy of a peer, with whether it changed the cache.
   FleetService(EventLoop* loop, const Options& options, Gateway* gateway, PublishedCache* cache,
-               LineLog* log, std::function<void()> on_copy);
+               LineLog* log, std::function<void(bool changed)> on_copy);
   ~FleetService();
 
   // Errors: Unavailable, a port can't be bound.
@@ -59,6 +59,9 @@
 
   void SetSeeds(std::vector<std::string> seeds) { seeds_ = std::move(seeds); }
   void SetLeaving(bool leaving);
+  // Whether the platform's store serves this instance.
+  void SetReadsStore(bool reads) { table_.SetReadsStore(reads); }
+  bool ShouldReadStore(Instant now) const { return table_.ShouldReadStore(now); }
   // Tells the peers at once, after a change of the own state.
   void Announce();
 
@@ -66,13 +69,15 @@
   std::vector<std::string> AddressesFor(const DataCentre& caller) const;
   std::size_t live_peers() const { return table_.LivePeers(now_()).size(); }
 
-  // A peer's copy is asked for when it was ahead this long: usually the platform's own notice
-  // arrives within milliseconds.
-  static constexpr Duration kCopyDelay = std::chrono::milliseconds(300);
+  // A reader of the store asks a peer that was ahead this long: usually the store's own notice
+  // arrives within milliseconds. Others ask a peer of their data centre at once, and one elsewhere
+  // after a short time.
+  static constexpr Duration kReaderCopyDelay = std::chrono::milliseconds(300);
+  static constexpr Duration kFarCopyDelay = std::chrono::milliseconds(60);
   static constexpr Duration kCopyTimeout = std::chrono::milliseconds(500);
   static constexpr Duration kLoadInterval = std::chrono::milliseconds(50);
   // Seeds are asked this often even when peers are known, so that parts of a split fleet meet.
-  static constexpr int kBeatsPerSeedRound = 8;
+  static constexpr std::uint64_t kBeatsPerSeedRound = 16;
   static constexpr char kCopyPath[] = "/published";
 
  private:
@@ -82,7 +87,7 @@
   void SendLoad();
   void Receive(const std::string& ip, std::string_view data);
   void Send(const std::string& ip, const std::string& data);
-  std::string OwnState(bool with_members);
+  std::string OwnState() const;
   void TakeLoad(const std::string& ip, const LoadDigest& load, Instant now);
   void FollowPeer(const FleetMember& peer, Instant now);
   void NoteLost(Instant now);
@@ -92,14 +97,14 @@
   Gateway* const gateway_;
   PublishedCache* const cache_;
   LineLog* const log_;
-  const std::function<void()> on_copy_;
+  const std::function<void(bool changed)> on_copy_;
   const std::function<Instant()> now_;
   std::vector<std::string> seeds_;
   FleetTable table_;
   PeerLoads loads_;
   UdpSocket socket_;
   std::set<std::string> live_;
-  int beats_ = 0;
+  std::uint64_t beats_ = 0;
   bool had_load_ = false;
   std::vector<CrashStrike> strikes_;
   // Since when a peer has been ahead of this instance.
--- a/include/primroseweir/gateway/upstream_prober.h
+++ b/include/primroseweir/gateway/upstream_prober.h
@@ -12,7 +12,7 @@
 class BalancedUpstream;
 class Gateway;
 
-// Probes upstreams, over one kept connection to each: those in doubt, until one of their answers
+// Probes upstreams, one probe of each at a time: those in doubt, until one of their answers
 // tells whether they run and how long they stay cold, and those whose load a call needs to know
 // before it is sent.
 class UpstreamProber {
@@ -24,12 +24,11 @@
   // Asks an upstream for its load, unless a probe of it is under way. False when it can't be asked.
   bool Ask(const std::shared_ptr<BalancedUpstream>& upstream, Instant now);
 
-  // Starts the probes of doubted upstreams that are due, gives up those that take too long and
-  // closes connections that are no longer used.
+  // Starts the probes of doubted upstreams that are due and gives up those that take too long.
   void Tick(Instant now);
 
   static constexpr Duration kTimeout = std::chrono::milliseconds(300);
-  // Idle probe connections are closed before the upstream closes them.
+  // Upstreams that were not probed for this time are forgotten.
   static constexpr Duration kMaxIdle = std::chrono::seconds(7);
 
  private:
--- a/include/primroseweir/loop/http_port.h
+++ b/include/primroseweir/loop/http_port.h
@@ -53,7 +53,7 @@
 
   // Bounds descriptors and memory; connections beyond are closed at once.
   static constexpr std::size_t kMaxConnections = 3000;
-  static constexpr Duration kSweepInterval = std::chrono::milliseconds(200);
+  static constexpr Duration kSweepInterval = std::chrono::milliseconds(500);
 
  private:
   void Take(std::unique_ptr<TcpStream> stream);
--- a/include/primroseweir/published/published_cache.h
+++ b/include/primroseweir/published/published_cache.h
@@ -3,12 +3,14 @@
 
 #include <absl/status/statusor.h>
 
+#include <cstddef>
 #include <map>
 #include <string>
 #include <vector>
 
 #include "primroseweir/base/ids.h"
 #include "primroseweir/base/time.h"
+#include "primroseweir/published/published_copy.h"
 #include "primroseweir/published/published_item.h"
 
 namespace primroseweir {
@@ -17,7 +19,8 @@
 // whatever a stale reader or a peer offers.
 //
 // Items may vanish although nothing withdrew them: their leases lapse while the platform's store is
-// away, and are renewed after its return. Such items are kept for a while.
+// away, and are renewed after its return. Such items are kept for a while. Withdrawn items leave a
+// mark, so that peers can be told what changed after a revision instead of everything.
 class PublishedCache {
  public:
   // Items with this prefix may lapse; others vanish at once.
@@ -25,8 +28,8 @@
 
   // ---- changes; each answers whether anything changed ----
 
-  // Takes a full copy as of `at`, unless it is older than what is known. Items that may lapse and
-  // are missing stay until `keep_missing`.
+  // Takes everything as of `at`, unless it is older than what is known. Items that may lapse and are
+  // missing stay until `keep_missing`.
   bool Replace(const std::vector<PublishedItem>& items, Revision at, Instant keep_missing,
                Instant now);
   // One item was written.
@@ -41,32 +44,37 @@
   // ---- view ----
 
   Revision at() const { return at_; }
-  // Items in the order of their keys, kept ones included.
+  // Items in the order of their keys, kept ones included. Linear.
   std::vector<PublishedItem> Items() const;
 
   // ---- exchange between instances ----
 
-  // JSON: {"at": N, "items": [[key, value, revision], ...]}; kept items are left out.
-  std::string Encode() const;
-  struct Copy {
-    Revision at;
-    std::vector<PublishedItem> items;
-  };
-  // InvalidArgument for anything that Encode does not write.
-  static absl::StatusOr<Copy> Decode(const std::string& text);
+  // What changed after `after`, or everything when that is not known any more. Linear.
+  PublishedCopy CopyAfter(Revision after, Instant now) const;
+  // Takes a peer's copy, unless it lacks changes between the own revision and its first one.
+  bool Take(const PublishedCopy& copy, Instant now);
+
+  // Withdrawn items that are remembered.
+  static constexpr std::size_t kMaxWithdrawn = 512;
 
  private:
   struct Entry {
     PublishedItem item;
     // Set when the item is missing: it is dropped at that time.
     Instant drop_at = Instant::max();
+    // Revision at which it went missing.
+    Revision missing_since;
   };
 
   bool MayLapse(const std::string& key) const;
+  void NoteWithdrawn(const std::string& key, Revision revision);
 
   const std::string lapsing_prefix_;
   Revision at_;
   std::map<std::string, Entry> entries_;
+  // Withdrawn keys by the revision of that, and the newest revision that was forgotten.
+  std::multimap<Revision, std::string> withdrawn_;
+  Revision forgotten_;
 };
 
 }  // namespace primroseweir
--- /dev/null
+++ b/include/primroseweir/published/published_copy.h
@@ -0,0 +1,39 @@
+#ifndef PRIMROSEWEIR_PUBLISHED_PUBLISHED_COPY_H_
+#define PRIMROSEWEIR_PUBLISHED_PUBLISHED_COPY_H_
+
+#include <absl/status/statusor.h>
+
+#include <string>
+#include <vector>
+
+#include "primroseweir/base/ids.h"
+#include "primroseweir/base/time.h"
+#include "primroseweir/published/published_item.h"
+
+namespace primroseweir {
+
+// What one instance tells another of the published state: all changes after one revision up to
+// another, or everything.
+struct PublishedCopy {
+  // An item that vanished and is kept for the time left, or not at all.
+  struct Withdrawn {
+    std::string key;
+    Revision revision;
+    Duration keep{};
+  };
+
+  // Changes after this revision are here; 0 when everything is.
+  Revision after;
+  Revision at;
+  std::vector<PublishedItem> items;
+  std::vector<Withdrawn> withdrawn;
+};
+
+// JSON: {"after":N,"at":N,"items":[[key,value,revision],...],"withdrawn":[[key,revision,ms],...]}.
+std::string EncodePublishedCopy(const PublishedCopy& copy);
+// InvalidArgument for anything that EncodePublishedCopy does not write.
+absl::StatusOr<PublishedCopy> DecodePublishedCopy(const std::string& text);
+
+}  // namespace primroseweir
+
+#endif  // PRIMROSEWEIR_PUBLISHED_PUBLISHED_COPY_H_
--- a/src/balance/upstream_book.cc
+++ b/src/balance/upstream_book.cc
@@ -93,13 +93,19 @@
   Choice choice;
   choice.obstacle = Obstacle::kNoUpstream;
   std::vector<std::pair<double, std::shared_ptr<BalancedUpstream>>> ranked;
+  const bool near_only =
+      query.near_only && std::any_of(service.upstreams.begin(), service.upstreams.end(),
+                                     [this](const auto& upstream) {
+                                       return upstream->usable() && !upstream->doubted() &&
+                                              Near(*upstream);
+                                     });
   for (const auto& upstream : service.upstreams) {
     if (!upstream->usable() || Contains(query.excluded, upstream->record().id)) {
       continue;
     }
     const auto limit = service.load.Limit(upstream->record().slots);
     const bool paced = upstream->cold(now) && !upstream->pacer().Ready(now);
-    if (upstream->doubted() || paced || upstream->occupancy(now) + 0.5 >= limit) {
+    if (upstream->doubted() || paced || (near_only && !Near(*upstream)) || upstream->occupancy(now) + 0.5 >= limit) {
       choice.obstacle = Obstacle::kFull;
       continue;
     }
@@ -122,7 +128,7 @@
   choice.upstream = ranked.front().second;
   choice.obstacle = Obstacle::kNone;
   const bool fresh = now - choice.upstream->reported_at() < kFreshReport;
-  if (!fresh && choice.upstream->reports_load()) {
+  if (!fresh && choice.upstream->may_report()) {
     for (std::size_t i = 0; i < shown; ++i) {
       choice.unsure.push_back(ranked[i].second);
     }
@@ -138,7 +144,7 @@
   if (upstream.cold(now)) {
     cost *= kColdFactor;
   }
-  if (upstream.record().data_centre != options_.data_centre) {
+  if (!Near(upstream)) {
     cost += Seconds(kind == CallKind::kDownload ? kDownloadDistance : kDistance);
   }
   return cost;
--- a/src/fleet/fleet_codec.cc
+++ b/src/fleet/fleet_codec.cc
@@ -15,10 +15,10 @@
 namespace {
 
 // First element of each message; changes with the layout.
-constexpr std::uint32_t kFormat = 1;
+constexpr std::uint32_t kFormat = 2;
 
 using MemberTuple = std::tuple<std::string, std::string, std::uint64_t, std::uint64_t, bool,
-                               std::uint64_t>;
+                               bool, std::uint64_t>;
 using UseTuple = std::tuple<std::uint64_t, std::uint32_t, std::uint32_t, std::uint32_t>;
 using StrikeTuple = std::tuple<std::uint64_t, std::string, std::int64_t, bool>;
 using MessageTuple = std::tuple<std::uint32_t, std::vector<MemberTuple>, std::vector<UseTuple>,
@@ -30,7 +30,7 @@
   format = kFormat;
   for (const auto& member : message.members) {
     members.emplace_back(member.ip, member.data_centre.value(), member.incarnation.value(),
-                         member.beat, member.leaving, member.published.value());
+                         member.beat, member.leaving, member.reads_store, member.published.value());
   }
   for (const auto& use : message.load.uses) {
     uses.emplace_back(use.upstream, use.in_flight, use.slowdown_percent, use.age_ms);
@@ -44,13 +44,15 @@
 
 FleetMessage FromTuple(const MessageTuple& tuple) {
   FleetMessage message;
-  for (const auto& [ip, data_centre, incarnation, beat, leaving, published] : std::get<1>(tuple)) {
+  for (const auto& [ip, data_centre, incarnation, beat, leaving, reads_store, published] :
+       std::get<1>(tuple)) {
     FleetMember member;
     member.ip = ip;
     member.data_centre = DataCentre(data_centre);
     member.incarnation = Incarnation(incarnation);
     member.beat = beat;
     member.leaving = leaving;
+    member.reads_store = reads_store;
     member.published = Revision(published);
     message.members.push_back(member);
   }
--- a/src/fleet/fleet_table.cc
+++ b/src/fleet/fleet_table.cc
@@ -1,8 +1,11 @@
 #include "primroseweir/fleet/fleet_table.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
+#include "primroseweir/base/rendezvous.h"
+
 namespace primroseweir {
 namespace {
 
@@ -19,6 +22,10 @@
 
 void FleetTable::Beat(Instant now) {
   ++self_.beat;
+  near_ = static_cast<std::size_t>(
+      std::count_if(peers_.begin(), peers_.end(), [this, now](const auto& entry) {
+        return Live(entry.second, now) && Near(entry.second.member);
+      }));
   for (auto it = peers_.begin(); it != peers_.end();) {
     it = now - it->second.heard > kForget ? peers_.erase(it) : std::next(it);
   }
@@ -26,6 +33,11 @@
 
 // ---- exchange ----
 
+bool FleetTable::Live(const Known& known, Instant now) const {
+  const bool direct = Near(known.member) && near_ <= kDirect;
+  return now - known.heard < (direct ? kNearSilence : kFarSilence);
+}
+
 bool FleetTable::Merge(const FleetMember& member, Instant now) {
   if (member.ip == self_.ip) {
     if (member.incarnation >= self_.incarnation && Newer(member, self_)) {
@@ -57,25 +69,44 @@
   return statements;
 }
 
-std::vector<std::string> FleetTable::Targets(Instant now) {
-  std::vector<std::string> live;
+FleetTable::Targets FleetTable::TargetsOf(std::uint64_t beats, Instant now) {
+  std::vector<std::string> near;
+  std::vector<std::string> far;
   std::vector<std::string> silent;
   for (const auto& [ip, known] : peers_) {
-    (Live(known, now) ? live : silent).push_back(ip);
+    auto& group = !Live(known, now) ? silent : Near(known.member) ? near : far;
+    group.push_back(ip);
+  }
+  const bool far_round = beats % kBeatsPerFar == 0;
+  Targets targets;
+  if (near.size() <= kDirect) {
+    if (far_round && !near.empty()) {
+      targets.full.push_back(Pick(&near));
+    }
+    targets.brief = std::move(near);
+  } else {
+    while (targets.full.size() < kFullNear) {
+      targets.full.push_back(Pick(&near));
+    }
   }
-  std::vector<std::string> targets;
-  while (!live.empty() && targets.size() < kFanout) {
-    const auto pick = random_.Below(live.size());
-    targets.push_back(live[pick]);
-    live[pick] = live.back();
-    live.pop_back();
+  if (far_round && !far.empty()) {
+    targets.full.push_back(Pick(&far));
   }
-  if (!silent.empty()) {
-    targets.push_back(silent[random_.Below(silent.size())]);
+  if (far_round && !silent.empty()) {
+    targets.full.push_back(Pick(&silent));
   }
   return targets;
 }
 
+// Takes one at random.
+std::string FleetTable::Pick(std::vector<std::string>* ips) {
+  const auto position = random_.Below(ips->size());
+  std::swap((*ips)[position], ips->back());
+  auto ip = std::move(ips->back());
+  ips->pop_back();
+  return ip;
+}
+
 // ---- view ----
 
 std::vector<FleetMember> FleetTable::LivePeers(Instant now) const {
@@ -88,6 +119,15 @@
   return live;
 }
 
+bool FleetTable::ShouldReadStore(Instant now) const {
+  const auto own = StableHash(self_.ip);
+  return std::none_of(peers_.begin(), peers_.end(), [this, own, now](const auto& entry) {
+    const auto& member = entry.second.member;
+    return Live(entry.second, now) && Near(member) && member.reads_store && !member.leaving &&
+           StableHash(member.ip) < own;
+  });
+}
+
 std::size_t FleetTable::PeakSize(Instant now) const {
   if (peers_.empty()) {
     return kUnknownFleet;
--- a/src/gateway/fleet_service.cc
+++ b/src/gateway/fleet_service.cc
@@ -14,6 +14,7 @@
 #include "primroseweir/loop/event_loop.h"
 #include "primroseweir/loop/http_client_stream.h"
 #include "primroseweir/published/published_cache.h"
+#include "primroseweir/published/published_copy.h"
 
 namespace primroseweir {
 namespace {
@@ -29,7 +30,8 @@
   Copy(FleetService* service, const SocketAddress& peer)
       : service_(service), started_(EventLoop::Now()), stream_(service->loop_, peer) {
     RequestHead head;
-    head.target = kCopyPath;
+    head.target = std::string(kCopyPath) +
+                  "?after=" + std::to_string(service->cache_->at().value());
     head.fields.Add("Host", peer.ToString());
     stream_.Send(head, std::string(), {}, this);
   }
@@ -43,19 +45,15 @@
     }
     done_ = true;
     const auto now = EventLoop::Now();
-    const auto copy = PublishedCache::Decode(text_);
+    const auto copy = DecodePublishedCopy(text_);
     const bool usable = head->status == kOk && copy.ok();
-    // A peer's copy is as old as the peer's last word from the platform; nothing lapsed there.
-    const bool changed =
-        usable && service_->cache_->Replace(copy->items, copy->at, now, now);
+    const bool changed = usable && service_->cache_->Take(*copy, now);
     service_->log_->Write("peer_copy",
                           {{"peer", stream_.address().ip},
                            {"revision", usable ? std::to_string(copy->at.value()) : "none"},
                            {"outcome", changed ? "taken" : "unchanged"}},
                           now);
-    if (changed) {
-      service_->on_copy_();
-    }
+    service_->on_copy_(changed);
   }
 
   void OnFailure(Failure /*failure*/) override {
@@ -73,7 +71,7 @@
 };
 
 FleetService::FleetService(EventLoop* loop, const Options& options, Gateway* gateway,
-                           PublishedCache* cache, LineLog* log, std::function<void()> on_copy)
+                           PublishedCache* cache, LineLog* log, std::function<void(bool changed)> on_copy)
     : loop_(loop),
       options_(options),
       gateway_(gateway),
@@ -120,15 +118,20 @@
   table_.SetPublished(cache_->at());
   NoteLost(now);
   gateway_->book().SetFleetSize(table_.PeakSize(now));
-  const auto data = OwnState(true);
-  std::set<std::string> targets;
-  for (auto& ip : table_.Targets(now)) {
-    targets.insert(std::move(ip));
+  const auto targets = table_.TargetsOf(beats_, now);
+  const auto brief = OwnState();
+  for (const auto& ip : targets.brief) {
+    Send(ip, brief);
   }
-  if (live_.empty() || ++beats_ % kBeatsPerSeedRound == 0) {
-    targets.insert(seeds_.begin(), seeds_.end());
+  std::set<std::string> full(targets.full.begin(), targets.full.end());
+  if (live_.empty() || beats_ % kBeatsPerSeedRound == 0) {
+    full.insert(seeds_.begin(), seeds_.end());
   }
-  for (const auto& ip : targets) {
+  ++beats_;
+  FleetMessage message;
+  message.members = table_.Statements(now);
+  const auto data = EncodeFleetMessage(message);
+  for (const auto& ip : full) {
     Send(ip, data);
   }
   if (copy_ != nullptr && copy_->over(now)) {
@@ -137,25 +140,23 @@
 }
 
 void FleetService::Announce() {
-  table_.Beat(now_());
+  const auto now = now_();
+  table_.Beat(now);
   table_.SetPublished(cache_->at());
-  const auto data = OwnState(true);
-  for (const auto& peer : table_.LivePeers(now_())) {
+  const auto data = OwnState();
+  for (const auto& peer : table_.LivePeers(now)) {
     Send(peer.ip, data);
   }
 }
 
-std::string FleetService::OwnState(bool with_members) {
+std::string FleetService::OwnState() const {
   FleetMessage message;
-  if (with_members) {
-    message.members = table_.Statements(now_());
-  } else {
-    message.members = {table_.self()};
-  }
+  message.members = {table_.self()};
   return EncodeFleetMessage(message);
 }
 
-// Calls in flight go to the instances that callers use, since only those have calls of their own.
+// Calls in flight go to the instances of the data centre that callers use: those share its
+// upstreams. Crash strikes go to all.
 void FleetService::SendLoad() {
   const auto now = now_();
   FleetMessage message;
@@ -185,16 +186,10 @@
   const auto data = EncodeFleetMessage(message);
   std::set<std::string> targets;
   if (!message.load.strikes.empty()) {
-    targets.insert(live_.begin(), live_.end());
+    targets = live_;
   } else {
-    std::set<DataCentre> data_centres{table_.self().data_centre};
-    for (const auto& peer : table_.LivePeers(now)) {
-      data_centres.insert(peer.data_centre);
-    }
-    for (const auto& data_centre : data_centres) {
-      for (auto& ip : AddressesFor(data_centre)) {
-        targets.insert(std::move(ip));
-      }
+    for (auto& ip : AddressesFor(table_.self().data_centre)) {
+      targets.insert(std::move(ip));
     }
   }
   targets.erase(table_.self().ip);
@@ -268,7 +263,10 @@
     return;
   }
   behind_since_ = std::min(behind_since_, now);
-  if (now - behind_since_ < kCopyDelay || copy_ != nullptr) {
+  const Duration delay = table_.self().reads_store ? kReaderCopyDelay
+                         : table_.Near(peer)       ? Duration::zero()
+                                                   : Duration(kFarCopyDelay);
+  if (now - behind_since_ < delay || (copy_ != nullptr && !copy_->over(now))) {
     return;
   }
   behind_since_ = Instant::max();
--- a/src/gateway/routed_call.cc
+++ b/src/gateway/routed_call.cc
@@ -165,6 +165,7 @@
   query.service = service_;
   query.kind = route_->kind;
   query.excluded = tried_;
+  query.near_only = route_->kind == CallKind::kDownload && !effort.any_speed;
   query.acceptable = effort.any_speed ? Duration::max() : Acceptable(now);
   auto choice = gateway_->book().Choose(query, now);
   if (choice.upstream == nullptr) {
--- a/src/gateway/upstream_prober.cc
+++ b/src/gateway/upstream_prober.cc
@@ -37,16 +37,11 @@
   void Ask(const std::string& target, Instant now) {
     busy_ = true;
     started_ = now;
-    const auto& address = upstream_->record().address;
-    if (stream_ == nullptr || !stream_->reusable() || stream_->broken()) {
-      stream_ = std::make_unique<HttpClientStream>(gateway_->loop(), address);
-      fresh_stream_ = true;
-    } else {
-      fresh_stream_ = false;
-    }
+    stream_ = gateway_->pool().Take(upstream_->record(), false, now);
+    fresh_stream_ = !stream_->connected();
     RequestHead head;
     head.target = target;
-    head.fields.Add("Host", address.ToString());
+    head.fields.Add("Host", upstream_->record().address.ToString());
     gateway_->metrics().Count("probe");
     stream_->Send(head, std::string(), {}, this);
   }
@@ -75,18 +70,23 @@
       Log("misdirected", answered_by, *head, now);
       return;
     }
+    upstream_->NoteProbeAnswered();
     const auto warm_up =
         std::chrono::milliseconds(std::atoll(head->fields.Get(fields.warm_up_left).c_str()));
     if (const auto load = ParseLoad(head->fields.Get(fields.load))) {
       upstream_->NoteReport(*load, BalancedUpstream::ReportSource::kProbe, now);
     }
     Judge(head->status == kOk, warm_up, *head, now);
+    // The connection has just proved that it works: the call that follows the probe takes it. This
+    // may destroy `head`.
+    gateway_->pool().Put(upstream_->record().id, std::move(stream_));
     gateway_->OnReport(upstream_->record().service, now);
   }
 
   void OnFailure(Failure failure) override {
     busy_ = false;
     const auto now = EventLoop::Now();
+    // A kept connection may have been closed meanwhile, which tells nothing.
     if (fresh_stream_) {
       upstream_->Doubt(now);
     }
--- a/src/published/published_cache.cc
+++ b/src/published/published_cache.cc
@@ -1,13 +1,10 @@
 #include "primroseweir/published/published_cache.h"
 
-#include <exception>
+#include <algorithm>
 #include <iterator>
-#include <nlohmann/json.hpp>
 #include <set>
 #include <utility>
 
-#include "primroseweir/base/error.h"
-
 namespace primroseweir {
 
 PublishedCache::PublishedCache(std::string lapsing_prefix)
@@ -17,6 +14,14 @@
   return key.compare(0, lapsing_prefix_.size(), lapsing_prefix_) == 0;
 }
 
+void PublishedCache::NoteWithdrawn(const std::string& key, Revision revision) {
+  withdrawn_.emplace(revision, key);
+  if (withdrawn_.size() > kMaxWithdrawn) {
+    forgotten_ = withdrawn_.begin()->first;
+    withdrawn_.erase(withdrawn_.begin());
+  }
+}
+
 // ---- changes ----
 
 bool PublishedCache::Replace(const std::vector<PublishedItem>& items, Revision at,
@@ -30,20 +35,15 @@
     present.insert(item.key);
     changed = Put(item) || changed;
   }
-  for (auto it = entries_.begin(); it != entries_.end();) {
-    auto& [key, entry] = *it;
+  std::vector<std::string> missing;
+  for (const auto& [key, entry] : entries_) {
     // An item that is newer than the copy was heard of in another way.
-    if (present.count(key) != 0 || entry.item.revision > at) {
-      ++it;
-      continue;
+    if (present.count(key) == 0 && entry.item.revision <= at) {
+      missing.push_back(key);
     }
-    if (MayLapse(key) && keep_missing > now) {
-      entry.drop_at = std::min(entry.drop_at, keep_missing);
-      ++it;
-      continue;
-    }
-    it = entries_.erase(it);
-    changed = true;
+  }
+  for (const auto& key : missing) {
+    changed = Erase(key, at, keep_missing, now) || changed;
   }
   at_ = at;
   return changed;
@@ -65,11 +65,14 @@
   if (found == entries_.end() || found->second.item.revision > revision) {
     return false;
   }
+  auto& entry = found->second;
   if (MayLapse(key) && keep > now) {
-    found->second.drop_at = std::min(found->second.drop_at, keep);
+    entry.drop_at = std::min(entry.drop_at, keep);
+    entry.missing_since = revision;
     return false;
   }
   entries_.erase(found);
+  NoteWithdrawn(key, revision);
   return true;
 }
 
@@ -78,9 +81,13 @@
 bool PublishedCache::Expire(Instant now) {
   bool changed = false;
   for (auto it = entries_.begin(); it != entries_.end();) {
-    const bool expired = it->second.drop_at <= now;
-    it = expired ? entries_.erase(it) : std::next(it);
-    changed = changed || expired;
+    if (it->second.drop_at > now) {
+      ++it;
+      continue;
+    }
+    NoteWithdrawn(it->first, it->second.missing_since);
+    it = entries_.erase(it);
+    changed = true;
   }
   return changed;
 }
@@ -98,30 +105,40 @@
 
 // ---- exchange between instances ----
 
-std::string PublishedCache::Encode() const {
-  nlohmann::json items = nlohmann::json::array();
+PublishedCopy PublishedCache::CopyAfter(Revision after, Instant now) const {
+  PublishedCopy copy;
+  copy.after = after < forgotten_ ? Revision() : after;
+  copy.at = at_;
   for (const auto& [key, entry] : entries_) {
-    if (entry.drop_at == Instant::max()) {
-      items.push_back({key, entry.item.value, entry.item.revision.value()});
+    if (entry.item.revision > copy.after) {
+      copy.items.push_back(entry.item);
     }
+    if (entry.drop_at != Instant::max()) {
+      copy.withdrawn.push_back({key, entry.missing_since, entry.drop_at - now});
+    }
+  }
+  for (auto it = withdrawn_.upper_bound(copy.after); it != withdrawn_.end(); ++it) {
+    copy.withdrawn.push_back({it->second, it->first, Duration::zero()});
   }
-  const nlohmann::json copy = {{"at", at_.value()}, {"items", std::move(items)}};
-  return copy.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  return copy;
 }
 
-absl::StatusOr<PublishedCache::Copy> PublishedCache::Decode(const std::string& text) {
-  try {
-    const auto json = nlohmann::json::parse(text);
-    Copy copy;
-    copy.at = Revision(json.at("at").get<std::uint64_t>());
-    for (const auto& item : json.at("items")) {
-      copy.items.push_back({item.at(0).get<std::string>(), item.at(1).get<std::string>(),
-                            Revision(item.at(2).get<std::uint64_t>())});
-    }
-    return copy;
-  } catch (const std::exception& error) {
-    return MakeError(absl::StatusCode::kInvalidArgument, {"peer copy", ""}, error.what());
+bool PublishedCache::Take(const PublishedCopy& copy, Instant now) {
+  if (copy.at < at_ || copy.after > at_) {
+    return false;
+  }
+  bool changed = false;
+  if (copy.after == Revision()) {
+    changed = Replace(copy.items, copy.at, now, now);
   }
+  for (const auto& item : copy.items) {
+    changed = Put(item) || changed;
+  }
+  for (const auto& item : copy.withdrawn) {
+    changed = Erase(item.key, item.revision, now + item.keep, now) || changed;
+  }
+  at_ = copy.at;
+  return changed;
 }
 
 }  // namespace primroseweir
