--- a/include/primroseweir/fleet/fleet_table.h
+++ b/include/primroseweir/fleet/fleet_table.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -56,6 +57,9 @@
 
   // Live instances other than this one.
   std::vector<FleetMember> LivePeers(Instant now) const;
+  // The live peer that knows the most of the published state, one of the own data centre between
+  // equals; nothing when none knows more than this instance.
+  std::optional<FleetMember> MostAdvanced(Instant now) const;
   bool Near(const FleetMember& member) const { return member.data_centre == self_.data_centre; }
   // Whether this instance should read the platform's store: no live instance of its data centre that
   // the store serves has a better rank. The store counts and prices each call, so that one instance
--- a/include/primroseweir/gateway/fleet_service.h
+++ b/include/primroseweir/gateway/fleet_service.h
@@ -89,7 +89,7 @@
   void Send(const std::string& ip, const std::string& data);
   std::string OwnState() const;
   void TakeLoad(const std::string& ip, const LoadDigest& load, Instant now);
-  void FollowPeer(const FleetMember& peer, Instant now);
+  void FollowPeers(Instant now);
   void NoteLost(Instant now);
 
   EventLoop* const loop_;
@@ -112,6 +112,7 @@
   std::unique_ptr<Copy> copy_;
   Timer beat_timer_;
   Timer load_timer_;
+  Timer follow_timer_;
 };
 
 }  // namespace primroseweir
--- a/src/fleet/fleet_table.cc
+++ b/src/fleet/fleet_table.cc
@@ -119,6 +119,21 @@
   return live;
 }
 
+std::optional<FleetMember> FleetTable::MostAdvanced(Instant now) const {
+  std::optional<FleetMember> best;
+  for (const auto& [ip, known] : peers_) {
+    const auto& member = known.member;
+    if (!Live(known, now) || member.published <= self_.published) {
+      continue;
+    }
+    const auto rank = [this](const FleetMember& m) { return std::make_pair(m.published, Near(m)); };
+    if (!best || rank(member) > rank(*best)) {
+      best = member;
+    }
+  }
+  return best;
+}
+
 bool FleetTable::ShouldReadStore(Instant now) const {
   const auto own = StableHash(self_.ip);
   return std::none_of(peers_.begin(), peers_.end(), [this, own, now](const auto& entry) {
--- a/src/gateway/fleet_service.cc
+++ b/src/gateway/fleet_service.cc
@@ -83,7 +83,8 @@
       table_(options.self, options.seed),
       socket_(loop),
       beat_timer_(loop, [this] { Beat(); }),
-      load_timer_(loop, [this] { SendLoad(); }) {
+      load_timer_(loop, [this] { SendLoad(); }),
+      follow_timer_(loop, [this] { FollowPeers(now_()); }) {
   gateway_->crash_guard().SetSender(
       [this](const CrashStrike& strike) { strikes_.push_back(strike); });
 }
@@ -134,9 +135,7 @@
   for (const auto& ip : full) {
     Send(ip, data);
   }
-  if (copy_ != nullptr && copy_->over(now)) {
-    copy_.reset();
-  }
+  FollowPeers(now);
 }
 
 void FleetService::Announce() {
@@ -213,7 +212,6 @@
     gateway_->metrics().Count("peer_message_rejected");
     return;
   }
-  const auto& sender = message->members.front();
   for (const auto& member : message->members) {
     if (table_.Merge(member, now)) {
       live_.insert(member.ip);
@@ -227,7 +225,7 @@
     }
   }
   TakeLoad(ip, message->load, now);
-  FollowPeer(sender, now);
+  FollowPeers(now);
 }
 
 void FleetService::TakeLoad(const std::string& ip, const LoadDigest& load, Instant now) {
@@ -255,22 +253,25 @@
   }
 }
 
-void FleetService::FollowPeer(const FleetMember& peer, Instant now) {
-  if (peer.published <= cache_->at()) {
-    if (peer.published == cache_->at()) {
-      behind_since_ = Instant::max();
-    }
+// Fetches what a peer knows beyond this instance, once the time for another notice has passed.
+void FleetService::FollowPeers(Instant now) {
+  table_.SetPublished(cache_->at());
+  const auto peer = table_.MostAdvanced(now);
+  if (!peer) {
+    behind_since_ = Instant::max();
     return;
   }
   behind_since_ = std::min(behind_since_, now);
   const Duration delay = table_.self().reads_store ? kReaderCopyDelay
-                         : table_.Near(peer)       ? Duration::zero()
+                         : table_.Near(*peer)      ? Duration::zero()
                                                    : Duration(kFarCopyDelay);
-  if (now - behind_since_ < delay || (copy_ != nullptr && !copy_->over(now))) {
+  if (now - behind_since_ < delay) {
+    follow_timer_.Start(delay - (now - behind_since_));
     return;
   }
-  behind_since_ = Instant::max();
-  copy_ = std::make_unique<Copy>(this, SocketAddress{peer.ip, options_.copy_port});
+  if (copy_ == nullptr || copy_->over(now)) {
+    copy_ = std::make_unique<Copy>(this, SocketAddress{peer->ip, options_.copy_port});
+  }
 }
 
 void FleetService::NoteLost(Instant now) {
