--- a/include/primroseweir/balance/retry_ledger.h
+++ b/include/primroseweir/balance/retry_ledger.h
@@ -42,7 +42,7 @@
   static constexpr double kUsedPart = 0.7;
 
  private:
-  static constexpr std::size_t kBuckets = 50;
+  static constexpr std::int64_t kBuckets = 50;
   struct Bucket {
     std::int64_t number = -1;
     std::uint32_t firsts = 0;
@@ -53,7 +53,7 @@
   std::uint64_t Sum(std::uint32_t Bucket::*member, Instant now);
 
   const Budget budget_;
-  std::array<Bucket, kBuckets> buckets_{};
+  std::array<Bucket, std::size_t{kBuckets}> buckets_{};
 };
 
 }  // namespace primroseweir
--- a/include/primroseweir/gateway/gateway.h
+++ b/include/primroseweir/gateway/gateway.h
@@ -69,6 +69,7 @@
   // Accepts no further connections.
   void StopAccepting() { port_.StopAccepting(); }
   std::size_t calls() const { return calls_.size(); }
+  SocketAddress address() const { return port_.address(); }
 
   // ---- for calls ----
 
--- a/src/balance/retry_ledger.cc
+++ b/src/balance/retry_ledger.cc
@@ -24,7 +24,7 @@
 
 RetryLedger::Bucket& RetryLedger::At(Instant now) {
   const auto number = now.time_since_epoch() / (budget_.window / kBuckets);
-  auto& bucket = buckets_[static_cast<std::size_t>(number) % kBuckets];
+  auto& bucket = buckets_[static_cast<std::size_t>(number % kBuckets)];
   if (bucket.number != number) {
     bucket = Bucket();
     bucket.number = number;
@@ -36,7 +36,7 @@
   const auto newest = now.time_since_epoch() / (budget_.window / kBuckets);
   std::uint64_t sum = 0;
   for (const auto& bucket : buckets_) {
-    if (bucket.number > newest - static_cast<std::int64_t>(kBuckets)) {
+    if (bucket.number > newest - kBuckets) {
       sum += bucket.*member;
     }
   }
--- a/src/balance/upstream_book.cc
+++ b/src/balance/upstream_book.cc
@@ -87,7 +87,7 @@
 UpstreamBook::Choice UpstreamBook::Choose(const Query& query, Instant now) {
   const auto found = services_.find(query.service);
   if (found == services_.end()) {
-    return {nullptr, Obstacle::kNoUpstream};
+    return {nullptr, Obstacle::kNoUpstream, {}};
   }
   const auto& service = found->second;
   Choice choice;
--- /dev/null
+++ b/tests/balance/upstream_book_test.cc
@@ -0,0 +1,171 @@
+#include "primroseweir/balance/upstream_book.h"
+
+#include <catch2/catch.hpp>
+
+#include "balance_fixture.h"
+
+namespace primroseweir {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Guards against calls at upstreams whose neighbours slow them down for a few tenths of a second.
+TEST_CASE("an upstream with a fresh report of a slowdown is avoided until the report is old",
+          "[balance]") {
+  BalanceFixture fixture;
+  fixture.Add("a");
+  fixture.Add("b");
+  fixture.Apply();
+  fixture.Report("a", 0, 5);
+  fixture.Report("b", 2, 1);
+  CHECK(fixture.ChooseId() == "b");
+  fixture.now += seconds(2);
+  fixture.Report("b", 2, 1);
+  CHECK(fixture.ChooseId() == "a");
+}
+
+// Guards against choices on reports that no longer tell anything, which cost 13% of the credit.
+TEST_CASE("a choice on old reports names the upstreams to probe", "[balance]") {
+  BalanceFixture fixture;
+  fixture.Add("a");
+  fixture.Add("b");
+  fixture.Add("c");
+  fixture.Apply();
+  CHECK(fixture.Choose().unsure.size() == UpstreamBook::kProbedPerCall);
+  fixture.Report("a", 0, 1);
+  fixture.Report("b", 0, 1);
+  fixture.Report("c", 0, 1);
+  CHECK(fixture.Choose().unsure.empty());
+  fixture.now += UpstreamBook::kFreshReport;
+  CHECK(fixture.Choose().unsure.size() == UpstreamBook::kProbedPerCall);
+}
+
+// Guards against calls that wait behind slow upstreams although they would come too late there.
+TEST_CASE("an upstream beyond the acceptable time counts as full", "[balance]") {
+  BalanceFixture fixture;
+  fixture.Add("a");
+  fixture.Apply();
+  fixture.Report("a", 0, 5);
+  UpstreamBook::Query query;
+  query.service = ServiceName("s");
+  query.acceptable = milliseconds(250);
+  CHECK(fixture.book.Choose(query, fixture.now).obstacle == UpstreamBook::Obstacle::kFull);
+  query.acceptable = milliseconds(600);
+  CHECK(fixture.book.Choose(query, fixture.now).upstream != nullptr);
+}
+
+// Guards against more calls at an upstream than it has slots: some never answer what they can't
+// queue.
+TEST_CASE("calls of other instances count against an upstream's slots", "[balance]") {
+  BalanceFixture fixture;
+  fixture.Add("a");
+  fixture.Apply();
+  fixture.At("a").SetPeerInFlight(3);
+  REQUIRE(fixture.ChooseId() == "a");
+  fixture.book.NoteStart(&fixture.At("a"), fixture.now);
+  CHECK(fixture.Choose().obstacle == UpstreamBook::Obstacle::kFull);
+  fixture.At("a").SetPeerInFlight(2);
+  CHECK(fixture.ChooseId() == "a");
+}
+
+// Guards against large answers between data centres, which are expensive.
+TEST_CASE("downloads stay in their data centre while it has an upstream", "[balance]") {
+  BalanceFixture fixture;
+  fixture.Add("near");
+  fixture.Add("far", "there");
+  fixture.Apply();
+  fixture.At("near").SetPeerInFlight(4);
+  UpstreamBook::Query query;
+  query.service = ServiceName("s");
+  query.kind = CallKind::kDownload;
+  query.near_only = true;
+  CHECK(fixture.book.Choose(query, fixture.now).obstacle == UpstreamBook::Obstacle::kFull);
+  query.near_only = false;
+  CHECK(fixture.book.Choose(query, fixture.now).upstream->record().id.value() == "far");
+  fixture.list.erase(fixture.list.begin());
+  fixture.Apply();
+  query.near_only = true;
+  CHECK(fixture.book.Choose(query, fixture.now).upstream->record().id.value() == "far");
+}
+
+// Guards against calls to upstreams that leave, are gone, or stand in a data centre that is out.
+TEST_CASE("only listed upstreams in service are chosen", "[balance][upstream-leaving]") {
+  BalanceFixture fixture;
+  fixture.Add("a");
+  fixture.Add("b", "there");
+  fixture.Apply();
+  fixture.list[0].state = ListedState::kLeaving;
+  fixture.Apply();
+  CHECK(fixture.ChooseId() == "b");
+  fixture.out.insert(DataCentre("there"));
+  fixture.Apply();
+  CHECK(fixture.Choose().obstacle == UpstreamBook::Obstacle::kNoUpstream);
+}
+
+// Guards against a flood at upstreams that turned cold while their data centre was out.
+TEST_CASE("upstreams of a returned data centre are probed before they get calls",
+          "[balance][data-centre-out]") {
+  BalanceFixture fixture;
+  fixture.Add("a");
+  fixture.out.insert(DataCentre("here"));
+  fixture.Apply();
+  CHECK(fixture.book.DueProbes(fixture.now).empty());
+  fixture.out.clear();
+  fixture.Apply();
+  CHECK(fixture.ChooseId() == "");
+  const auto due = fixture.book.DueProbes(fixture.now);
+  REQUIRE(due.size() == 1);
+  fixture.book.Trust(due[0].get(), seconds(2), fixture.now);
+  CHECK(due[0]->cold(fixture.now));
+  fixture.now += seconds(2);
+  CHECK(fixture.ChooseId() == "a");
+}
+
+// Guards against calls to the next process at an address that was reused.
+TEST_CASE("a misdirected upstream gets no calls until its entry changes", "[balance]") {
+  BalanceFixture fixture;
+  fixture.Add("a");
+  fixture.Apply();
+  fixture.At("a").SetMisdirected();
+  CHECK(fixture.ChooseId() == "");
+  fixture.Apply();
+  CHECK(fixture.ChooseId() == "");
+  fixture.list[0].started_ms = 7;
+  fixture.Apply();
+  CHECK(fixture.ChooseId() == "a");
+}
+
+// Guards against upstreams that are never used again because their health answers are wrong.
+TEST_CASE("an upstream that only its health answers call ill is tried again", "[balance]") {
+  BalanceFixture fixture;
+  fixture.Add("a");
+  fixture.Apply();
+  fixture.At("a").Doubt(fixture.now);
+  for (int i = 0; i < BalancedUpstream::kIgnoredProbes; ++i) {
+    CHECK(fixture.ChooseId() == "");
+    fixture.At("a").NoteUnhealthy();
+  }
+  CHECK(fixture.ChooseId() == "a");
+}
+
+// Guards against upstreams that fail a part of their calls while they look well.
+TEST_CASE("an upstream that fails is avoided and tried again later", "[balance]") {
+  BalanceFixture fixture;
+  fixture.Add("a");
+  fixture.Add("b");
+  fixture.Apply();
+  for (int i = 0; i < 6; ++i) {
+    auto& upstream = fixture.At("a");
+    fixture.book.NoteStart(&upstream, fixture.now);
+    fixture.book.NoteEnd(&upstream, AttemptResult::kFailed, fixture.now - milliseconds(50), 1,
+                         fixture.now);
+  }
+  fixture.At("b").SetPeerInFlight(1);
+  CHECK(fixture.ChooseId() == "b");
+  fixture.now += seconds(20);
+  CHECK(fixture.ChooseId() == "a");
+}
+
+}  // namespace
+}  // namespace primroseweir
--- /dev/null
+++ b/tests/loop/http_client_stream_test.cc
@@ -0,0 +1,149 @@
+#include "primroseweir/loop/http_client_stream.h"
+
+#include <catch2/catch.hpp>
+#include <memory>
+#include <optional>
+
+#include "primroseweir/http/request_head.h"
+#include "primroseweir/http/response_head.h"
+#include "support/loop_server.h"
+
+namespace primroseweir::testing {
+namespace {
+
+using Reply = LoopServer::Reply;
+using Then = LoopServer::Then;
+
+// Sends one request and records how it ended.
+class Exchange : public HttpClientListener {
+ public:
+  explicit Exchange(LoopServer::Script script, const std::string& echo = "")
+      : server_(&loop_, std::move(script)), stream_(&loop_, server_.address()) {
+    RequestHead head;
+    head.fields.Add("Host", "test");
+    const HttpClientStream::Echo field{echo.empty() ? "" : "X-Id", echo};
+    stream_.Send(head, "", field, this);
+    RunUntil(&loop_, [this] { return whole || failure.has_value(); });
+  }
+
+  void OnAnswer(ResponseHead* head, std::string piece, bool last) override {
+    status = head->status;
+    body += piece;
+    whole = last;
+    ++pieces;
+  }
+  void OnFailure(Failure end) override { failure = end; }
+
+  HttpClientStream& stream() { return stream_; }
+
+  int status = 0;
+  std::string body;
+  bool whole = false;
+  int pieces = 0;
+  std::optional<Failure> failure;
+
+ private:
+  EventLoop loop_;
+  LoopServer server_;
+  HttpClientStream stream_;
+};
+
+Reply Plain(const std::string& bytes, Then then = Then::kKeep) { return {bytes, then, {}}; }
+
+TEST_CASE("a framed answer is whole and the connection stays usable", "[loop]") {
+  Exchange exchange([](const auto&) {
+    return Plain("HTTP/1.1 200 OK\r\nContent-Length: 3\r\nKeep-Alive: timeout=7\r\n\r\nabc");
+  });
+  CHECK(exchange.whole);
+  CHECK(exchange.body == "abc");
+  CHECK(exchange.stream().reusable());
+  CHECK(exchange.stream().kept_for() == std::chrono::seconds(7));
+}
+
+// Guards against a cut answer that passes for whole: libuv reports a plain end when the reset
+// arrives together with the last bytes.
+TEST_CASE("an answer without a length is whole only after a proper end", "[loop][whole-answers]") {
+  const std::string bytes = "HTTP/1.1 200 OK\r\n\r\nabc";
+  Exchange ended([&](const auto&) { return Plain(bytes, Then::kClose); });
+  CHECK(ended.whole);
+  CHECK(ended.body == "abc");
+  Exchange reset([&](const auto&) { return Plain(bytes, Then::kReset); });
+  CHECK_FALSE(reset.whole);
+  REQUIRE(reset.failure.has_value());
+  CHECK(*reset.failure == HttpClientListener::Failure::kReset);
+}
+
+TEST_CASE("a framed answer that ends early is a failure", "[loop][whole-answers]") {
+  Exchange exchange([](const auto&) {
+    return Plain("HTTP/1.1 200 OK\r\nContent-Length: 30\r\n\r\nabc", Then::kClose);
+  });
+  REQUIRE(exchange.failure.has_value());
+  CHECK(*exchange.failure == HttpClientListener::Failure::kClosed);
+}
+
+TEST_CASE("bytes that are no answer are a failure", "[loop][whole-answers]") {
+  Exchange exchange([](const auto&) { return Plain("\x01\x02garbage\r\n\r\n"); });
+  REQUIRE(exchange.failure.has_value());
+  CHECK(*exchange.failure == HttpClientListener::Failure::kMalformed);
+}
+
+// Guards against a late answer to an earlier request that reaches the next caller.
+TEST_CASE("an answer that echoes another request is dropped", "[loop][whole-answers]") {
+  Exchange exchange(
+      [](const auto&) {
+        return Plain(
+            "HTTP/1.1 200 OK\r\nX-Id: old\r\nContent-Length: 3\r\n\r\nold"
+            "HTTP/1.1 200 OK\r\nX-Id: mine\r\nContent-Length: 4\r\n\r\nmine");
+      },
+      "mine");
+  CHECK(exchange.whole);
+  CHECK(exchange.body == "mine");
+  CHECK_FALSE(exchange.stream().reusable());
+}
+
+TEST_CASE("a success without the echo belongs to nobody", "[loop][whole-answers]") {
+  Exchange exchange(
+      [](const auto&) {
+        return Plain("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc", Then::kClose);
+      },
+      "mine");
+  CHECK_FALSE(exchange.whole);
+  CHECK(exchange.failure.has_value());
+}
+
+// Guards against extra bytes after an answer that the next request would read as its own.
+TEST_CASE("a connection with bytes after the answer is not used again", "[loop][whole-answers]") {
+  Exchange exchange([](const auto&) {
+    return Plain("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabcHTTP/1.1 200 OK\r\n");
+  });
+  CHECK(exchange.whole);
+  CHECK_FALSE(exchange.stream().reusable());
+}
+
+TEST_CASE("a large answer comes in pieces", "[loop]") {
+  const std::string content(2 * HttpClientStream::kBuffered, 'x');
+  Exchange exchange([&](const auto&) {
+    return Plain("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(content.size()) +
+                 "\r\n\r\n" + content);
+  });
+  CHECK(exchange.whole);
+  CHECK(exchange.pieces > 1);
+  CHECK(exchange.body == content);
+}
+
+TEST_CASE("a closed port fails to connect", "[loop]") {
+  EventLoop loop;
+  struct : HttpClientListener {
+    void OnAnswer(ResponseHead*, std::string, bool) override {}
+    void OnFailure(Failure end) override { failure = end; }
+    std::optional<Failure> failure;
+  } listener;
+  HttpClientStream stream(&loop, {"127.0.0.1", 1});
+  stream.Send(RequestHead(), "", {}, &listener);
+  RunUntil(&loop, [&] { return listener.failure.has_value(); });
+  REQUIRE(listener.failure.has_value());
+  CHECK(*listener.failure == HttpClientListener::Failure::kConnect);
+}
+
+}  // namespace
+}  // namespace primroseweir::testing
--- /dev/null
+++ b/tests/loop/http_port_test.cc
@@ -0,0 +1,137 @@
+#include "primroseweir/loop/http_port.h"
+
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "primroseweir/http/request_head.h"
+#include "primroseweir/loop/http_server_stream.h"
+#include "primroseweir/loop/request_sink.h"
+#include "support/loop_server.h"
+
+namespace primroseweir::testing {
+namespace {
+
+// Answers each request with its method, target and body.
+class PortFixture : public RequestSink {
+ public:
+  PortFixture() : port_(&loop_, this, [this] { return limits; }) {
+    REQUIRE(port_.Listen(RandomLoopback()).ok());
+  }
+
+  void OnRequest(HttpServerStream* stream, RequestHead* head, std::string body) override {
+    ++requests;
+    if (hold) {
+      held = stream;
+      return;
+    }
+    stream->Answer(ResponseHead(), head->method + " " + head->target + " " + body);
+  }
+  void OnCallerGone(HttpServerStream*) override { ++gone; }
+
+  // Sends bytes and waits for `expected` in what comes back, or for the end of the connection.
+  std::string Exchange(const std::string& bytes, const std::string& expected) {
+    LoopCaller caller(&loop_, port_.address());
+    caller.Send(bytes);
+    RunUntil(&loop_, [&] {
+      return caller.ended() || caller.received().find(expected) != std::string::npos;
+    });
+    return caller.received();
+  }
+
+  EventLoop& loop() { return loop_; }
+  HttpPort& port() { return port_; }
+
+  CallerLimits limits;
+  int requests = 0;
+  int gone = 0;
+  bool hold = false;
+  HttpServerStream* held = nullptr;
+
+ private:
+  EventLoop loop_;
+  HttpPort port_;
+};
+
+bool Contains(const std::string& text, const std::string& part) {
+  return text.find(part) != std::string::npos;
+}
+
+TEST_CASE("bodies with a length and in chunks arrive whole", "[loop]") {
+  PortFixture fixture;
+  CHECK(Contains(fixture.Exchange("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc",
+                                  "POST /a abc"),
+                 "POST /a abc"));
+  CHECK(Contains(fixture.Exchange("POST /b HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: "
+                                  "chunked\r\n\r\n2\r\nde\r\n1\r\nf\r\n0\r\n\r\n",
+                                  "POST /b def"),
+                 "POST /b def"));
+}
+
+TEST_CASE("requests sent ahead are answered in their order", "[loop][whole-answers]") {
+  PortFixture fixture;
+  const auto text = fixture.Exchange(
+      "GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n", "GET /2");
+  CHECK(text.find("GET /1") < text.find("GET /2"));
+  CHECK(fixture.requests == 2);
+}
+
+// Guards against unbounded memory and against requests beyond the operators' limits.
+TEST_CASE("requests beyond the limits are refused", "[loop]") {
+  PortFixture fixture;
+  fixture.limits.head_bytes = 200;
+  fixture.limits.body_bytes = 10;
+  const std::string long_field(300, 'x');
+  CHECK(Contains(fixture.Exchange("GET / HTTP/1.1\r\nHost: h\r\nA: " + long_field + "\r\n\r\n", "431"),
+                 " 431 "));
+  CHECK(Contains(
+      fixture.Exchange("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 11\r\n\r\n", "413"), " 413 "));
+  CHECK(Contains(fixture.Exchange("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: "
+                                  "chunked\r\n\r\nb\r\n01234567890\r\n",
+                                  "413"),
+                 " 413 "));
+  CHECK(Contains(fixture.Exchange("GET  HTTP/1.1\r\n\r\n", "400"), " 400 "));
+  CHECK(fixture.requests == 0);
+}
+
+TEST_CASE("a head that takes too long is refused", "[loop]") {
+  PortFixture fixture;
+  fixture.limits.head_time = std::chrono::milliseconds(50);
+  CHECK(Contains(fixture.Exchange("GET / HTTP/1.1\r\nHost", " 408 "), " 408 "));
+}
+
+TEST_CASE("an idle connection closes after the operators' time", "[loop]") {
+  PortFixture fixture;
+  fixture.limits.idle = std::chrono::milliseconds(50);
+  LoopCaller caller(&fixture.loop(), fixture.port().address());
+  CHECK(RunUntil(&fixture.loop(), [&] { return caller.ended(); }));
+}
+
+// Guards against work for callers that left.
+TEST_CASE("a caller that leaves is noticed while its request is served", "[loop]") {
+  PortFixture fixture;
+  fixture.hold = true;
+  LoopCaller caller(&fixture.loop(), fixture.port().address());
+  caller.Send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  REQUIRE(RunUntil(&fixture.loop(), [&] { return fixture.held != nullptr; }));
+  caller.Close();
+  CHECK(RunUntil(&fixture.loop(), [&] { return fixture.gone == 1; }));
+}
+
+// Guards against requests that are cut by a planned stop.
+TEST_CASE("a closing port answers what it has read and then closes", "[loop][graceful-stop]") {
+  PortFixture fixture;
+  fixture.hold = true;
+  LoopCaller caller(&fixture.loop(), fixture.port().address());
+  caller.Send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  REQUIRE(RunUntil(&fixture.loop(), [&] { return fixture.held != nullptr; }));
+  fixture.port().CloseKept();
+  fixture.port().StopAccepting();
+  fixture.held->Answer(ResponseHead(), "done");
+  CHECK(RunUntil(&fixture.loop(), [&] { return caller.ended(); }));
+  CHECK(caller.clean());
+  CHECK(Contains(caller.received(), "done"));
+  CHECK(Contains(caller.received(), "Connection: close"));
+}
+
+}  // namespace
+}  // namespace primroseweir::testing
