--- a/include/primroseweir/balance/upstream_book.h
+++ b/include/primroseweir/balance/upstream_book.h
@@ -49,8 +49,10 @@
     bool near_only = false;
   };
 
-  // Why no upstream was chosen.
-  enum class Obstacle { kNone, kNoUpstream, kFull };
+  // Why no upstream was chosen: none may be used, those that are fast enough are full, or only slow
+  // ones have room. A slow upstream that is filled under load stays full for long after it is fast
+  // again, so that kFull must not lead to it.
+  enum class Obstacle { kNone, kNoUpstream, kFull, kOnlySlow };
 
   struct Choice {
     std::shared_ptr<BalancedUpstream> upstream;
--- a/include/primroseweir/gateway/routed_call.h
+++ b/include/primroseweir/gateway/routed_call.h
@@ -66,7 +66,7 @@
   static constexpr Duration kProbeWait = std::chrono::milliseconds(5);
 
  private:
-  enum class Placement { kStarted, kProbing, kNoRoom, kNoUpstream, kNoBudget };
+  enum class Placement { kStarted, kProbing, kNoRoom, kOnlySlow, kNoUpstream, kNoBudget };
   // Whether a choice may rest on old reports, and whether slow upstreams may be chosen.
   struct Effort {
     bool may_probe = true;
@@ -79,11 +79,13 @@
   void SetDeadline(Instant now);
 
   // ---- placement ----
+  static Placement PlacementOf(UpstreamBook::Obstacle obstacle);
   Placement TryStart(Effort effort, Instant now);
   // Places the call, or lets it wait, or ends it as `without` says.
   void Place(CallPolicy::Step without, Instant now);
   bool Wait(Instant now);
-  // The wait is over without an upstream that answers in time: any that has room is taken.
+  // The wait is over without an upstream that answers in time: a slow one is taken unless the fast
+  // ones are full.
   void OnWaitEnd();
   // Expected time to answer beyond which an upstream does not help this call.
   Duration Acceptable(Instant now) const;
--- a/src/balance/upstream_book.cc
+++ b/src/balance/upstream_book.cc
@@ -105,17 +105,21 @@
     }
     const auto limit = service.load.Limit(upstream->record().slots);
     const bool paced = upstream->cold(now) && !upstream->pacer().Ready(now);
-    if (upstream->doubted() || paced || (near_only && !Near(*upstream)) || upstream->occupancy(now) + 0.5 >= limit) {
-      choice.obstacle = Obstacle::kFull;
-      continue;
-    }
-    const double cost = Cost(*upstream, service, query.kind, limit, now) *
-                        (1 + kJitter * random_.Unit());
     const double slow = Seconds(service.load.usual()) * upstream->slowness(now);
+    const bool full = upstream->doubted() || paced || (near_only && !Near(*upstream)) ||
+                      upstream->occupancy(now) + 0.5 >= limit;
     if (slow > Seconds(query.acceptable)) {
+      if (choice.obstacle == Obstacle::kNoUpstream) {
+        choice.obstacle = full ? Obstacle::kFull : Obstacle::kOnlySlow;
+      }
+      continue;
+    }
+    if (full) {
       choice.obstacle = Obstacle::kFull;
       continue;
     }
+    const double cost = Cost(*upstream, service, query.kind, limit, now) *
+                        (1 + kJitter * random_.Unit());
     ranked.emplace_back(cost, upstream);
   }
   if (ranked.empty()) {
--- a/src/gateway/routed_call.cc
+++ b/src/gateway/routed_call.cc
@@ -154,10 +154,20 @@
 // ---- placement ----
 
 Duration RoutedCall::Acceptable(Instant now) const {
-  if (sends_ > 0) {
-    return Duration::max();
+  // A call that is late already still deserves an upstream of usual speed.
+  const auto least = gateway_->book().Usual(service_) * 2;
+  return std::max<Duration>(route_->objective - (now - arrived_), least);
+}
+
+RoutedCall::Placement RoutedCall::PlacementOf(UpstreamBook::Obstacle obstacle) {
+  switch (obstacle) {
+    case UpstreamBook::Obstacle::kFull:
+      return Placement::kNoRoom;
+    case UpstreamBook::Obstacle::kOnlySlow:
+      return Placement::kOnlySlow;
+    default:
+      return Placement::kNoUpstream;
   }
-  return std::max<Duration>(route_->objective - (now - arrived_), Duration::zero());
 }
 
 RoutedCall::Placement RoutedCall::TryStart(Effort effort, Instant now) {
@@ -169,8 +179,7 @@
   query.acceptable = effort.any_speed ? Duration::max() : Acceptable(now);
   auto choice = gateway_->book().Choose(query, now);
   if (choice.upstream == nullptr) {
-    return choice.obstacle == UpstreamBook::Obstacle::kFull ? Placement::kNoRoom
-                                                            : Placement::kNoUpstream;
+    return PlacementOf(choice.obstacle);
   }
   if (effort.may_probe && !choice.unsure.empty()) {
     for (const auto& upstream : choice.unsure) {
@@ -206,15 +215,17 @@
   const auto placement =
       tried_.size() < kMaxTried ? TryStart(effort, now) : Placement::kNoUpstream;
   probing_ = placement == Placement::kProbing;
-  if (placement == Placement::kStarted || probing_ ||
-      (placement == Placement::kNoRoom && Wait(now))) {
+  if (placement == Placement::kStarted || probing_) {
+    return;
+  }
+  const bool may_wait = placement == Placement::kNoRoom || placement == Placement::kOnlySlow;
+  if (may_wait && Wait(now)) {
     return;
   }
-  if (placement == Placement::kNoRoom &&
-      TryStart({false, true}, now) == Placement::kStarted) {
+  if (placement == Placement::kOnlySlow && TryStart({false, true}, now) == Placement::kStarted) {
     return;
   }
-  const char* reason = placement == Placement::kNoRoom       ? "no_room"
+  const char* reason = may_wait                              ? "no_room"
                        : placement == Placement::kNoUpstream ? "no_upstream"
                                                              : "no_retry_budget";
   if (without == CallPolicy::Step::kRefuse) {
@@ -238,7 +249,7 @@
   }
   ticket_ = queue.Add(route_->priority, [this](Instant time) {
     const auto placement = TryStart({false, false}, time);
-    if (placement == Placement::kNoRoom) {
+    if (placement == Placement::kNoRoom || placement == Placement::kOnlySlow) {
       return false;
     }
     ticket_.reset();
@@ -255,7 +266,9 @@
 void RoutedCall::OnWaitEnd() {
   const auto now = EventLoop::Now();
   LeaveQueue();
-  if (TryStart({false, true}, now) == Placement::kStarted) {
+  const auto placement = TryStart({false, false}, now);
+  if (placement == Placement::kStarted ||
+      (placement == Placement::kOnlySlow && TryStart({false, true}, now) == Placement::kStarted)) {
     return;
   }
   may_have_run_ ? Fail(kBadGateway, "no_room_in_time", now) : Refuse("no_room_in_time", now);
@@ -410,7 +423,7 @@
   may_have_run_ = may_have_run_ || ending != CallPolicy::Ending::kNotRun;
   if (step == CallPolicy::Step::kTryElsewhere && without != CallPolicy::Step::kPass) {
     Place(without, now);
-  } else if (step == CallPolicy::Step::kTryElsewhere && TryStart({false, true}, now) == Placement::kStarted) {
+  } else if (step == CallPolicy::Step::kTryElsewhere && TryStart({false, false}, now) == Placement::kStarted) {
     return;
   } else if (without == CallPolicy::Step::kRefuse) {
     Refuse("upstreams_refused", now);
