Believe reports of others' calls for a second; learn the knee from calls that did not wait

Cause: under steady overload the calls of other instances were forgotten within a quarter of a second, so that several instances filled the same slot and upstreams ran with two or three calls waiting; the knee was learnt from those.

--- a/include/primroseweir/balance/balanced_upstream.h
+++ b/include/primroseweir/balance/balanced_upstream.h
@@ -87,6 +87,9 @@
   void NotePeerSlowdown(double slowdown, Instant measured);
 
   std::uint32_t in_flight() const { return in_flight_; }
+  // Calls that wait at the upstream and calls that run there, by its newest report.
+  std::uint32_t reported_waiting() const { return reported_waiting_; }
+  std::uint32_t reported_running() const { return reported_running_; }
   // Calls that are probably there now, from all instances.
   double occupancy(Instant now) const;
   // Factor on the usual time to answer, from the newest reports and this instance's own calls.
@@ -107,7 +110,7 @@
   // was avoided is tried again.
   static constexpr Duration kObservationMemory = std::chrono::milliseconds(2500);
   // Reports of calls from instances that state nothing themselves.
-  static constexpr Duration kReportMemory = std::chrono::milliseconds(250);
+  static constexpr Duration kReportMemory = std::chrono::milliseconds(1000);
   // Between two probes of a doubted upstream by one instance.
   static constexpr Duration kProbeInterval = std::chrono::milliseconds(400);
   // Probes in a row that the right upstream answered with a failure, after which a call tells more
@@ -131,6 +134,8 @@
   // Calls of others at the newest report.
   double foreign_ = 0;
   Instant report_at_;
+  std::uint32_t reported_running_ = 0;
+  std::uint32_t reported_waiting_ = 0;
   bool answered_probe_ = false;
   double slowdown_ = 1;
   Instant slowdown_at_;
--- a/include/primroseweir/fleet/address_choice.h
+++ b/include/primroseweir/fleet/address_choice.h
@@ -26,7 +26,7 @@
 
   // Instances of one data centre that share its callers: enough that the loss of one leaves callers
   // with others they know.
-  static constexpr std::size_t kPerDataCentre = 3;
+  static constexpr std::size_t kPerDataCentre = 2;
 };
 
 }  // namespace primroseweir
--- a/src/balance/balanced_upstream.cc
+++ b/src/balance/balanced_upstream.cc
@@ -124,6 +124,8 @@
       source == ReportSource::kAnswer && in_flight_ > 0 ? in_flight_ - 1 : in_flight_;
   foreign_ = std::max(0.0, static_cast<double>(load.running + load.waiting) - own);
   report_at_ = now;
+  reported_running_ = load.running;
+  reported_waiting_ = load.waiting;
   slowdown_ = load.slowdown;
   slowdown_at_ = now;
 }
--- a/src/balance/upstream_book.cc
+++ b/src/balance/upstream_book.cc
@@ -165,7 +165,12 @@
                            double occupancy, Instant now) {
   auto& load = services_[upstream->record().service].load;
   if (result == AttemptResult::kAnswered && !upstream->cold(now)) {
-    load.NoteAnswer(now - started, occupancy, upstream->record().slots);
+    // Calls that waited at the upstream tell nothing about its speed.
+    if (upstream->reported_waiting() == 0) {
+      load.NoteAnswer(now - started,
+                      std::max<double>(occupancy, upstream->reported_running()),
+                      upstream->record().slots);
+    }
   }
   upstream->NoteEnd(result, started, load.usual(), now);
   if (result == AttemptResult::kLost) {
