--- a/include/primroseweir/balance/upstream_book.h
+++ b/include/primroseweir/balance/upstream_book.h
@@ -79,8 +79,8 @@
 
   // ---- choice ----
 
-  // The upstream with the lowest expected time within what is acceptable. A cold one is offered only when its pace allows a
-  // call. Linear in the upstreams of the service.
+  // The upstream with the lowest expected time within what is acceptable. A cold one is offered
+  // only when its pace allows a call. Linear in the upstreams of the service.
   Choice Choose(const Query& query, Instant now);
 
   // Counts a call as sent to that upstream.
--- a/include/primroseweir/fleet/address_choice.h
+++ b/include/primroseweir/fleet/address_choice.h
@@ -12,10 +12,10 @@
 
 // Which instances a caller should connect to.
 //
-// Load pattern: calls of a few tens of milliseconds at upstreams with few slots. Each instance knows
-// its own calls exactly and those of others with delay, so the calls of one data centre go to few
-// instances of that data centre; the others stand by. All instances that know the same fleet answer
-// alike.
+// Load pattern: calls of a few tens of milliseconds at upstreams with few slots. Each instance
+// knows its own calls exactly and those of others with delay, so the calls of one data centre go to
+// few instances of that data centre; the others stand by. All instances that know the same fleet
+// answer alike.
 class AddressChoice {
  public:
   // Addresses of up to kPerDataCentre instances, best first: those of the caller's data centre, or
--- a/include/primroseweir/fleet/fleet_table.h
+++ b/include/primroseweir/fleet/fleet_table.h
@@ -16,10 +16,10 @@
 // The instances of the fleet, by heartbeats that spread from instance to instance. There are no
 // fixed positions and no fixed size: instances are added, replaced and lost at any moment.
 //
-// An instance counts as live while its heartbeat advances. Within a data centre heartbeats go to all
-// instances, or to some when there are many, and one instance gets all that is known; between data
-// centres, where bytes are expensive, they spread slowly. For sums over the fleet the table also gives the highest number of instances that
-// may be sending, which forgets slowly.
+// An instance counts as live while its heartbeat advances. Within a data centre heartbeats go to
+// all instances, or to some when there are many, and one instance gets all that is known; between
+// data centres, where bytes are expensive, they spread slowly. For sums over the fleet the table
+// also gives the highest number of instances that may be sending, which forgets slowly.
 class FleetTable {
  public:
   FleetTable(const FleetMember& self, std::uint64_t seed);
@@ -52,8 +52,8 @@
     // All statements.
     std::vector<std::string> full;
   };
-  // `beats` counts the beats. Includes an instance that fell silent now and then, so that two halves
-  // of a healed partition find each other. Linear.
+  // `beats` counts the beats. Includes an instance that fell silent now and then, so that two
+  // halves of a healed partition find each other. Linear.
   Targets TargetsOf(std::uint64_t beats, Instant now);
 
   // ---- view ----
@@ -64,9 +64,9 @@
   // equals; nothing when none knows more than this instance.
   std::optional<FleetMember> MostAdvanced(Instant now) const;
   bool Near(const FleetMember& member) const { return member.data_centre == self_.data_centre; }
-  // Whether this instance should read the platform's store: no live instance of its data centre that
-  // the store serves has a better rank. The store counts and prices each call, so that one instance
-  // of a data centre reads and the others follow it.
+  // Whether this instance should read the platform's store: no live instance of its data centre
+  // that the store serves has a better rank. The store counts and prices each call, so that one
+  // instance of a data centre reads and the others follow it.
   bool ShouldReadStore(Instant now) const;
   // Highest number of instances, this one included, that may be sending. Before any peer was heard
   // it is kUnknownFleet: an instance that is cut off from its start can't know the number.
--- a/include/primroseweir/published/published_cache.h
+++ b/include/primroseweir/published/published_cache.h
@@ -28,8 +28,8 @@
 
   // ---- changes; each answers whether anything changed ----
 
-  // Takes everything as of `at`, unless it is older than what is known. Items that may lapse and are
-  // missing stay until `keep_missing`.
+  // Takes everything as of `at`, unless it is older than what is known. Items that may lapse and
+  // are missing stay until `keep_missing`.
   bool Replace(const std::vector<PublishedItem>& items, Revision at, Instant keep_missing,
                Instant now);
   // One item was written.
--- a/src/balance/balanced_upstream.cc
+++ b/src/balance/balanced_upstream.cc
@@ -32,9 +32,7 @@
 }  // namespace
 
 BalancedUpstream::BalancedUpstream(UpstreamRecord record, const ColdPacer::Bound& cold_bound)
-    : record_(std::move(record)),
-      hash_(StableHash(record_.id.value())),
-      cold_bound_(cold_bound) {}
+    : record_(std::move(record)), hash_(StableHash(record_.id.value())), cold_bound_(cold_bound) {}
 
 // ---- listing ----
 
@@ -111,8 +109,7 @@
   }
   const double ratio =
       std::chrono::duration<double>(now - started) / std::chrono::duration<double>(usual);
-  const double sample =
-      std::log(std::clamp(ratio, 1 / kLargestSlowness, kLargestSlowness));
+  const double sample = std::log(std::clamp(ratio, 1 / kLargestSlowness, kLargestSlowness));
   const double known = log_slowness_ * Fade(now - slowness_at_, kObservationMemory);
   log_slowness_ = known + kLatencyWeight * (sample - known);
   slowness_at_ = now;
--- a/src/balance/call_policy.cc
+++ b/src/balance/call_policy.cc
@@ -37,8 +37,8 @@
 }
 
 Duration CallPolicy::HedgeAfter(Duration objective, Duration usual) {
-  const auto part = std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(objective) * kHedgePart);
+  const auto part =
+      std::chrono::duration_cast<Duration>(std::chrono::duration<double>(objective) * kHedgePart);
   return std::max(part, usual * kSlowFactor);
 }
 
--- a/src/balance/retry_ledger.cc
+++ b/src/balance/retry_ledger.cc
@@ -10,8 +10,7 @@
 
 bool RetryLedger::TrySpend(std::size_t instances, Instant now) {
   const double share = budget_.allowance / static_cast<double>(std::max<std::size_t>(instances, 1));
-  const double allowed =
-      kUsedPart * (budget_.ratio * static_cast<double>(firsts(now)) + share);
+  const double allowed = kUsedPart * (budget_.ratio * static_cast<double>(firsts(now)) + share);
   if (static_cast<double>(repeats(now)) + 1 > allowed) {
     return false;
   }
--- a/src/balance/upstream_book.cc
+++ b/src/balance/upstream_book.cc
@@ -94,11 +94,10 @@
   choice.obstacle = Obstacle::kNoUpstream;
   std::vector<std::pair<double, std::shared_ptr<BalancedUpstream>>> ranked;
   const bool near_only =
-      query.near_only && std::any_of(service.upstreams.begin(), service.upstreams.end(),
-                                     [this](const auto& upstream) {
-                                       return upstream->usable() && !upstream->doubted() &&
-                                              Near(*upstream);
-                                     });
+      query.near_only &&
+      std::any_of(service.upstreams.begin(), service.upstreams.end(), [this](const auto& upstream) {
+        return upstream->usable() && !upstream->doubted() && Near(*upstream);
+      });
   for (const auto& upstream : service.upstreams) {
     if (!upstream->usable() || Contains(query.excluded, upstream->record().id)) {
       continue;
@@ -118,8 +117,8 @@
       choice.obstacle = Obstacle::kFull;
       continue;
     }
-    const double cost = Cost(*upstream, service, query.kind, limit, now) *
-                        (1 + kJitter * random_.Unit());
+    const double cost =
+        Cost(*upstream, service, query.kind, limit, now) * (1 + kJitter * random_.Unit());
     ranked.emplace_back(cost, upstream);
   }
   if (ranked.empty()) {
@@ -127,8 +126,7 @@
   }
   const auto shown = std::min(kProbedPerCall, ranked.size());
   std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(shown),
-                    ranked.end(),
-                    [](const auto& a, const auto& b) { return a.first < b.first; });
+                    ranked.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
   choice.upstream = ranked.front().second;
   choice.obstacle = Obstacle::kNone;
   const bool fresh = now - choice.upstream->reported_at() < kFreshReport;
@@ -167,8 +165,7 @@
   if (result == AttemptResult::kAnswered && !upstream->cold(now)) {
     // Calls that waited at the upstream tell nothing about its speed.
     if (upstream->reported_waiting() == 0) {
-      load.NoteAnswer(now - started,
-                      std::max<double>(occupancy, upstream->reported_running()),
+      load.NoteAnswer(now - started, std::max<double>(occupancy, upstream->reported_running()),
                       upstream->record().slots);
     }
   }
--- a/src/balance/wait_queue.cc
+++ b/src/balance/wait_queue.cc
@@ -7,8 +7,8 @@
 namespace primroseweir {
 
 Duration WaitQueue::LongestWait(Duration objective, Duration usual) {
-  const auto part = std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(objective) * kWaitPart);
+  const auto part =
+      std::chrono::duration_cast<Duration>(std::chrono::duration<double>(objective) * kWaitPart);
   return std::max(Duration::zero(), std::min(part, objective - usual));
 }
 
--- a/src/fleet/fleet_codec.cc
+++ b/src/fleet/fleet_codec.cc
@@ -17,8 +17,8 @@
 // First element of each message; changes with the layout.
 constexpr std::uint32_t kFormat = 2;
 
-using MemberTuple = std::tuple<std::string, std::string, std::uint64_t, std::uint64_t, bool,
-                               bool, std::uint64_t>;
+using MemberTuple =
+    std::tuple<std::string, std::string, std::uint64_t, std::uint64_t, bool, bool, std::uint64_t>;
 using UseTuple = std::tuple<std::uint64_t, std::uint32_t, std::uint32_t, std::uint32_t>;
 using StrikeTuple = std::tuple<std::uint64_t, std::string, std::int64_t, bool>;
 using MessageTuple = std::tuple<std::uint32_t, std::vector<MemberTuple>, std::vector<UseTuple>,
--- a/src/fleet/fleet_table.cc
+++ b/src/fleet/fleet_table.cc
@@ -15,8 +15,7 @@
 
 }  // namespace
 
-FleetTable::FleetTable(const FleetMember& self, std::uint64_t seed)
-    : self_(self), random_(seed) {}
+FleetTable::FleetTable(const FleetMember& self, std::uint64_t seed) : self_(self), random_(seed) {}
 
 // ---- own state ----
 
--- a/src/gateway/fleet_service.cc
+++ b/src/gateway/fleet_service.cc
@@ -30,8 +30,8 @@
   Copy(FleetService* service, const SocketAddress& peer)
       : service_(service), started_(EventLoop::Now()), stream_(service->loop_, peer) {
     RequestHead head;
-    head.target = std::string(kCopyPath) +
-                  "?after=" + std::to_string(service->cache_->at().value());
+    head.target =
+        std::string(kCopyPath) + "?after=" + std::to_string(service->cache_->at().value());
     head.fields.Add("Host", peer.ToString());
     stream_.Send(head, std::string(), {}, this);
   }
@@ -71,7 +71,8 @@
 };
 
 FleetService::FleetService(EventLoop* loop, const Options& options, Gateway* gateway,
-                           PublishedCache* cache, LineLog* log, std::function<void(bool changed)> on_copy)
+                           PublishedCache* cache, LineLog* log,
+                           std::function<void(bool changed)> on_copy)
     : loop_(loop),
       options_(options),
       gateway_(gateway),
@@ -92,9 +93,9 @@
 FleetService::~FleetService() { gateway_->crash_guard().SetSender(nullptr); }
 
 absl::Status FleetService::Start() {
-  auto status = socket_.Bind(
-      {options_.self.ip, options_.datagram_port},
-      [this](const std::string& ip, std::string_view data) { Receive(ip, data); });
+  auto status =
+      socket_.Bind({options_.self.ip, options_.datagram_port},
+                   [this](const std::string& ip, std::string_view data) { Receive(ip, data); });
   if (!status.ok()) {
     return status;
   }
@@ -169,8 +170,7 @@
     use.upstream = upstream->hash();
     use.in_flight = upstream->in_flight();
     if (reported) {
-      use.slowdown_percent =
-          static_cast<std::uint32_t>(upstream->reported_slowdown() * kPercent);
+      use.slowdown_percent = static_cast<std::uint32_t>(upstream->reported_slowdown() * kPercent);
       use.age_ms = static_cast<std::uint32_t>(ToMilliseconds(age));
     }
     message.load.uses.push_back(use);
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -20,10 +20,9 @@
       pool_(loop),
       splits_(options.seed + 1),
       prober_(std::make_unique<UpstreamProber>(this)),
-      port_(loop, this,
-            [this] {
-              return state_->routes == nullptr ? CallerLimits() : state_->routes->limits();
-            }),
+      port_(
+          loop, this,
+          [this] { return state_->routes == nullptr ? CallerLimits() : state_->routes->limits(); }),
       tick_(loop, [this] { Tick(); }) {}
 
 Gateway::~Gateway() {
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -13,9 +13,9 @@
 
 // Upper bounds in seconds, from a quick read to the longest usual deadline.
 const prometheus::Histogram::BucketBoundaries& LatencyBounds() {
-  static const prometheus::Histogram::BucketBoundaries bounds = {
+  static const prometheus::Histogram::BucketBoundaries kBounds = {
       0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.25, 0.3, 0.4, 0.5, 0.75, 1, 1.5, 2, 4};
-  return bounds;
+  return kBounds;
 }
 
 }  // namespace
--- a/src/gateway/page_port.cc
+++ b/src/gateway/page_port.cc
@@ -17,7 +17,8 @@
   std::string result;
   for (std::size_t i = 0; i < text.size(); ++i) {
     if (text[i] == '%' && i + 2 < text.size()) {
-      result += static_cast<char>(std::strtol(text.substr(i + 1, 2).c_str(), nullptr, kHexadecimal));
+      result +=
+          static_cast<char>(std::strtol(text.substr(i + 1, 2).c_str(), nullptr, kHexadecimal));
       i += 2;
     } else {
       result += text[i] == '+' ? ' ' : text[i];
--- a/src/gateway/routed_call.cc
+++ b/src/gateway/routed_call.cc
@@ -61,8 +61,8 @@
 
 std::string FormatSeconds(Duration duration) {
   char buffer[32];
-  const int length = std::snprintf(buffer, sizeof buffer, "%.3f",
-                                   std::chrono::duration<double>(duration).count());
+  const int length =
+      std::snprintf(buffer, sizeof buffer, "%.3f", std::chrono::duration<double>(duration).count());
   return {buffer, static_cast<std::size_t>(length)};
 }
 
@@ -93,8 +93,7 @@
       deadline_(now + kDefaultDeadline),
       deadline_timer_(gateway->loop(), [this] { OnDeadline(); }),
       wait_timer_(gateway->loop(), [this] { OnWaitEnd(); }),
-      probe_timer_(gateway->loop(),
-                   [this] { Place(CallPolicy::Step::kRefuse, EventLoop::Now()); }),
+      probe_timer_(gateway->loop(), [this] { Place(CallPolicy::Step::kRefuse, EventLoop::Now()); }),
       hedge_timer_(gateway->loop(), [this] { StartHedge(); }) {}
 
 RoutedCall::~RoutedCall() = default;
@@ -190,8 +189,7 @@
       return Placement::kProbing;
     }
   }
-  if (sends_ > 0 &&
-      !gateway_->ledger(service_).TrySpend(gateway_->book().fleet_size(), now)) {
+  if (sends_ > 0 && !gateway_->ledger(service_).TrySpend(gateway_->book().fleet_size(), now)) {
     return Placement::kNoBudget;
   }
   StartAttempt(std::move(choice.upstream), now);
@@ -212,8 +210,7 @@
 
 void RoutedCall::Place(CallPolicy::Step without, Instant now) {
   const Effort effort{sends_ == 0 && !probing_, false};
-  const auto placement =
-      tried_.size() < kMaxTried ? TryStart(effort, now) : Placement::kNoUpstream;
+  const auto placement = tried_.size() < kMaxTried ? TryStart(effort, now) : Placement::kNoUpstream;
   probing_ = placement == Placement::kProbing;
   if (placement == Placement::kStarted || probing_) {
     return;
@@ -242,8 +239,7 @@
   const auto longest =
       std::min(WaitQueue::LongestWait(route_->objective, usual), deadline_ - now - usual) -
       (now - arrived_);
-  const auto expected =
-      gateway_->book().ExpectedWait(service_, queue.Ahead(route_->priority), now);
+  const auto expected = gateway_->book().ExpectedWait(service_, queue.Ahead(route_->priority), now);
   if (longest <= Duration::zero() || expected > longest) {
     return false;
   }
@@ -285,15 +281,14 @@
   const bool at_most_once = route_->kind == CallKind::kOnce;
   tried_.push_back(upstream->record().id);
   UpstreamAttempt::Services services{gateway_->loop(), &gateway_->book(), &gateway_->pool()};
-  attempts_.push_back(std::make_unique<UpstreamAttempt>(services, std::move(upstream), this,
-                                                        at_most_once, now));
+  attempts_.push_back(
+      std::make_unique<UpstreamAttempt>(services, std::move(upstream), this, at_most_once, now));
   auto* attempt = attempts_.back().get();
   occupancy_ = attempt->occupancy();
   const auto& field = gateway_->fields().request_id;
   attempt->Send(UpstreamHead(*attempt, now), body_, id_.empty() ? std::string() : field, id_);
   if (!at_most_once && attempts_.size() == 1 && sends_ < route_->max_attempts) {
-    hedge_timer_.Start(
-        CallPolicy::HedgeAfter(route_->objective, gateway_->book().Usual(service_)));
+    hedge_timer_.Start(CallPolicy::HedgeAfter(route_->objective, gateway_->book().Usual(service_)));
   }
 }
 
@@ -314,9 +309,9 @@
   head.fields.Set(fields.expected_upstream, attempt.upstream().record().id.value());
   head.keep_alive = true;
   head.minor_version = 1;
-  head.body = {body_.empty() && head_.body.kind == BodyKind::kNone ? BodyKind::kNone
-                                                                   : BodyKind::kLength,
-               body_.size()};
+  head.body = {
+      body_.empty() && head_.body.kind == BodyKind::kNone ? BodyKind::kNone : BodyKind::kLength,
+      body_.size()};
   return head;
 }
 
@@ -349,18 +344,18 @@
   if (const auto load = ParseLoad(head->fields.Get(fields.load))) {
     upstream.NoteReport(*load, BalancedUpstream::ReportSource::kAnswer, now);
   }
-  gateway_->log().Write("attempt_answered",
-                        {{"request", id_},
-                         {"service", service_.value()},
-                         {"upstream", upstream.record().id.value()},
-                         {"status", std::to_string(head->status)},
-                         {"occupancy", std::to_string(static_cast<int>(attempt->occupancy()))},
-                         {"slowness_percent", std::to_string(static_cast<int>(
-                                                  attempt->slowness() * kPercent))},
-                         {"load", head->fields.Get(fields.load)},
-                         {"framing", NameOf(head->body.kind)},
-                         {"took_ms", std::to_string(ToMilliseconds(now - attempt->started()))}},
-                        now);
+  gateway_->log().Write(
+      "attempt_answered",
+      {{"request", id_},
+       {"service", service_.value()},
+       {"upstream", upstream.record().id.value()},
+       {"status", std::to_string(head->status)},
+       {"occupancy", std::to_string(static_cast<int>(attempt->occupancy()))},
+       {"slowness_percent", std::to_string(static_cast<int>(attempt->slowness() * kPercent))},
+       {"load", head->fields.Get(fields.load)},
+       {"framing", NameOf(head->body.kind)},
+       {"took_ms", std::to_string(ToMilliseconds(now - attempt->started()))}},
+      now);
   using Ending = CallPolicy::Ending;
   if (head->status == kMisdirected) {
     upstream.SetMisdirected();
@@ -423,7 +418,8 @@
   may_have_run_ = may_have_run_ || ending != CallPolicy::Ending::kNotRun;
   if (step == CallPolicy::Step::kTryElsewhere && without != CallPolicy::Step::kPass) {
     Place(without, now);
-  } else if (step == CallPolicy::Step::kTryElsewhere && TryStart({false, false}, now) == Placement::kStarted) {
+  } else if (step == CallPolicy::Step::kTryElsewhere &&
+             TryStart({false, false}, now) == Placement::kStarted) {
     return;
   } else if (without == CallPolicy::Step::kRefuse) {
     Refuse("upstreams_refused", now);
@@ -521,8 +517,7 @@
 
 void RoutedCall::Refuse(std::string_view reason, Instant now) {
   const auto wait = gateway_->book().ExpectedWait(service_, gateway_->queue(service_).size(), now);
-  const auto retry_after =
-      CallPolicy::RetryAfter(wait, deadline_ - now, gateway_->random().Unit());
+  const auto retry_after = CallPolicy::RetryAfter(wait, deadline_ - now, gateway_->random().Unit());
   AnswerOwn(kUnavailable, "refused", reason, retry_after, now);
 }
 
--- a/src/gateway/upstream_pool.cc
+++ b/src/gateway/upstream_pool.cc
@@ -14,9 +14,8 @@
   if (stream.broken()) {
     return false;
   }
-  const auto kept = stream.kept_for() > Duration::zero()
-                        ? stream.kept_for() - UpstreamPool::kMargin
-                        : UpstreamPool::kMaxIdle;
+  const auto kept = stream.kept_for() > Duration::zero() ? stream.kept_for() - UpstreamPool::kMargin
+                                                         : UpstreamPool::kMaxIdle;
   return now - stream.idle_since() < kept;
 }
 
--- a/src/gateway/upstream_prober.cc
+++ b/src/gateway/upstream_prober.cc
@@ -107,7 +107,9 @@
       upstream_->NoteUnhealthy();
     }
     if (was_doubted || was_cold != upstream_->cold(now)) {
-      Log(upstream_->doubted() ? "doubted" : upstream_->cold(now) ? "cold" : "trusted",
+      Log(upstream_->doubted()   ? "doubted"
+          : upstream_->cold(now) ? "cold"
+                                 : "trusted",
           upstream_->record().id.value(), head, now);
     }
   }
@@ -137,8 +139,7 @@
 
 bool UpstreamProber::Ask(const std::shared_ptr<BalancedUpstream>& upstream, Instant now) {
   const auto& routes = gateway_->state().routes;
-  const auto* terms =
-      routes == nullptr ? nullptr : routes->FindService(upstream->record().service);
+  const auto* terms = routes == nullptr ? nullptr : routes->FindService(upstream->record().service);
   if (terms == nullptr || terms->probe.empty()) {
     return false;
   }
--- a/src/loop/http_client_stream.cc
+++ b/src/loop/http_client_stream.cc
@@ -124,8 +124,8 @@
   kept_for_ = KeptFor(head->fields);
   idle_since_ = EventLoop::Now();
   // An answer before the whole request was taken leaves the connection out of step.
-  reusable_ = head->keep_alive && input_.empty() && !out_of_step_ && !broken_ &&
-              stream_->pending() == 0;
+  reusable_ =
+      head->keep_alive && input_.empty() && !out_of_step_ && !broken_ && stream_->pending() == 0;
   auto* listener = std::exchange(listener_, nullptr);
   listener->OnAnswer(head, std::exchange(body_, std::string()), true);
 }
--- a/src/loop/tcp_stream.cc
+++ b/src/loop/tcp_stream.cc
@@ -31,7 +31,8 @@
 };
 
 // libuv reports the end of the stream when a reset arrives together with the last bytes. The socket
-// still tells the two apart: an answer that ends with its connection is whole only after a proper end.
+// still tells the two apart: an answer that ends with its connection is whole only after a proper
+// end.
 bool EndedCleanly(uv_stream_t* stream) {
   uv_os_fd_t descriptor = -1;
   if (uv_fileno(reinterpret_cast<uv_handle_t*>(stream), &descriptor) != 0) {
--- a/src/loop/udp_socket.cc
+++ b/src/loop/udp_socket.cc
@@ -67,8 +67,7 @@
 void UdpSocket::Send(const SocketAddress& target, const std::string& data) {
   sockaddr_in address{};
   uv_ip4_addr(target.ip.c_str(), target.port, &address);
-  auto buffer =
-      uv_buf_init(const_cast<char*>(data.data()), static_cast<unsigned>(data.size()));
+  auto buffer = uv_buf_init(const_cast<char*>(data.data()), static_cast<unsigned>(data.size()));
   // A datagram that can't be sent now is as good as lost on the way; the next one replaces it.
   uv_udp_try_send(&handle_->uv, &buffer, 1, reinterpret_cast<const sockaddr*>(&address));
 }
--- a/tests/balance/policies_test.cc
+++ b/tests/balance/policies_test.cc
@@ -30,15 +30,13 @@
   CHECK(CallPolicy::After(Ending::kLost, StateOf(CallKind::kOnce, 1)) == Step::kFail);
   CHECK(CallPolicy::After(Ending::kFailed, StateOf(CallKind::kOnce, 1)) == Step::kPass);
   CHECK(CallPolicy::After(Ending::kNotRun, StateOf(CallKind::kOnce, 1)) == Step::kTryElsewhere);
-  CHECK(CallPolicy::After(Ending::kLost, StateOf(CallKind::kRepeatable, 1)) ==
-        Step::kTryElsewhere);
+  CHECK(CallPolicy::After(Ending::kLost, StateOf(CallKind::kRepeatable, 1)) == Step::kTryElsewhere);
   CHECK(CallPolicy::After(Ending::kLost, StateOf(CallKind::kDownload, 2)) == Step::kFail);
 }
 
 // Guards against "not run" for a call of which an earlier attempt may have run.
 TEST_CASE("a refusal after an attempt that may have run is a failure", "[balance][not-run]") {
-  CHECK(CallPolicy::After(Ending::kNotRun, StateOf(CallKind::kRepeatable, 2, true)) ==
-        Step::kFail);
+  CHECK(CallPolicy::After(Ending::kNotRun, StateOf(CallKind::kRepeatable, 2, true)) == Step::kFail);
   CHECK(CallPolicy::After(Ending::kNotRun, StateOf(CallKind::kRepeatable, 2)) == Step::kRefuse);
 }
 
--- a/tests/fleet/fleet_table_test.cc
+++ b/tests/fleet/fleet_table_test.cc
@@ -58,10 +58,8 @@
   }
 
   // Whether messages between the two pass.
-  std::function<bool(const std::string&, const std::string&)> connected = [](const auto&,
-                                                                             const auto&) {
-    return true;
-  };
+  std::function<bool(const std::string&, const std::string&)> connected =
+      [](const auto&, const auto&) { return true; };
   Instant now = Instant(seconds(5000));
   static constexpr char kSeed[] = "10.0.0.1";
 
@@ -98,8 +96,7 @@
     auto fleet = FleetOf(instances);
     fleet.Run(seconds(12));
     for (int i = 1; i <= instances; ++i) {
-      CHECK(fleet.At(Ip(i)).LivePeers(fleet.now).size() ==
-            static_cast<std::size_t>(instances - 1));
+      CHECK(fleet.At(Ip(i)).LivePeers(fleet.now).size() == static_cast<std::size_t>(instances - 1));
       CHECK(fleet.At(Ip(i)).PeakSize(fleet.now) == static_cast<std::size_t>(instances));
     }
     fleet.Kill(Ip(2));
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -37,8 +37,8 @@
 // An answer as upstreams send it.
 std::string Answer(const Request& request, int status, const std::string& body,
                    const std::string& fields = "X-Signature: s\r\n") {
-  return "HTTP/1.1 " + std::to_string(status) + " Status\r\nX-Id: " +
-         request.head.fields.Get("X-Id") + "\r\n" + fields +
+  return "HTTP/1.1 " + std::to_string(status) +
+         " Status\r\nX-Id: " + request.head.fields.Get("X-Id") + "\r\n" + fields +
          "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
@@ -127,8 +127,9 @@
 
 TEST_CASE("a call reaches an upstream unchanged and its answer the caller", "[gateway]") {
   GatewayFixture fixture;
-  auto& upstream =
-      fixture.AddUpstream([](const Request& r) { return Reply{Answer(r, 201, "made"), {}, {}}; });
+  auto& upstream = fixture.AddUpstream([](const Request& r) {
+    return Reply{Answer(r, 201, "made"), {}, {}};
+  });
   fixture.Apply(CallKind::kOnce);
   const auto caller = fixture.Call("/x/a?b=c");
   CHECK(caller->status() == 201);
@@ -156,8 +157,7 @@
 }
 
 // Guards against a second run after a connection that broke once bytes had been sent.
-TEST_CASE("a call that must run once is not sent again after a reset",
-          "[gateway][at-most-once]") {
+TEST_CASE("a call that must run once is not sent again after a reset", "[gateway][at-most-once]") {
   GatewayFixture fixture;
   for (int i = 0; i < 2; ++i) {
     fixture.AddUpstream([](const Request&) { return Reply{"", Then::kReset, {}}; });
@@ -206,8 +206,9 @@
 
 TEST_CASE("another upstream at the address is not asked again", "[gateway][not-run]") {
   GatewayFixture fixture;
-  auto& wrong = fixture.AddUpstream(
-      [](const Request& r) { return Reply{Answer(r, 421, "", ""), {}, {}}; });
+  auto& wrong = fixture.AddUpstream([](const Request& r) {
+    return Reply{Answer(r, 421, "", ""), {}, {}};
+  });
   fixture.Apply(CallKind::kOnce);
   CHECK(fixture.Call()->status() == 503);
   CHECK(fixture.Call()->status() == 503);
@@ -253,8 +254,8 @@
   auto caller = fixture.Start();
   REQUIRE(RunUntil(&fixture.loop(), [&] { return silent.requests().size() == 1; }));
   caller->Close();
-  CHECK(RunUntil(&fixture.loop(), [&] { return silent.ended() == 1; },
-                 std::chrono::milliseconds(500)));
+  CHECK(RunUntil(
+      &fixture.loop(), [&] { return silent.ended() == 1; }, std::chrono::milliseconds(500)));
   CHECK(fixture.gateway().calls() == 0);
 }
 
--- a/tests/loop/http_port_test.cc
+++ b/tests/loop/http_port_test.cc
@@ -81,10 +81,12 @@
   fixture.limits.head_bytes = 200;
   fixture.limits.body_bytes = 10;
   const std::string long_field(300, 'x');
-  CHECK(Contains(fixture.Exchange("GET / HTTP/1.1\r\nHost: h\r\nA: " + long_field + "\r\n\r\n", "431"),
-                 " 431 "));
   CHECK(Contains(
-      fixture.Exchange("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 11\r\n\r\n", "413"), " 413 "));
+      fixture.Exchange("GET / HTTP/1.1\r\nHost: h\r\nA: " + long_field + "\r\n\r\n", "431"),
+      " 431 "));
+  CHECK(
+      Contains(fixture.Exchange("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 11\r\n\r\n", "413"),
+               " 413 "));
   CHECK(Contains(fixture.Exchange("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: "
                                   "chunked\r\n\r\nb\r\n01234567890\r\n",
                                   "413"),
--- a/tests/published/published_cache_test.cc
+++ b/tests/published/published_cache_test.cc
@@ -77,8 +77,8 @@
       source.Expire(now);
       follower.Expire(now);
       if (random.Below(revision < 700 ? 5 : 400) == 0) {
-        const auto copy = DecodePublishedCopy(
-            EncodePublishedCopy(source.CopyAfter(follower.at(), now)));
+        const auto copy =
+            DecodePublishedCopy(EncodePublishedCopy(source.CopyAfter(follower.at(), now)));
         REQUIRE(copy.ok());
         follower.Take(*copy, now);
         CAPTURE(seed, revision);
@@ -90,9 +90,8 @@
 }
 
 TEST_CASE("other texts are rejected", "[published]") {
-  CHECK(CheckProperty("any text", [](const std::string& text) {
-    RC_ASSERT(!DecodePublishedCopy(text).ok());
-  }));
+  CHECK(CheckProperty("any text",
+                      [](const std::string& text) { RC_ASSERT(!DecodePublishedCopy(text).ok()); }));
 }
 
 }  // namespace
--- a/tests/routes/route_table_test.cc
+++ b/tests/routes/route_table_test.cc
@@ -26,9 +26,9 @@
 
 // Guards against calls that go to a shorter prefix or another host's service.
 TEST_CASE("the longest prefix of the host selects the route", "[routes]") {
-  const auto table = TableOf({RouteTo("a.example", "/x/", "short"),
-                              RouteTo("a.example", "/x/y/", "long"),
-                              RouteTo("b.example", "/x/", "other")});
+  const auto table =
+      TableOf({RouteTo("a.example", "/x/", "short"), RouteTo("a.example", "/x/y/", "long"),
+               RouteTo("b.example", "/x/", "other")});
   CHECK(ServiceOf(table, "a.example", "/x/1") == "short");
   CHECK(ServiceOf(table, "a.example", "/x/y/1?q=/x/") == "long");
   CHECK(ServiceOf(table, "A.Example:8080", "/x/y") == "short");
--- a/tests/support/loop_server.h
+++ b/tests/support/loop_server.h
@@ -147,9 +147,7 @@
   bool ended() const { return ended_; }
   bool clean() const { return clean_; }
   // Status of the first answer; 0 before it.
-  int status() const {
-    return received_.size() < 12 ? 0 : std::atoi(received_.c_str() + 9);
-  }
+  int status() const { return received_.size() < 12 ? 0 : std::atoi(received_.c_str() + 9); }
 
   void OnConnected() override {
     connected_ = true;
--- a/tools/check_lint.sh
+++ b/tools/check_lint.sh
@@ -6,7 +6,7 @@
 build=${1:?usage: check_lint.sh BUILD_FOLDER [FILE...]}
 shift
 if [ "$#" -eq 0 ]; then
-  mapfile -t files < <(git ls-files 'src/*.cc' 'apps/*.cc' 'standins/*.cc' 'bench/*.cc' 'demo/*.cc' 'examples/*.cc')
+  mapfile -t files < <(git ls-files 'src/*.cc' 'apps/*.cc' 'platform/*.cc' 'standins/*.cc' 'bench/*.cc' 'demo/*.cc' 'examples/*.cc')
 else
   files=("$@")
 fi
