--- /dev/null
+++ b/standins/platform/main.cc
@@ -0,0 +1,154 @@
+// Stand-in for the users' platform in tests: the store and upstreams that are listed there, driven
+// through a control port. Exit codes: 1 failed, 2 usage.
+#include <tclap/CmdLine.h>
+
+#include <chrono>
+#include <cstdlib>
+#include <iostream>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "platform_store.h"
+#include "platform_upstream.h"
+#include "primroseweir/base/error.h"
+#include "primroseweir/gateway/page_port.h"
+#include "primroseweir/loop/event_loop.h"
+
+namespace primroseweir::standin {
+namespace {
+
+constexpr int kFailed = 1;
+constexpr int kUsage = 2;
+constexpr int kNotFound = 404;
+
+// The control port: one page for each thing that tests do.
+class Control {
+ public:
+  Control(EventLoop* loop, PlatformStore* store) : loop_(loop), store_(store), port_(loop) {
+    using Query = PagePort::Query;
+    port_.Add("/put", [this](const Query& query) {
+      store_->Put(Value(query, "key"), Value(query, "value"));
+      return Done();
+    });
+    port_.Add("/erase", [this](const Query& query) {
+      store_->Erase(Value(query, "key"));
+      return Done();
+    });
+    port_.Add("/compact", [this](const Query&) {
+      store_->Compact();
+      return Done();
+    });
+    port_.Add("/down", [this](const Query& query) {
+      store_->SetDown(Value(query, "for") != "no");
+      return Done();
+    });
+    port_.Add("/upstream", [this](const Query& query) { return AddUpstream(query); });
+    port_.Add("/mode", [this](const Query& query) {
+      return OnUpstream(
+          query, [&query](PlatformUpstream* upstream) { upstream->SetMode(Value(query, "mode")); });
+    });
+    port_.Add("/state", [this](const Query& query) {
+      return OnUpstream(query, [this, &query](PlatformUpstream* upstream) {
+        store_->Put("servers/" + upstream->id(), upstream->Entry(Value(query, "state")));
+      });
+    });
+    port_.Add("/runs", [this](const Query&) {
+      std::string text;
+      for (const auto& [id, upstream] : upstreams_) {
+        text += id + "=" + std::to_string(upstream->runs()) + "\n";
+      }
+      return PagePort::Page{200, "text/plain", text};
+    });
+  }
+
+  absl::Status Listen(const SocketAddress& address) { return port_.Listen(address); }
+
+ private:
+  static PagePort::Page Done() { return {200, "text/plain", "done\n"}; }
+  static std::string Value(const PagePort::Query& query, const std::string& name) {
+    const auto found = query.find(name);
+    return found == query.end() ? std::string() : found->second;
+  }
+
+  PagePort::Page AddUpstream(const PagePort::Query& query) {
+    const auto address = ParseSocketAddress(Value(query, "address"));
+    if (!address.ok()) {
+      return {kNotFound, "text/plain", MessageOf(address.status())};
+    }
+    PlatformUpstream::Options options;
+    options.id = Value(query, "id");
+    options.service = Value(query, "service");
+    options.data_centre = Value(query, "zone");
+    options.address = *address;
+    options.work = std::chrono::milliseconds(std::atoi(Value(query, "work_ms").c_str()));
+    auto upstream = std::make_unique<PlatformUpstream>(loop_, options);
+    const auto status = upstream->Start();
+    if (!status.ok()) {
+      return {kNotFound, "text/plain", MessageOf(status)};
+    }
+    store_->Put("servers/" + options.id, upstream->Entry("ready"));
+    upstreams_[options.id] = std::move(upstream);
+    return Done();
+  }
+
+  template <typename Action>
+  PagePort::Page OnUpstream(const PagePort::Query& query, const Action& action) {
+    const auto found = upstreams_.find(Value(query, "id"));
+    if (found == upstreams_.end()) {
+      return {kNotFound, "text/plain", "no such upstream\n"};
+    }
+    action(found->second.get());
+    return Done();
+  }
+
+  EventLoop* const loop_;
+  PlatformStore* const store_;
+  PagePort port_;
+  std::map<std::string, std::unique_ptr<PlatformUpstream>> upstreams_;
+};
+
+int Serve(const std::string& store_text, const std::string& control_text) {
+  const auto store_address = ParseSocketAddress(store_text);
+  const auto control_address = ParseSocketAddress(control_text);
+  if (!store_address.ok() || !control_address.ok()) {
+    std::cerr << "usage: addresses are IP:PORT\n";
+    return kUsage;
+  }
+  EventLoop loop;
+  PlatformStore store(&loop);
+  Control control(&loop, &store);
+  for (const auto& status : {store.Listen(*store_address), control.Listen(*control_address)}) {
+    if (!status.ok()) {
+      std::cerr << "start: " << MessageOf(status) << "\n";
+      return kFailed;
+    }
+  }
+  std::cout << "ready" << std::endl;
+  loop.Run();
+  return 0;
+}
+
+}  // namespace
+}  // namespace primroseweir::standin
+
+int main(int argc, char** argv) {
+  TCLAP::CmdLine command("Stand-in for the users' platform", ' ', "0.1.0");
+  command.setExceptionHandling(false);
+  TCLAP::ValueArg<std::string> store("", "store", "address of the store", true, "", "IP:PORT",
+                                     command);
+  TCLAP::ValueArg<std::string> control(
+      "", "control",
+      "control port: /put?key=&value=, /erase?key=, /compact, /down?for=no|all, "
+      "/upstream?id=&service=&zone=&address=&work_ms=, /mode?id=&mode=, /state?id=&state=, /runs",
+      true, "", "IP:PORT", command);
+  try {
+    command.parse(argc, argv);
+  } catch (const TCLAP::ArgException& error) {
+    std::cerr << "usage: " << error.error() << " " << error.argId() << "\n";
+    return primroseweir::standin::kUsage;
+  } catch (const TCLAP::ExitException& exit) {
+    return exit.getExitStatus();
+  }
+  return primroseweir::standin::Serve(store.getValue(), control.getValue());
+}
--- /dev/null
+++ b/standins/platform/platform_store.h
@@ -0,0 +1,80 @@
+#ifndef PRIMROSEWEIR_STANDINS_PLATFORM_PLATFORM_STORE_H_
+#define PRIMROSEWEIR_STANDINS_PLATFORM_PLATFORM_STORE_H_
+
+#include <absl/status/status.h>
+
+#include <cstdint>
+#include <list>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "primroseweir/base/time.h"
+#include "primroseweir/loop/http_port.h"
+#include "primroseweir/loop/request_sink.h"
+#include "primroseweir/loop/timer.h"
+
+namespace primroseweir::standin {
+
+// Stand-in for the platform's store: ranges in pages, watches, and the faults that tests ask for.
+class PlatformStore : public RequestSink {
+ public:
+  explicit PlatformStore(EventLoop* loop);
+
+  absl::Status Listen(const SocketAddress& address) { return port_.Listen(address); }
+
+  void Put(const std::string& key, const std::string& value);
+  void Erase(const std::string& key);
+  // Forgets the history: watches from an older revision answer 410.
+  void Compact();
+  // While down, calls and waiting watches answer 503.
+  void SetDown(bool down);
+  std::uint64_t calls() const { return calls_; }
+
+  void OnRequest(HttpServerStream* stream, RequestHead* head, std::string body) override;
+  void OnCallerGone(HttpServerStream* stream) override;
+
+  // Small, so that tests read in several pages.
+  static constexpr std::size_t kPageItems = 3;
+
+ private:
+  struct Item {
+    std::string value;
+    std::uint64_t revision = 0;
+  };
+  struct Event {
+    std::string key;
+    std::uint64_t revision = 0;
+    bool deleted = false;
+    std::string value;
+  };
+  struct Watch {
+    HttpServerStream* stream = nullptr;
+    std::string prefix;
+    std::uint64_t after = 0;
+    std::unique_ptr<Timer> timer;
+  };
+
+  void Range(HttpServerStream* stream, const std::string& prefix, const std::string& after);
+  void StartWatch(HttpServerStream* stream, const std::string& prefix, std::uint64_t after,
+                  Duration wait);
+  // Answers the watch if there is something to tell or `over`; answers whether it did.
+  bool AnswerWatch(const Watch& watch, bool over);
+  void WakeWatches();
+
+  EventLoop* const loop_;
+  HttpPort port_;
+  std::map<std::string, Item> items_;
+  std::vector<Event> history_;
+  std::list<Watch> watches_;
+  std::uint64_t revision_ = 1;
+  std::uint64_t oldest_ = 1;
+  std::uint64_t calls_ = 0;
+  bool down_ = false;
+};
+
+}  // namespace primroseweir::standin
+
+#endif  // PRIMROSEWEIR_STANDINS_PLATFORM_PLATFORM_STORE_H_
--- a/standins/wire/fetch.cc
+++ b/standins/wire/fetch.cc
@@ -10,7 +10,7 @@
   const Instant deadline = MonotonicNow() + timeout;
   auto socket = Socket::Connect(to, deadline);
   if (!socket.ok()) return socket.status();
-  request.fields.push_back({"Host", to.ToString()});
+  if (request.Value("Host").empty()) request.fields.push_back({"Host", to.ToString()});
   request.fields.push_back({"Connection", "close"});
   const bool has_length = !body.empty() || request.method != "GET";
   if (has_length) request.fields.push_back({"Content-Length", std::to_string(body.size())});
--- a/standins/wire/fetch.h
+++ b/standins/wire/fetch.h
@@ -16,8 +16,8 @@
   std::string body;
 };
 
-// Sends one request on a new connection and reads the whole answer. Adds Host, Content-Length (when
-// there is a body) and Connection: close. Errors: as Socket and HttpReader.
+// Sends one request on a new connection and reads the whole answer. Adds Host (unless stated),
+// Content-Length (when there is a body) and Connection: close. Errors: as Socket and HttpReader.
 absl::StatusOr<HttpAnswer> Fetch(const SocketAddress& to, HttpHead request, const std::string& body,
                                  Duration timeout);
 
--- /dev/null
+++ b/tests/platform/decoder_test.cc
@@ -0,0 +1,194 @@
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "node_settings.h"
+#include "primroseweir/base/random.h"
+#include "store_decoder.h"
+#include "support/property.h"
+
+namespace primroseweir::platform {
+namespace {
+
+using Json = nlohmann::json;
+
+Json ConfigurationJson() {
+  return Json::parse(R"({
+    "version": "0000001c",
+    "routes": {"columns": ["name", "host", "prefix", "service", "trafficSplit", "kind", "timeoutMs",
+                           "sloMs", "maxAttempts", "priority"],
+      "rows": [["r1", "a.example", "/x/", "s1", null, "idempotent", 1200, 250, 2, 2],
+               ["r2", "a.example", "/y/", null, {"columns": ["service", "weight"],
+                 "rows": [["s1", 3], ["s2", 1]]}, "non_idempotent", 800, 300, 1, 1]]},
+    "services": [{"name": "s1", "healthPath": "/health", "maxConnections": 260, "warmupS": 3,
+                  "coldPerS": 19.0},
+                 {"name": "s2", "healthPath": "/health", "maxConnections": 260}],
+    "limits": {"maxHeaderBytes": 8192, "maxBodyBytes": 65536, "headerTimeoutMs": 3000,
+               "idleTimeoutMs": 9000}})");
+}
+
+Json UpstreamJson() {
+  return Json::parse(R"({"service": "s1", "address": "10.0.0.1:99", "zone": "a", "version": "v1",
+    "maxConcurrency": 6, "state": "ready", "coldMs": 1500, "sequence": 4, "born": 1700000000123})");
+}
+
+// Replaces tables of columns and rows by arrays of objects, the slow and obvious way.
+Json NaivePlain(const Json& json) {
+  if (json.is_object() && json.contains("columns") && json.contains("rows")) {
+    auto list = Json::array();
+    for (const auto& row : json["rows"]) {
+      Json record = Json::object();
+      for (std::size_t i = 0; i < json["columns"].size(); ++i) {
+        if (!row[i].is_null()) {
+          record[json["columns"][i].get<std::string>()] = NaivePlain(row[i]);
+        }
+      }
+      list.push_back(record);
+    }
+    return list;
+  }
+  if (json.is_object() || json.is_array()) {
+    auto copy = json;
+    for (auto& element : copy) {
+      element = NaivePlain(element);
+    }
+    return copy;
+  }
+  return json;
+}
+
+TEST_CASE("a configuration is decoded into routes, services and limits", "[platform]") {
+  const auto table = DecodeConfiguration(ConfigurationJson().dump());
+  REQUIRE(table.ok());
+  CHECK((*table)->version() == 0x1c);
+  const auto* read = (*table)->Find("a.example", "/x/1");
+  REQUIRE(read != nullptr);
+  CHECK(read->kind == CallKind::kRepeatable);
+  CHECK(read->timeout == std::chrono::milliseconds(1200));
+  CHECK(read->objective == std::chrono::milliseconds(250));
+  CHECK(read->max_attempts == 2);
+  CHECK(read->priority == 2);
+  const auto* booking = (*table)->Find("a.example", "/y/1");
+  REQUIRE(booking != nullptr);
+  CHECK(booking->kind == CallKind::kOnce);
+  REQUIRE(booking->targets.size() == 2);
+  CHECK(booking->targets[1].service == ServiceName("s2"));
+  CHECK(booking->targets[0].weight == 3);
+  const auto* terms = (*table)->FindService(ServiceName("s1"));
+  REQUIRE(terms != nullptr);
+  CHECK(terms->warm_up == std::chrono::seconds(3));
+  CHECK(terms->cold_rate == 19.0);
+  CHECK((*table)->limits().idle == std::chrono::seconds(9));
+}
+
+// Guards against a table that is read differently from the list that it stands for.
+TEST_CASE("tables and arrays of records mean the same", "[platform]") {
+  const auto table = DecodeConfiguration(ConfigurationJson().dump());
+  const auto plain = DecodeConfiguration(NaivePlain(ConfigurationJson()).dump());
+  REQUIRE(table.ok());
+  REQUIRE(plain.ok());
+  REQUIRE((*table)->routes().size() == (*plain)->routes().size());
+  for (std::size_t i = 0; i < (*table)->routes().size(); ++i) {
+    const auto& a = (*table)->routes()[i];
+    const auto& b = (*plain)->routes()[i];
+    CHECK(a.prefix == b.prefix);
+    CHECK(a.kind == b.kind);
+    CHECK(a.timeout == b.timeout);
+    CHECK(a.targets.size() == b.targets.size());
+  }
+}
+
+TEST_CASE("a configuration with a fault is rejected with its reason", "[platform]") {
+  const auto rejected = [](const std::function<void(Json*)>& spoil) {
+    auto json = NaivePlain(ConfigurationJson());
+    spoil(&json);
+    return !DecodeConfiguration(json.dump()).ok();
+  };
+  CHECK(rejected([](Json* json) { (*json)["routes"][0]["service"] = "unknown"; }));
+  CHECK(rejected([](Json* json) { (*json)["routes"][0]["kind"] = "sometimes"; }));
+  CHECK(rejected([](Json* json) { (*json)["routes"][0]["prefix"] = "/x"; }));
+  CHECK(rejected([](Json* json) { (*json)["routes"][0].erase("timeoutMs"); }));
+  CHECK(rejected([](Json* json) { (*json)["version"] = "1c"; }));
+  CHECK(rejected([](Json* json) { json->erase("limits"); }));
+  CHECK_FALSE(DecodeConfiguration(ConfigurationJson().dump().substr(0, 200)).ok());
+}
+
+TEST_CASE("an upstream's entry is decoded", "[platform]") {
+  const auto record = DecodeUpstream(UpstreamId("i-1"), UpstreamJson().dump());
+  REQUIRE(record.ok());
+  CHECK(record->slots == 6);
+  CHECK(record->warm_up_left == std::chrono::milliseconds(1500));
+  CHECK(record->started_ms == 1700000000123);
+  CHECK(record->state == ListedState::kLive);
+}
+
+// Guards against calls to what another writer put among the upstreams.
+TEST_CASE("entries of other writers name no upstream", "[platform]") {
+  for (const char* field : {"service", "address", "zone", "version", "maxConcurrency", "state"}) {
+    auto json = UpstreamJson();
+    json.erase(field);
+    CHECK_FALSE(DecodeUpstream(UpstreamId("i"), json.dump()).ok());
+    json[field] = Json::array();
+    CHECK_FALSE(DecodeUpstream(UpstreamId("i"), json.dump()).ok());
+  }
+  auto json = UpstreamJson();
+  json["state"] = "resting";
+  CHECK_FALSE(DecodeUpstream(UpstreamId("i"), json.dump()).ok());
+  json = UpstreamJson();
+  json["maxConcurrency"] = -1;
+  CHECK_FALSE(DecodeUpstream(UpstreamId("i"), json.dump()).ok());
+}
+
+// Guards against input that ends the process. A spoilt text is rejected or read as a whole.
+TEST_CASE("spoilt texts never do harm", "[platform]") {
+  Random random(20261204);
+  const std::string configuration = ConfigurationJson().dump();
+  const std::string upstream = UpstreamJson().dump();
+  for (int i = 0; i < 5000; ++i) {
+    auto text = i % 2 == 0 ? configuration : upstream;
+    for (std::uint64_t change = 0; change <= random.Below(4); ++change) {
+      text[random.Below(text.size())] = static_cast<char>(random.Below(256));
+    }
+    text.resize(random.Below(8) == 0 ? random.Below(text.size()) : text.size());
+    (void)DecodeConfiguration(text);
+    (void)DecodeUpstream(UpstreamId("i"), text);
+    (void)ParseNodeSettings(text);
+  }
+}
+
+TEST_CASE("a wrong configuration leaves the one before in force", "[platform][config-in-force]") {
+  StoreDecoder decoder;
+  const auto good = ConfigurationJson().dump();
+  auto older = ConfigurationJson();
+  older["version"] = "0000000a";
+  auto result = decoder.Decode({{kConfigurationKey, good, Revision(5)}}, Revision(5));
+  REQUIRE(result.state->routes != nullptr);
+  result = decoder.Decode({{kConfigurationKey, "{", Revision(6)}}, Revision(6));
+  CHECK(result.rejected.size() == 1);
+  CHECK(result.state->routes->version() == 0x1c);
+  result = decoder.Decode({{kConfigurationKey, older.dump(), Revision(7)}}, Revision(7));
+  CHECK(result.rejected.size() == 1);
+  CHECK(result.state->routes->version() == 0x1c);
+}
+
+TEST_CASE("declarations and upstreams make the state", "[platform]") {
+  StoreDecoder decoder;
+  const auto result = decoder.Decode({{"op/evacuate/a", "1", Revision(2)},
+                                      {"servers/i-1", UpstreamJson().dump(), Revision(3)},
+                                      {"servers/i-2", "\xff", Revision(4)}},
+                                     Revision(4));
+  CHECK(result.state->out.count(DataCentre("a")) == 1);
+  REQUIRE(result.state->upstreams.size() == 1);
+  CHECK(result.state->upstreams[0].id == UpstreamId("i-1"));
+  REQUIRE(result.rejected.size() == 1);
+  CHECK(result.rejected[0].key == "servers/i-2");
+}
+
+TEST_CASE("settings name what is missing", "[platform]") {
+  const auto settings = ParseNodeSettings(R"({"nodeName": "n", "ip": "10.0.0.1", "zone": "a"})");
+  REQUIRE_FALSE(settings.ok());
+  CHECK(std::string(settings.status().message()).find("listenAddrs") != std::string::npos);
+}
+
+}  // namespace
+}  // namespace primroseweir::platform
--- /dev/null
+++ b/tests/platform/platform_site.h
@@ -0,0 +1,214 @@
+#ifndef PRIMROSEWEIR_TESTS_PLATFORM_PLATFORM_SITE_H_
+#define PRIMROSEWEIR_TESTS_PLATFORM_PLATFORM_SITE_H_
+
+#include <chrono>
+#include <fstream>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "support/child_process.h"
+#include "support/network.h"
+#include "wire/fetch.h"
+
+namespace primroseweir::testing {
+
+// A site on the stand-in platform: the store with upstreams, and instances of the system, each a
+// process of its own, on addresses that no other test uses.
+class PlatformSite {
+ public:
+  using Json = nlohmann::json;
+  static constexpr Duration kPatience = std::chrono::seconds(15);
+
+  explicit PlatformSite(int instances) {
+    const char* temporary = std::getenv("TMPDIR");
+    folder_ = std::string(temporary == nullptr ? "/tmp" : temporary) + "/primroseweir-site-XXXXXX";
+    if (mkdtemp(folder_.data()) == nullptr) {
+      throw std::runtime_error("no folder for the site");
+    }
+    platform_ = std::make_unique<ChildProcess>(
+        std::vector<std::string>{Binary("standins/platform/standin-platform"), "--store",
+                                 store().ToString(), "--control", Control().ToString()},
+        folder_ + "/platform.log");
+    if (!platform_->WaitForLog("ready", kPatience)) {
+      throw std::runtime_error("the stand-in platform did not start: " + platform_->Log());
+    }
+    for (int i = 0; i < instances; ++i) {
+      instances_.emplace_back();
+      StartInstance(i);
+    }
+  }
+
+  ~PlatformSite() {
+    instances_.clear();
+    platform_.reset();
+    std::system(("rm -rf " + folder_).c_str());
+  }
+
+  // ---- addresses ----
+
+  SocketAddress store() const { return network_.Host(1, 7000); }
+  SocketAddress Control() const { return network_.Host(1, 7001); }
+  SocketAddress Callers(int instance) const { return network_.Host(10 + instance, 8000); }
+  SocketAddress Readiness(int instance) const { return network_.Host(10 + instance, 8001); }
+  SocketAddress Directory(int instance) const { return network_.Host(10 + instance, 8003); }
+  SocketAddress Metrics(int instance) const { return network_.Host(10 + instance, 7541); }
+
+  // ---- what happens ----
+
+  void StartInstance(int instance) {
+    const auto path = folder_ + "/node" + std::to_string(instance) + ".json";
+    std::ofstream(path) << Settings(instance).dump();
+    instances_[static_cast<std::size_t>(instance)] = std::make_unique<ChildProcess>(
+        std::vector<std::string>{Binary("platform/primroseweir-platform"), "--settings", path},
+        folder_ + "/node" + std::to_string(instance) + ".log");
+  }
+
+  // A page of the control port; values are percent-encoded here.
+  std::string Do(const std::string& page, const std::map<std::string, std::string>& query = {}) {
+    std::string target = page;
+    for (const auto& [name, value] : query) {
+      target += (target == page ? "?" : "&") + name + "=" + Encode(value);
+    }
+    const auto answer = standins::Get(Control(), target, kPatience);
+    if (!answer.ok() || answer->head.status != 200) {
+      throw std::runtime_error("control port failed at " + target);
+    }
+    return answer->body;
+  }
+
+  void AddUpstream(const std::string& id, const std::string& service, int host, int work_ms = 5) {
+    Do("/upstream", {{"id", id},
+                     {"service", service},
+                     {"zone", "dc0"},
+                     {"address", network_.Host(100 + host, 9000).ToString()},
+                     {"work_ms", std::to_string(work_ms)}});
+  }
+
+  // Writes a configuration with a repeatable route /read/ and a route /book/ that runs once.
+  void Configure(int version, const std::string& read_service = "reads") {
+    char digits[16];
+    std::snprintf(digits, sizeof digits, "%08x", version);
+    const auto route = [](const std::string& prefix, const std::string& service,
+                          const std::string& kind) {
+      return Json{{"name", prefix},     {"host", "desk"},   {"prefix", prefix},
+                  {"service", service}, {"kind", kind},     {"timeoutMs", 1000},
+                  {"sloMs", 300},       {"maxAttempts", 2}, {"priority", 1}};
+    };
+    const auto service = [](const std::string& name) {
+      return Json{{"name", name},
+                  {"healthPath", "/health"},
+                  {"maxConnections", 50},
+                  {"warmupS", 1},
+                  {"coldPerS", 5}};
+    };
+    const Json configuration = {
+        {"version", digits},
+        {"routes",
+         {route("/read/", read_service, "idempotent"),
+          route("/book/", "bookings", "non_idempotent")}},
+        {"services", {service("reads"), service("bookings"), service("others")}},
+        {"limits",
+         {{"maxHeaderBytes", 4096},
+          {"maxBodyBytes", 10000},
+          {"headerTimeoutMs", 2000},
+          {"idleTimeoutMs", 5000}}}};
+    Do("/put", {{"key", "op/config"}, {"value", configuration.dump()}});
+  }
+
+  bool WaitReady(int instance) {
+    return WaitUntil(
+        [&] {
+          const auto answer =
+              standins::Get(Readiness(instance), "/primroseweir/readiness", kPatience);
+          return answer.ok() && answer->head.status == 200;
+        },
+        kPatience);
+  }
+
+  // ---- calls ----
+
+  absl::StatusOr<standins::HttpAnswer> Call(int instance, const std::string& method,
+                                            const std::string& target, const std::string& id,
+                                            const std::string& body = "") {
+    standins::HttpHead head;
+    head.method = method;
+    head.target = target;
+    head.fields = {{"Host", "desk"}, {"X-Request-Id", id}, {"X-Deadline-Ms", "2000"}};
+    return standins::Fetch(Callers(instance), head, body, kPatience);
+  }
+
+  int Status(int instance, const std::string& method, const std::string& target,
+             const std::string& id) {
+    const auto answer = Call(instance, method, target, id, method == "POST" ? "b" : "");
+    return answer.ok() ? answer->head.status : 0;
+  }
+
+  // The log line of an instance that holds all of `parts`; "" when there is none.
+  std::string LogLine(int instance, const std::vector<std::string>& parts) {
+    std::string found;
+    WaitUntil(
+        [&] {
+          std::istringstream log(Instance(instance).Log());
+          for (std::string line; std::getline(log, line);) {
+            bool all = true;
+            for (const auto& part : parts) {
+              all = all && line.find(part) != std::string::npos;
+            }
+            if (all) {
+              found = line;
+              return true;
+            }
+          }
+          return false;
+        },
+        std::chrono::seconds(3));
+    return found;
+  }
+
+  ChildProcess& Instance(int instance) { return *instances_[static_cast<std::size_t>(instance)]; }
+
+ private:
+  static std::string Binary(const std::string& path) {
+    return std::string(PRIMROSEWEIR_BUILD_FOLDER) + "/" + path;
+  }
+
+  static std::string Encode(const std::string& text) {
+    std::string result;
+    for (const char c : text) {
+      char buffer[8];
+      std::snprintf(buffer, sizeof buffer, "%%%02X", static_cast<unsigned char>(c));
+      result += buffer;
+    }
+    return result;
+  }
+
+  Json Settings(int instance) const {
+    const auto ip = network_.Host(10 + instance, 0).ip;
+    const auto at = [&](int port) { return ip + ":" + std::to_string(port); };
+    return {{"nodeName", "node" + std::to_string(instance)},
+            {"ip", ip},
+            {"zone", "dc" + std::to_string(instance % 2)},
+            {"listenAddrs",
+             {{"front", at(8000)},
+              {"ready", at(8001)},
+              {"control", at(8002)},
+              {"directory", at(8003)}}},
+            {"portRange", {7540, 7555}},
+            {"seeds", {network_.Host(10, 8002).ToString()}},
+            {"contractBounds", {{"graceS", 3}, {"ttl_max_s", 5}, {"drainMs", 2000}}},
+            {"platform", {{"address", store().ToString()}}}};
+  }
+
+  Network network_;
+  std::string folder_;
+  std::unique_ptr<ChildProcess> platform_;
+  std::vector<std::unique_ptr<ChildProcess>> instances_;
+};
+
+}  // namespace primroseweir::testing
+
+#endif  // PRIMROSEWEIR_TESTS_PLATFORM_PLATFORM_SITE_H_
