--- a/include/primroseweir/balance/upstream_book.h
+++ b/include/primroseweir/balance/upstream_book.h
@@ -83,6 +83,11 @@
   // only when its pace allows a call. Linear in the upstreams of the service.
   Choice Choose(const Query& query, Instant now);
 
+  // Upstreams that are full by old reports of other instances' calls, those with the oldest reports
+  // first: a probe tells whether one has room for a call that waits. Linear.
+  std::vector<std::shared_ptr<BalancedUpstream>> MaybeFree(const ServiceName& service,
+                                                           Instant now) const;
+
   // Counts a call as sent to that upstream.
   void NoteStart(BalancedUpstream* upstream, Instant now);
   // Ends an attempt. `occupancy` is what it met when it started.
@@ -106,6 +111,8 @@
 
   // A report of this age still tells whether neighbours slow the upstream down.
   static constexpr Duration kFreshReport = std::chrono::milliseconds(20);
+  // Upstreams that are probed at a time while calls wait.
+  static constexpr std::size_t kProbedWaiting = 3;
   // Upstreams that are probed for one call.
   static constexpr std::size_t kProbedPerCall = 2;
   // A call to another data centre costs this much more, so that the nearer one wins between equals.
--- a/include/primroseweir/fleet/fleet_member.h
+++ b/include/primroseweir/fleet/fleet_member.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "primroseweir/base/ids.h"
+#include "primroseweir/fleet/fleet_capacity.h"
 
 namespace primroseweir {
 
@@ -21,6 +22,8 @@
   bool leaving = false;
   // The platform's store serves it: others of its data centre may follow it instead of the store.
   bool reads_store = false;
+  // What the machine can carry and what it carries.
+  FleetCapacity capacity;
   // Revision up to which the instance knows the published state.
   Revision published;
 };
--- a/include/primroseweir/fleet/fleet_table.h
+++ b/include/primroseweir/fleet/fleet_table.h
@@ -30,6 +30,11 @@
   void Beat(Instant now);
   void SetLeaving(bool leaving) { self_.leaving = leaving; }
   void SetReadsStore(bool reads) { self_.reads_store = reads; }
+  // Callers' load of this instance: calls and kilobytes of answers a second.
+  void SetLoad(std::uint32_t calls, std::uint32_t kilobytes) {
+    self_.capacity.calls = calls;
+    self_.capacity.kilobytes = kilobytes;
+  }
   void SetPublished(Revision revision) { self_.published = revision; }
   const FleetMember& self() const { return self_; }
 
--- a/include/primroseweir/gateway/fleet_service.h
+++ b/include/primroseweir/gateway/fleet_service.h
@@ -78,6 +78,8 @@
   static constexpr Duration kLoadInterval = std::chrono::milliseconds(50);
   // Seeds are asked this often even when peers are known, so that parts of a split fleet meet.
   static constexpr std::uint64_t kBeatsPerSeedRound = 16;
+  // Time over which the callers' load is averaged.
+  static constexpr Duration kLoadMemory = std::chrono::seconds(2);
   static constexpr char kCopyPath[] = "/published";
 
  private:
@@ -91,6 +93,7 @@
   void TakeLoad(const std::string& ip, const LoadDigest& load, Instant now);
   void FollowPeers(Instant now);
   void NoteLost(Instant now);
+  void MeasureLoad(Instant now);
 
   EventLoop* const loop_;
   const Options options_;
@@ -105,6 +108,12 @@
   UdpSocket socket_;
   std::set<std::string> live_;
   std::uint64_t beats_ = 0;
+  // Running averages of calls and bytes of answers a second, and the counts at the last beat.
+  double calls_rate_ = 0;
+  double bytes_rate_ = 0;
+  std::uint64_t calls_counted_ = 0;
+  std::uint64_t bytes_counted_ = 0;
+  Instant measured_;
   bool had_load_ = false;
   std::vector<CrashStrike> strikes_;
   // Since when a peer has been ahead of this instance.
--- a/include/primroseweir/gateway/gateway.h
+++ b/include/primroseweir/gateway/gateway.h
@@ -69,6 +69,10 @@
   // Accepts no further connections.
   void StopAccepting() { port_.StopAccepting(); }
   std::size_t calls() const { return calls_.size(); }
+  // Calls that arrived and bytes of answers so far.
+  std::uint64_t calls_taken() const { return calls_taken_; }
+  std::uint64_t answer_bytes() const { return answer_bytes_; }
+  void CountAnswerBytes(std::size_t bytes) { answer_bytes_ += bytes; }
   SocketAddress address() const { return port_.address(); }
 
   // ---- for calls ----
@@ -77,6 +81,8 @@
   void Release(RoutedCall* call);
   // Offers the service's room to the calls that wait for it.
   void OfferRoom(const ServiceName& service, Instant now);
+  // Probes upstreams that may have room for the calls that wait.
+  void SeekRoom(const ServiceName& service, Instant now);
   // A probe brought news of an upstream of the service.
   void OnReport(const ServiceName& service, Instant now);
   UpstreamProber& prober() { return *prober_; }
@@ -126,6 +132,8 @@
   GatewayMetrics* const metrics_;
   std::shared_ptr<const ServingState> state_;
   Instant state_heard_;
+  std::uint64_t calls_taken_ = 0;
+  std::uint64_t answer_bytes_ = 0;
   Random random_;
   UpstreamBook book_;
   UpstreamPool pool_;
--- a/include/primroseweir/gateway/routed_call.h
+++ b/include/primroseweir/gateway/routed_call.h
@@ -61,6 +61,8 @@
   static constexpr std::size_t kMaxPending = std::size_t{256} * 1024;
   // Upstreams to which no connection could be opened, before the call is refused.
   static constexpr std::size_t kMaxTried = 5;
+  // A second attempt that found no room is tried again after this time.
+  static constexpr Duration kHedgeRetry = std::chrono::milliseconds(60);
   // Time that a call waits for probes of upstreams with old reports: two data centres apart, an
   // answer takes about 2 ms.
   static constexpr Duration kProbeWait = std::chrono::milliseconds(5);
--- a/src/balance/call_policy.cc
+++ b/src/balance/call_policy.cc
@@ -6,10 +6,14 @@
 namespace primroseweir {
 namespace {
 
-// A call that takes this many times the usual time is at a slow or silent upstream.
-constexpr int kSlowFactor = 3;
-// Part of the objective after which a second attempt can still bring the answer within it.
-constexpr double kHedgePart = 0.7;
+// A call that takes this many times the usual time is likely to be at a slow or silent upstream.
+constexpr double kSlowFactor = 1.6;
+// Usual times that a second attempt needs to bring its answer.
+constexpr double kSecondFactor = 1.3;
+
+Duration Times(Duration duration, double factor) {
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(duration) * factor);
+}
 
 }  // namespace
 
@@ -37,15 +41,12 @@
 }
 
 Duration CallPolicy::HedgeAfter(Duration objective, Duration usual) {
-  const auto part =
-      std::chrono::duration_cast<Duration>(std::chrono::duration<double>(objective) * kHedgePart);
-  return std::max(part, usual * kSlowFactor);
+  return std::max(objective - Times(usual, kSecondFactor), Times(usual, kSlowFactor));
 }
 
 Duration CallPolicy::RetryAfter(Duration expected_wait, Duration left, double spread) {
-  const auto random = std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(kRetryAfterSpread) * spread);
-  const auto wait = std::max(expected_wait, kShortestRetryAfter) + random;
+  const auto wait =
+      std::max<Duration>(expected_wait, kShortestRetryAfter) + Times(kRetryAfterSpread, spread);
   return std::max(Duration::zero(), std::min<Duration>(wait, left / kRetryAfterPart));
 }
 
--- a/src/balance/upstream_book.cc
+++ b/src/balance/upstream_book.cc
@@ -152,6 +152,27 @@
   return cost;
 }
 
+std::vector<std::shared_ptr<BalancedUpstream>> UpstreamBook::MaybeFree(const ServiceName& service,
+                                                                       Instant now) const {
+  std::vector<std::shared_ptr<BalancedUpstream>> candidates;
+  const auto found = services_.find(service);
+  if (found == services_.end()) {
+    return candidates;
+  }
+  for (const auto& upstream : found->second.upstreams) {
+    const auto limit = found->second.load.Limit(upstream->record().slots);
+    const bool paced = upstream->cold(now) && !upstream->pacer().Ready(now);
+    if (upstream->usable() && !upstream->doubted() && !paced && upstream->may_report() &&
+        upstream->in_flight() < limit && now - upstream->reported_at() >= kFreshReport) {
+      candidates.push_back(upstream);
+    }
+  }
+  std::sort(candidates.begin(), candidates.end(),
+            [](const auto& a, const auto& b) { return a->reported_at() < b->reported_at(); });
+  candidates.resize(std::min(candidates.size(), kProbedWaiting));
+  return candidates;
+}
+
 void UpstreamBook::NoteStart(BalancedUpstream* upstream, Instant now) {
   upstream->NoteStart();
   if (upstream->cold(now)) {
--- a/src/fleet/fleet_codec.cc
+++ b/src/fleet/fleet_codec.cc
@@ -3,6 +3,7 @@
 // Without this the library asks for the headers of Boost.
 #define MSGPACK_NO_BOOST
 
+#include <array>
 #include <chrono>
 #include <exception>
 #include <msgpack.hpp>
@@ -15,10 +16,10 @@
 namespace {
 
 // First element of each message; changes with the layout.
-constexpr std::uint32_t kFormat = 2;
+constexpr std::uint32_t kFormat = 3;
 
-using MemberTuple =
-    std::tuple<std::string, std::string, std::uint64_t, std::uint64_t, bool, bool, std::uint64_t>;
+using MemberTuple = std::tuple<std::string, std::string, std::uint64_t, std::uint64_t, bool, bool,
+                               std::uint64_t, std::array<std::uint32_t, 4>>;
 using UseTuple = std::tuple<std::uint64_t, std::uint32_t, std::uint32_t, std::uint32_t>;
 using StrikeTuple = std::tuple<std::uint64_t, std::string, std::int64_t, bool>;
 using MessageTuple = std::tuple<std::uint32_t, std::vector<MemberTuple>, std::vector<UseTuple>,
@@ -29,8 +30,11 @@
   auto& [format, members, uses, strikes] = result;
   format = kFormat;
   for (const auto& member : message.members) {
+    const auto& capacity = member.capacity;
     members.emplace_back(member.ip, member.data_centre.value(), member.incarnation.value(),
-                         member.beat, member.leaving, member.reads_store, member.published.value());
+                         member.beat, member.leaving, member.reads_store, member.published.value(),
+                         std::array<std::uint32_t, 4>{capacity.millicores, capacity.link_kilobytes,
+                                                      capacity.calls, capacity.kilobytes});
   }
   for (const auto& use : message.load.uses) {
     uses.emplace_back(use.upstream, use.in_flight, use.slowdown_percent, use.age_ms);
@@ -44,7 +48,7 @@
 
 FleetMessage FromTuple(const MessageTuple& tuple) {
   FleetMessage message;
-  for (const auto& [ip, data_centre, incarnation, beat, leaving, reads_store, published] :
+  for (const auto& [ip, data_centre, incarnation, beat, leaving, reads_store, published, capacity] :
        std::get<1>(tuple)) {
     FleetMember member;
     member.ip = ip;
@@ -54,6 +58,7 @@
     member.leaving = leaving;
     member.reads_store = reads_store;
     member.published = Revision(published);
+    member.capacity = {capacity[0], capacity[1], capacity[2], capacity[3]};
     message.members.push_back(member);
   }
   for (const auto& [upstream, in_flight, slowdown, age] : std::get<2>(tuple)) {
--- a/src/gateway/fleet_service.cc
+++ b/src/gateway/fleet_service.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <utility>
 
 #include "primroseweir/base/line_log.h"
@@ -20,6 +21,7 @@
 namespace {
 
 constexpr double kPercent = 100;
+constexpr double kBytesPerKilobyte = 1000;
 constexpr int kOk = 200;
 
 }  // namespace
@@ -119,6 +121,7 @@
   table_.Beat(now);
   table_.SetPublished(cache_->at());
   NoteLost(now);
+  MeasureLoad(now);
   gateway_->book().SetFleetSize(table_.PeakSize(now));
   const auto targets = table_.TargetsOf(beats_, now);
   const auto brief = OwnState();
@@ -139,6 +142,23 @@
   FollowPeers(now);
 }
 
+void FleetService::MeasureLoad(Instant now) {
+  const double seconds = std::chrono::duration<double>(now - measured_).count();
+  if (measured_ != Instant() && seconds > 0) {
+    const double weight =
+        1 - std::exp(-seconds / std::chrono::duration<double>(kLoadMemory).count());
+    const auto calls = static_cast<double>(gateway_->calls_taken() - calls_counted_);
+    const auto bytes = static_cast<double>(gateway_->answer_bytes() - bytes_counted_);
+    calls_rate_ += (calls / seconds - calls_rate_) * weight;
+    bytes_rate_ += (bytes / seconds - bytes_rate_) * weight;
+  }
+  measured_ = now;
+  calls_counted_ = gateway_->calls_taken();
+  bytes_counted_ = gateway_->answer_bytes();
+  table_.SetLoad(static_cast<std::uint32_t>(calls_rate_),
+                 static_cast<std::uint32_t>(bytes_rate_ / kBytesPerKilobyte));
+}
+
 void FleetService::Announce() {
   const auto now = now_();
   table_.Beat(now);
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -79,6 +79,12 @@
   }
 }
 
+void Gateway::SeekRoom(const ServiceName& service, Instant now) {
+  for (const auto& upstream : book_.MaybeFree(service, now)) {
+    prober_->Ask(upstream, now);
+  }
+}
+
 void Gateway::OnReport(const ServiceName& service, Instant now) {
   std::vector<RoutedCall*> unsure;
   for (const auto& [stream, call] : calls_) {
@@ -119,6 +125,7 @@
 
 void Gateway::OnRequest(HttpServerStream* stream, RequestHead* head, std::string body) {
   const auto now = EventLoop::Now();
+  ++calls_taken_;
   auto call = std::make_unique<RoutedCall>(this, stream, *head, std::move(body), now);
   auto* started = call.get();
   calls_[stream] = std::move(call);
@@ -151,6 +158,9 @@
     if (!queue.empty()) {
       queue.Offer(now);
     }
+    if (!queue.empty()) {
+      SeekRoom(service, now);
+    }
   }
 }
 
--- a/src/gateway/routed_call.cc
+++ b/src/gateway/routed_call.cc
@@ -256,6 +256,7 @@
     return true;
   });
   wait_timer_.Start(longest);
+  gateway_->SeekRoom(service_, now);
   return true;
 }
 
@@ -292,12 +293,17 @@
   }
 }
 
-// A second attempt beside one that takes unusually long; the first whole answer wins.
+// A second attempt beside one that takes unusually long; the first whole answer wins. Calls that
+// wait for their first attempt go first.
 void RoutedCall::StartHedge() {
-  if (attempts_.size() != 1 || streaming_ || sends_ == 0 || sends_ >= route_->max_attempts) {
+  if (attempts_.size() != 1 || streaming_ || sends_ >= route_->max_attempts) {
     return;
   }
-  TryStart({false, false}, EventLoop::Now());
+  const bool room = sends_ > 0 && gateway_->queue(service_).empty() &&
+                    TryStart({false, false}, EventLoop::Now()) == Placement::kStarted;
+  if (!room) {
+    hedge_timer_.Start(kHedgeRetry);
+  }
 }
 
 RequestHead RoutedCall::UpstreamHead(const UpstreamAttempt& attempt, Instant now) const {
@@ -460,6 +466,7 @@
     caller_->BeginAnswer(std::move(passed));
   }
   caller_->WritePiece(piece);
+  gateway_->CountAnswerBytes(piece.size());
   if (!whole) {
     if (caller_->pending() > kMaxPending) {
       attempt->stream()->PauseReading();
@@ -510,6 +517,7 @@
 void RoutedCall::Pass(ResponseHead head, const std::string& body, Instant now) {
   RemoveConnectionFields(&head.fields);
   LogEnd(head.status, "answered", "passed", now);
+  gateway_->CountAnswerBytes(body.size());
   auto* caller = caller_;
   gateway_->Release(this);
   caller->Answer(std::move(head), body);
