--- a/include/primroseweir/balance/balanced_upstream.h
+++ b/include/primroseweir/balance/balanced_upstream.h
@@ -86,6 +86,9 @@
   // A peer's view of how long work takes there.
   void NotePeerSlowdown(double slowdown, Instant measured);
 
+  // Whether a connection to it is at hand.
+  bool connected() const { return connected_; }
+  void SetConnected(bool connected) { connected_ = connected; }
   std::uint32_t in_flight() const { return in_flight_; }
   // Calls that wait at the upstream and calls that run there, by its newest report.
   std::uint32_t reported_waiting() const { return reported_waiting_; }
@@ -129,6 +132,7 @@
   int unhealthy_probes_ = 0;
   Instant cold_until_;
   ColdPacer pacer_;
+  bool connected_ = false;
   std::uint32_t in_flight_ = 0;
   std::uint32_t peer_in_flight_ = 0;
   // Calls of others at the newest report.
--- a/include/primroseweir/balance/upstream_book.h
+++ b/include/primroseweir/balance/upstream_book.h
@@ -117,6 +117,8 @@
   static constexpr std::size_t kProbedPerCall = 2;
   // A call to another data centre costs this much more, so that the nearer one wins between equals.
   static constexpr Duration kDistance = std::chrono::milliseconds(6);
+  // A new connection costs the upstream some work, and holds a slot there for a moment.
+  static constexpr Duration kNewConnection = std::chrono::milliseconds(8);
   // Large answers are expensive between data centres.
   static constexpr Duration kDownloadDistance = std::chrono::milliseconds(300);
   // A failed attempt costs a second one.
--- a/include/primroseweir/fleet/fleet_table.h
+++ b/include/primroseweir/fleet/fleet_table.h
@@ -88,7 +88,7 @@
   static constexpr Duration kForget = std::chrono::minutes(10);
   // Instances of one data centre that all send to each other.
   static constexpr std::size_t kDirect = 8;
-  // Full statements after one beat, in a data centre with more instances than that.
+  // Full statements after every second beat, in a data centre with more instances than that.
   static constexpr std::size_t kFullNear = 3;
   // Full statements go to another data centre after every so many beats.
   static constexpr std::uint64_t kBeatsPerFar = 4;
--- a/include/primroseweir/gateway/gateway.h
+++ b/include/primroseweir/gateway/gateway.h
@@ -81,7 +81,7 @@
   void Release(RoutedCall* call);
   // Offers the service's room to the calls that wait for it.
   void OfferRoom(const ServiceName& service, Instant now);
-  // Probes upstreams that may have room for the calls that wait.
+  // Probes upstreams that may have room for the calls that wait, now and while any wait.
   void SeekRoom(const ServiceName& service, Instant now);
   // A probe brought news of an upstream of the service.
   void OnReport(const ServiceName& service, Instant now);
@@ -114,7 +114,9 @@
   void OnCallerGone(HttpServerStream* stream) override;
   void OnCallerReady(HttpServerStream* stream) override;
 
-  static constexpr Duration kTick = std::chrono::milliseconds(25);
+  // Upkeep, and how often room is sought while calls wait.
+  static constexpr Duration kTick = std::chrono::milliseconds(100);
+  static constexpr Duration kSeekInterval = std::chrono::milliseconds(25);
   // A crash must show this soon after the broken connection to be put down to the request.
   static constexpr Duration kCrashWindow = std::chrono::seconds(2);
 
@@ -125,6 +127,8 @@
   };
 
   void Tick();
+  void OfferAll();
+  void AskMaybeFree(const ServiceName& service, Instant now);
 
   EventLoop* const loop_;
   const Options options_;
@@ -148,6 +152,8 @@
   std::unique_ptr<UpstreamProber> prober_;
   HttpPort port_;
   Timer tick_;
+  Timer seek_timer_;
+  bool seeking_ = false;
 };
 
 }  // namespace primroseweir
--- a/include/primroseweir/gateway/upstream_pool.h
+++ b/include/primroseweir/gateway/upstream_pool.h
@@ -13,11 +13,11 @@
 
 namespace primroseweir {
 
+class BalancedUpstream;
 class EventLoop;
 class HttpClientStream;
-struct UpstreamRecord;
 
-// Idle connections to upstreams, newest first.
+// Idle connections to upstreams, newest first. Tells each upstream whether there is one to it.
 class UpstreamPool {
  public:
   explicit UpstreamPool(EventLoop* loop);
@@ -25,10 +25,11 @@
 
   // An idle connection or a new one. `at_most_once` asks for one that was used a moment ago: a
   // connection that went silent or was closed meanwhile would lose the call.
-  std::unique_ptr<HttpClientStream> Take(const UpstreamRecord& record, bool at_most_once,
-                                         Instant now);
+  std::unique_ptr<HttpClientStream> Take(const std::shared_ptr<BalancedUpstream>& upstream,
+                                         bool at_most_once, Instant now);
   // Gives back a connection; one that can't be used again is closed.
-  void Put(const UpstreamId& upstream, std::unique_ptr<HttpClientStream> stream);
+  void Put(const std::shared_ptr<BalancedUpstream>& upstream,
+           std::unique_ptr<HttpClientStream> stream);
   // Closes the idle connections to an upstream.
   void Drop(const UpstreamId& upstream);
   // Closes connections that ended or that the upstream is about to close.
@@ -48,9 +49,13 @@
 
  private:
   using Streams = std::vector<std::unique_ptr<HttpClientStream>>;
+  struct Entry {
+    std::shared_ptr<BalancedUpstream> upstream;
+    Streams streams;
+  };
 
   EventLoop* const loop_;
-  std::map<UpstreamId, Streams> idle_;
+  std::map<UpstreamId, Entry> idle_;
   std::uint64_t opened_ = 0;
 };
 
--- a/src/balance/upstream_book.cc
+++ b/src/balance/upstream_book.cc
@@ -146,6 +146,9 @@
   if (upstream.cold(now)) {
     cost *= kColdFactor;
   }
+  if (!upstream.connected()) {
+    cost += Seconds(kNewConnection);
+  }
   if (!Near(upstream)) {
     cost += Seconds(kind == CallKind::kDownload ? kDownloadDistance : kDistance);
   }
--- a/src/fleet/fleet_table.cc
+++ b/src/fleet/fleet_table.cc
@@ -91,7 +91,7 @@
       targets.full.push_back(Pick(&near));
     }
     targets.brief = std::move(near);
-  } else {
+  } else if (beats % 2 == 0) {
     while (targets.full.size() < kFullNear) {
       targets.full.push_back(Pick(&near));
     }
--- a/src/gateway/fleet_service.cc
+++ b/src/gateway/fleet_service.cc
@@ -179,6 +179,9 @@
 // upstreams. Crash strikes go to all.
 void FleetService::SendLoad() {
   const auto now = now_();
+  if (gateway_->calls() == 0 && !had_load_ && strikes_.empty()) {
+    return;
+  }
   FleetMessage message;
   for (const auto& [id, upstream] : gateway_->book().all()) {
     const auto age = now - upstream->reported_at();
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -1,5 +1,7 @@
 #include "primroseweir/gateway/gateway.h"
 
+#include <utility>
+
 #include "primroseweir/gateway/gateway_metrics.h"
 #include "primroseweir/gateway/routed_call.h"
 #include "primroseweir/gateway/upstream_prober.h"
@@ -23,7 +25,8 @@
       port_(
           loop, this,
           [this] { return state_->routes == nullptr ? CallerLimits() : state_->routes->limits(); }),
-      tick_(loop, [this] { Tick(); }) {}
+      tick_(loop, [this] { Tick(); }),
+      seek_timer_(loop, [this] { OfferAll(); }) {}
 
 Gateway::~Gateway() {
   // Calls use everything else.
@@ -80,6 +83,13 @@
 }
 
 void Gateway::SeekRoom(const ServiceName& service, Instant now) {
+  AskMaybeFree(service, now);
+  if (!std::exchange(seeking_, true)) {
+    seek_timer_.Start(kSeekInterval);
+  }
+}
+
+void Gateway::AskMaybeFree(const ServiceName& service, Instant now) {
   for (const auto& upstream : book_.MaybeFree(service, now)) {
     prober_->Ask(upstream, now);
   }
@@ -153,15 +163,26 @@
   released_.clear();
   pool_.Sweep(now);
   prober_->Tick(now);
-  // Paced and doubted upstreams come into use with time alone.
+}
+
+// Paced and doubted upstreams come into use with time alone, and others may have found room that
+// only a probe shows.
+void Gateway::OfferAll() {
+  const auto now = EventLoop::Now();
+  bool waiting = false;
   for (auto& [service, queue] : queues_) {
     if (!queue.empty()) {
       queue.Offer(now);
     }
     if (!queue.empty()) {
-      SeekRoom(service, now);
+      waiting = true;
+      AskMaybeFree(service, now);
     }
   }
+  seeking_ = waiting;
+  if (waiting) {
+    seek_timer_.Start(kSeekInterval);
+  }
 }
 
 }  // namespace primroseweir
--- a/src/gateway/upstream_attempt.cc
+++ b/src/gateway/upstream_attempt.cc
@@ -21,7 +21,7 @@
       slowness_(upstream_->slowness(now)),
       connect_timer_(services.loop, [this] { OnFailure(Failure::kConnect); }) {
   services_.book->NoteStart(upstream_.get(), now);
-  stream_ = services_.pool->Take(upstream_->record(), at_most_once, now);
+  stream_ = services_.pool->Take(upstream_, at_most_once, now);
   if (!stream_->connected()) {
     connect_timer_.Start(kConnectTimeout);
   }
@@ -30,7 +30,7 @@
 UpstreamAttempt::~UpstreamAttempt() {
   Finish(AttemptResult::kCancelled, EventLoop::Now());
   if (whole_ && stream_ != nullptr) {
-    services_.pool->Put(upstream_->record().id, std::move(stream_));
+    services_.pool->Put(upstream_, std::move(stream_));
   }
 }
 
--- a/src/gateway/upstream_pool.cc
+++ b/src/gateway/upstream_pool.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "primroseweir/configuration/upstream_record.h"
+#include "primroseweir/balance/balanced_upstream.h"
 #include "primroseweir/loop/event_loop.h"
 #include "primroseweir/loop/http_client_stream.h"
 
@@ -24,41 +24,54 @@
 UpstreamPool::UpstreamPool(EventLoop* loop) : loop_(loop) {}
 UpstreamPool::~UpstreamPool() = default;
 
-std::unique_ptr<HttpClientStream> UpstreamPool::Take(const UpstreamRecord& record,
-                                                     bool at_most_once, Instant now) {
-  auto& streams = idle_[record.id];
-  while (!streams.empty()) {
+std::unique_ptr<HttpClientStream> UpstreamPool::Take(
+    const std::shared_ptr<BalancedUpstream>& upstream, bool at_most_once, Instant now) {
+  const auto& record = upstream->record();
+  auto& streams = idle_[record.id].streams;
+  std::unique_ptr<HttpClientStream> taken;
+  while (!streams.empty() && taken == nullptr) {
     auto stream = std::move(streams.back());
     streams.pop_back();
-    const bool usable = Alive(*stream, now) && stream->address() == record.address &&
-                        (!at_most_once || now - stream->idle_since() < kFresh);
-    if (usable) {
-      return stream;
+    if (!Alive(*stream, now) || stream->address() != record.address) {
+      continue;
     }
-    if (at_most_once && Alive(*stream, now)) {
+    if (at_most_once && now - stream->idle_since() >= kFresh) {
+      // Older ones below it are no fresher.
       streams.push_back(std::move(stream));
       break;
     }
+    taken = std::move(stream);
   }
-  ++opened_;
-  return std::make_unique<HttpClientStream>(loop_, record.address);
+  upstream->SetConnected(!streams.empty());
+  if (taken == nullptr) {
+    ++opened_;
+    taken = std::make_unique<HttpClientStream>(loop_, record.address);
+  }
+  return taken;
 }
 
-void UpstreamPool::Put(const UpstreamId& upstream, std::unique_ptr<HttpClientStream> stream) {
-  auto& streams = idle_[upstream];
-  if (stream->reusable() && streams.size() < kMaxPerUpstream) {
-    streams.push_back(std::move(stream));
+void UpstreamPool::Put(const std::shared_ptr<BalancedUpstream>& upstream,
+                       std::unique_ptr<HttpClientStream> stream) {
+  auto& entry = idle_[upstream->record().id];
+  entry.upstream = upstream;
+  if (stream->reusable() && entry.streams.size() < kMaxPerUpstream) {
+    entry.streams.push_back(std::move(stream));
   }
+  upstream->SetConnected(!entry.streams.empty());
 }
 
 void UpstreamPool::Drop(const UpstreamId& upstream) { idle_.erase(upstream); }
 
 void UpstreamPool::Sweep(Instant now) {
   for (auto it = idle_.begin(); it != idle_.end();) {
-    auto& streams = it->second;
+    auto& entry = it->second;
+    auto& streams = entry.streams;
     streams.erase(std::remove_if(streams.begin(), streams.end(),
                                  [now](const auto& stream) { return !Alive(*stream, now); }),
                   streams.end());
+    if (entry.upstream != nullptr) {
+      entry.upstream->SetConnected(!streams.empty());
+    }
     it = streams.empty() ? idle_.erase(it) : std::next(it);
   }
 }
--- a/src/gateway/upstream_prober.cc
+++ b/src/gateway/upstream_prober.cc
@@ -37,7 +37,7 @@
   void Ask(const std::string& target, Instant now) {
     busy_ = true;
     started_ = now;
-    stream_ = gateway_->pool().Take(upstream_->record(), false, now);
+    stream_ = gateway_->pool().Take(upstream_, false, now);
     fresh_stream_ = !stream_->connected();
     RequestHead head;
     head.target = target;
@@ -79,7 +79,7 @@
     Judge(head->status == kOk, warm_up, *head, now);
     // The connection has just proved that it works: the call that follows the probe takes it. This
     // may destroy `head`.
-    gateway_->pool().Put(upstream_->record().id, std::move(stream_));
+    gateway_->pool().Put(upstream_, std::move(stream_));
     gateway_->OnReport(upstream_->record().service, now);
   }
 
