--- a/include/primroseweir/gateway/routed_call.h
+++ b/include/primroseweir/gateway/routed_call.h
@@ -69,10 +69,16 @@
 
  private:
   enum class Placement { kStarted, kProbing, kNoRoom, kOnlySlow, kNoUpstream, kNoBudget };
-  // Whether a choice may rest on old reports, and whether slow upstreams may be chosen.
-  struct Effort {
-    bool may_probe = true;
-    bool any_speed = false;
+  // How far a choice goes.
+  enum class Effort {
+    // Probes upstreams with old reports first.
+    kProbe,
+    // Upstreams that answer in time; downloads stay in their data centre.
+    kUsual,
+    // Downloads go to other data centres too.
+    kAnywhere,
+    // Slow upstreams too.
+    kAnySpeed,
   };
 
   // ---- route ----
@@ -86,9 +92,10 @@
   // Places the call, or lets it wait, or ends it as `without` says.
   void Place(CallPolicy::Step without, Instant now);
   bool Wait(Instant now);
-  // The wait is over without an upstream that answers in time: a slow one is taken unless the fast
-  // ones are full.
   void OnWaitEnd();
+  // Tries what is left when no upstream answers in time: other data centres for a download, then a
+  // slow upstream unless the fast ones are full.
+  bool TryLast(Instant now);
   // Expected time to answer beyond which an upstream does not help this call.
   Duration Acceptable(Instant now) const;
   void LeaveQueue();
--- a/src/gateway/routed_call.cc
+++ b/src/gateway/routed_call.cc
@@ -174,13 +174,13 @@
   query.service = service_;
   query.kind = route_->kind;
   query.excluded = tried_;
-  query.near_only = route_->kind == CallKind::kDownload && !effort.any_speed;
-  query.acceptable = effort.any_speed ? Duration::max() : Acceptable(now);
+  query.near_only = route_->kind == CallKind::kDownload && effort <= Effort::kUsual;
+  query.acceptable = effort == Effort::kAnySpeed ? Duration::max() : Acceptable(now);
   auto choice = gateway_->book().Choose(query, now);
   if (choice.upstream == nullptr) {
     return PlacementOf(choice.obstacle);
   }
-  if (effort.may_probe && !choice.unsure.empty()) {
+  if (effort == Effort::kProbe && !choice.unsure.empty()) {
     for (const auto& upstream : choice.unsure) {
       probing_ = gateway_->prober().Ask(upstream, now) || probing_;
     }
@@ -200,7 +200,7 @@
   // The probes of one call come back together: a fresh one may still show a slow upstream, and then
   // the next best is asked until the time for probes is over.
   probing_ = false;
-  const auto placement = TryStart(Effort(), now);
+  const auto placement = TryStart(Effort::kProbe, now);
   if (placement == Placement::kStarted) {
     probe_timer_.Cancel();
   } else {
@@ -209,7 +209,7 @@
 }
 
 void RoutedCall::Place(CallPolicy::Step without, Instant now) {
-  const Effort effort{sends_ == 0 && !probing_, false};
+  const auto effort = sends_ == 0 && !probing_ ? Effort::kProbe : Effort::kUsual;
   const auto placement = tried_.size() < kMaxTried ? TryStart(effort, now) : Placement::kNoUpstream;
   probing_ = placement == Placement::kProbing;
   if (placement == Placement::kStarted || probing_) {
@@ -219,7 +219,7 @@
   if (may_wait && Wait(now)) {
     return;
   }
-  if (placement == Placement::kOnlySlow && TryStart({false, true}, now) == Placement::kStarted) {
+  if (may_wait && TryLast(now)) {
     return;
   }
   const char* reason = may_wait                              ? "no_room"
@@ -244,7 +244,7 @@
     return false;
   }
   ticket_ = queue.Add(route_->priority, [this](Instant time) {
-    const auto placement = TryStart({false, false}, time);
+    const auto placement = TryStart(Effort::kUsual, time);
     if (placement == Placement::kNoRoom || placement == Placement::kOnlySlow) {
       return false;
     }
@@ -263,14 +263,20 @@
 void RoutedCall::OnWaitEnd() {
   const auto now = EventLoop::Now();
   LeaveQueue();
-  const auto placement = TryStart({false, false}, now);
-  if (placement == Placement::kStarted ||
-      (placement == Placement::kOnlySlow && TryStart({false, true}, now) == Placement::kStarted)) {
+  if (TryLast(now)) {
     return;
   }
   may_have_run_ ? Fail(kBadGateway, "no_room_in_time", now) : Refuse("no_room_in_time", now);
 }
 
+bool RoutedCall::TryLast(Instant now) {
+  auto placement = TryStart(Effort::kAnywhere, now);
+  if (placement == Placement::kOnlySlow) {
+    placement = TryStart(Effort::kAnySpeed, now);
+  }
+  return placement == Placement::kStarted;
+}
+
 void RoutedCall::LeaveQueue() {
   if (ticket_) {
     gateway_->queue(service_).Remove(*ticket_);
@@ -300,7 +306,7 @@
     return;
   }
   const bool room = sends_ > 0 && gateway_->queue(service_).empty() &&
-                    TryStart({false, false}, EventLoop::Now()) == Placement::kStarted;
+                    TryStart(Effort::kUsual, EventLoop::Now()) == Placement::kStarted;
   if (!room) {
     hedge_timer_.Start(kHedgeRetry);
   }
@@ -425,7 +431,7 @@
   if (step == CallPolicy::Step::kTryElsewhere && without != CallPolicy::Step::kPass) {
     Place(without, now);
   } else if (step == CallPolicy::Step::kTryElsewhere &&
-             TryStart({false, false}, now) == Placement::kStarted) {
+             TryStart(Effort::kUsual, now) == Placement::kStarted) {
     return;
   } else if (without == CallPolicy::Step::kRefuse) {
     Refuse("upstreams_refused", now);
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -55,14 +55,15 @@
     REQUIRE(gateway_->Listen().ok());
   }
 
-  LoopServer& AddUpstream(LoopServer::Script script) {
+  LoopServer& AddUpstream(LoopServer::Script script, const std::string& data_centre = "here",
+                          std::uint32_t slots = 4) {
     servers_.push_back(std::make_unique<LoopServer>(&loop_, std::move(script)));
     UpstreamRecord record;
     record.id = UpstreamId("u" + std::to_string(servers_.size()));
     record.service = ServiceName("s");
-    record.data_centre = DataCentre("here");
+    record.data_centre = DataCentre(data_centre);
     record.address = servers_.back()->address();
-    record.slots = 4;
+    record.slots = slots;
     upstreams_.push_back(record);
     return *servers_.back();
   }
@@ -272,6 +273,22 @@
   CHECK(fixture.Call()->status() == 200);
 }
 
+// Guards against downloads that are refused while another data centre has room (incident inc-9f18).
+TEST_CASE("a download leaves its data centre when that has no room in time", "[gateway]") {
+  GatewayFixture fixture;
+  fixture.AddUpstream([](const Request&) { return Reply(); }, "here", 1);
+  fixture.AddUpstream(
+      [](const Request& r) {
+        return Reply{Answer(r, 200, "far"), {}, {}};
+      },
+      "there");
+  fixture.Apply(CallKind::kDownload);
+  const auto first = fixture.Start();
+  REQUIRE(RunUntil(&fixture.loop(), [&] { return fixture.arrivals() == 1; }));
+  const auto second = fixture.Call();
+  CHECK(second->status() == 200);
+}
+
 // Guards against a cut download that the caller takes for whole.
 TEST_CASE("a large answer that breaks is cut at the caller", "[gateway][whole-answers]") {
   GatewayFixture fixture;
