--- a/include/primroseweir/gateway/routed_call.h
+++ b/include/primroseweir/gateway/routed_call.h
@@ -136,6 +136,7 @@
   std::uint64_t fingerprint_ = 0;
   std::vector<UpstreamId> tried_;
   std::uint32_t sends_ = 0;
+  std::uint32_t hedge_tries_ = 0;
   // Attempts that were sent and ended without a word that the call did not run.
   bool may_have_run_ = false;
   bool streaming_ = false;
--- a/src/gateway/routed_call.cc
+++ b/src/gateway/routed_call.cc
@@ -305,8 +305,10 @@
   if (attempts_.size() != 1 || streaming_ || sends_ >= route_->max_attempts) {
     return;
   }
+  // A download that finds no second upstream in its data centre goes to another one.
+  const auto effort = hedge_tries_++ == 0 ? Effort::kUsual : Effort::kAnywhere;
   const bool room = sends_ > 0 && gateway_->queue(service_).empty() &&
-                    TryStart(Effort::kUsual, EventLoop::Now()) == Placement::kStarted;
+                    TryStart(effort, EventLoop::Now()) == Placement::kStarted;
   if (!room) {
     hedge_timer_.Start(kHedgeRetry);
   }
