Add a seeded fault soak with real processes

Four instances, eight upstreams behind relays and the stand-in store under kills, stops, pauses, reloads, outages, lost history, configurations, declarations, misbehaving, leaving, silent and cut connections that overlap. Checks: bookings run at most once, not run is true, answers belong to their request, everything is served with the newest configuration afterwards.

--- a/standins/platform/main.cc
+++ b/standins/platform/main.cc
@@ -60,6 +60,13 @@
       }
       return PagePort::Page{200, "text/plain", text};
     });
+    port_.Add("/ledger", [this](const Query&) {
+      std::string text;
+      for (const auto& [request, runs] : ledger_) {
+        text += request + " " + std::to_string(runs) + "\n";
+      }
+      return PagePort::Page{200, "text/plain", text};
+    });
   }
 
   absl::Status Listen(const SocketAddress& address) { return port_.Listen(address); }
@@ -81,8 +88,10 @@
     options.service = Value(query, "service");
     options.data_centre = Value(query, "zone");
     options.address = *address;
+    const auto listed = ParseSocketAddress(Value(query, "listed"));
+    options.listed = listed.ok() ? *listed : *address;
     options.work = std::chrono::milliseconds(std::atoi(Value(query, "work_ms").c_str()));
-    auto upstream = std::make_unique<PlatformUpstream>(loop_, options);
+    auto upstream = std::make_unique<PlatformUpstream>(loop_, options, &ledger_);
     const auto status = upstream->Start();
     if (!status.ok()) {
       return {kNotFound, "text/plain", MessageOf(status)};
@@ -105,6 +114,7 @@
   EventLoop* const loop_;
   PlatformStore* const store_;
   PagePort port_;
+  PlatformUpstream::Ledger ledger_;
   std::map<std::string, std::unique_ptr<PlatformUpstream>> upstreams_;
 };
 
@@ -140,7 +150,8 @@
   TCLAP::ValueArg<std::string> control(
       "", "control",
       "control port: /put?key=&value=, /erase?key=, /compact, /down?for=no|all, "
-      "/upstream?id=&service=&zone=&address=&work_ms=, /mode?id=&mode=, /state?id=&state=, /runs",
+      "/upstream?id=&service=&zone=&address=&listed=&work_ms=, /mode?id=&mode=, "
+      "/state?id=&state=, /runs, /ledger",
       true, "", "IP:PORT", command);
   try {
     command.parse(argc, argv);
--- a/standins/platform/platform_upstream.cc
+++ b/standins/platform/platform_upstream.cc
@@ -27,12 +27,15 @@
 
 }  // namespace
 
-PlatformUpstream::PlatformUpstream(EventLoop* loop, Options options)
-    : loop_(loop), options_(std::move(options)), port_(loop, this, [] { return CallerLimits(); }) {}
+PlatformUpstream::PlatformUpstream(EventLoop* loop, Options options, Ledger* ledger)
+    : loop_(loop),
+      options_(std::move(options)),
+      ledger_(ledger),
+      port_(loop, this, [] { return CallerLimits(); }) {}
 
 std::string PlatformUpstream::Entry(const std::string& state) const {
   const nlohmann::json entry = {{"service", options_.service},
-                                {"address", options_.address.ToString()},
+                                {"address", options_.listed.ToString()},
                                 {"zone", options_.data_centre},
                                 {"version", "v1"},
                                 {"maxConcurrency", kSlots},
@@ -71,6 +74,7 @@
 void PlatformUpstream::Run(HttpServerStream* stream, const std::string& request,
                            const std::string& body) {
   ++runs_;
+  ++(*ledger_)[request];
   if (mode_ == "reset") {
     stream->Abort();
     return;
--- a/standins/platform/platform_upstream.h
+++ b/standins/platform/platform_upstream.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <list>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -24,10 +25,15 @@
     std::string service;
     std::string data_centre;
     SocketAddress address;
+    // Where callers find it, such as a relay's address.
+    SocketAddress listed;
     Duration work{};
   };
+  // Runs per request id, over all upstreams.
+  using Ledger = std::map<std::string, int>;
 
-  PlatformUpstream(EventLoop* loop, Options options);
+  // `ledger` outlives the upstream.
+  PlatformUpstream(EventLoop* loop, Options options, Ledger* ledger);
 
   absl::Status Start() { return port_.Listen(options_.address); }
   // What it writes into the store.
@@ -55,6 +61,7 @@
 
   EventLoop* const loop_;
   const Options options_;
+  Ledger* const ledger_;
   HttpPort port_;
   std::string mode_ = "ok";
   std::list<Work> running_;
--- a/tests/platform/platform_site.h
+++ b/tests/platform/platform_site.h
@@ -22,8 +22,10 @@
  public:
   using Json = nlohmann::json;
   static constexpr Duration kPatience = std::chrono::seconds(15);
+  static constexpr int kStorePort = 7000;
 
-  explicit PlatformSite(int instances) {
+  // Instances reach the store at `store_port`, where a test may put a relay.
+  explicit PlatformSite(int instances, int store_port = kStorePort) : store_port_(store_port) {
     const char* temporary = std::getenv("TMPDIR");
     folder_ = std::string(temporary == nullptr ? "/tmp" : temporary) + "/primroseweir-site-XXXXXX";
     if (mkdtemp(folder_.data()) == nullptr) {
@@ -50,7 +52,8 @@
 
   // ---- addresses ----
 
-  SocketAddress store() const { return network_.Host(1, 7000); }
+  SocketAddress store() const { return network_.Host(1, kStorePort); }
+  SocketAddress At(int host, int port) const { return network_.Host(host, port); }
   SocketAddress Control() const { return network_.Host(1, 7001); }
   SocketAddress Callers(int instance) const { return network_.Host(10 + instance, 8000); }
   SocketAddress Readiness(int instance) const { return network_.Host(10 + instance, 8001); }
@@ -80,11 +83,13 @@
     return answer->body;
   }
 
-  void AddUpstream(const std::string& id, const std::string& service, int host, int work_ms = 5) {
+  void AddUpstream(const std::string& id, const std::string& service, int host, int work_ms = 5,
+                   const std::string& zone = "dc0", const std::string& listed = "") {
     Do("/upstream", {{"id", id},
                      {"service", service},
-                     {"zone", "dc0"},
+                     {"zone", zone},
                      {"address", network_.Host(100 + host, 9000).ToString()},
+                     {"listed", listed},
                      {"work_ms", std::to_string(work_ms)}});
   }
 
@@ -200,9 +205,10 @@
             {"portRange", {7540, 7555}},
             {"seeds", {network_.Host(10, 8002).ToString()}},
             {"contractBounds", {{"graceS", 3}, {"ttl_max_s", 5}, {"drainMs", 2000}}},
-            {"platform", {{"address", store().ToString()}}}};
+            {"platform", {{"address", network_.Host(1, store_port_).ToString()}}}};
   }
 
+  const int store_port_;
   Network network_;
   std::string folder_;
   std::unique_ptr<ChildProcess> platform_;
--- /dev/null
+++ b/tests/platform/soak_test.cc
@@ -0,0 +1,38 @@
+#include "soak.h"
+
+#include <catch2/catch.hpp>
+#include <cstdlib>
+#include <string>
+
+namespace primroseweir::testing {
+namespace {
+
+std::uint64_t NumberFrom(const char* variable, std::uint64_t fallback) {
+  const char* text = std::getenv(variable);
+  return text == nullptr ? fallback : std::strtoull(text, nullptr, 10);
+}
+
+void RunSeed(std::uint64_t seed, Duration time) {
+  Soak soak(seed, time);
+  const auto violations = soak.Run();
+  INFO("seed " << seed << ", " << soak.calls() << " calls, faults:\n" << soak.history());
+  for (const auto& violation : violations) {
+    UNSCOPED_INFO(violation);
+  }
+  CHECK(violations.empty());
+}
+
+// Guards the promises to callers under faults of any mix. PRIMROSEWEIR_SOAK_SEED and
+// PRIMROSEWEIR_SOAK_SEEDS choose the first seed and how many follow, PRIMROSEWEIR_SOAK_MS the time
+// of each.
+TEST_CASE("a site under random faults keeps its promises", "[soak]") {
+  const auto first = NumberFrom("PRIMROSEWEIR_SOAK_SEED", 1);
+  const auto seeds = NumberFrom("PRIMROSEWEIR_SOAK_SEEDS", 2);
+  const auto time = std::chrono::milliseconds(NumberFrom("PRIMROSEWEIR_SOAK_MS", 6000));
+  for (std::uint64_t seed = first; seed < first + seeds; ++seed) {
+    RunSeed(seed, time);
+  }
+}
+
+}  // namespace
+}  // namespace primroseweir::testing
