Bound the memory of requests, the pause of bodies and of streamed answers; speak far from few instances

A body that took longer than a head was refused with 408; many bodies in the middle were unbounded together; a streamed answer without progress was never cut.

--- a/include/primroseweir/fleet/fleet_table.h
+++ b/include/primroseweir/fleet/fleet_table.h
@@ -92,6 +92,8 @@
   static constexpr std::size_t kFullNear = 3;
   // Full statements go to another data centre after every so many beats.
   static constexpr std::uint64_t kBeatsPerFar = 4;
+  // Instances of one data centre that send statements to others.
+  static constexpr std::size_t kFarSpeakers = 4;
   static constexpr std::size_t kUnknownFleet = 64;
 
  private:
@@ -101,6 +103,7 @@
   };
 
   bool Live(const Known& known, Instant now) const;
+  std::size_t Rank(Instant now) const;
   std::string Pick(std::vector<std::string>* ips);
 
   FleetMember self_;
--- a/include/primroseweir/gateway/gateway.h
+++ b/include/primroseweir/gateway/gateway.h
@@ -154,6 +154,7 @@
   Timer tick_;
   Timer seek_timer_;
   bool seeking_ = false;
+  std::uint64_t overflows_logged_ = 0;
 };
 
 }  // namespace primroseweir
--- a/include/primroseweir/gateway/routed_call.h
+++ b/include/primroseweir/gateway/routed_call.h
@@ -59,6 +59,8 @@
   static constexpr Duration kDefaultDeadline = std::chrono::seconds(10);
   // A streamed answer waits for the caller above this size.
   static constexpr std::size_t kMaxPending = std::size_t{256} * 1024;
+  // Longest pause in the middle of a streamed answer.
+  static constexpr Duration kStreamPause = std::chrono::seconds(10);
   // Upstreams to which no connection could be opened, before the call is refused.
   static constexpr std::size_t kMaxTried = 5;
   // A second attempt that found no room is tried again after this time.
@@ -115,6 +117,7 @@
 
   // ---- final answers; each releases the call ----
   void Pass(ResponseHead head, const std::string& body, Instant now);
+  void Cut(std::string_view reason, Instant now);
   void Refuse(std::string_view reason, Instant now);
   void Fail(int status, std::string_view reason, Instant now);
   void AnswerOwn(int status, std::string_view outcome, std::string_view reason,
--- a/include/primroseweir/loop/http_port.h
+++ b/include/primroseweir/loop/http_port.h
@@ -51,8 +51,18 @@
   // Called by a stream when it is done; destroys it.
   void Remove(HttpServerStream* stream);
 
-  // Bounds descriptors and memory; connections beyond are closed at once.
-  static constexpr std::size_t kMaxConnections = 3000;
+  // Bytes of requests that are buffered on all connections; `change` may be negative.
+  void Account(std::int64_t change) { buffered_ += change; }
+  // Whether requests in the middle hold more memory than they may together.
+  bool OverMemory() const { return buffered_ > kMaxBuffered; }
+  // Connections that were closed at once because of kMaxConnections.
+  std::uint64_t overflows() const { return overflows_; }
+
+  // Half of the descriptors that the smallest machines give; connections to upstreams need the
+  // rest.
+  static constexpr std::size_t kMaxConnections = 2000;
+  // A fraction of the smallest machine's 160 MB.
+  static constexpr std::int64_t kMaxBuffered = std::int64_t{48} * 1024 * 1024;
   static constexpr Duration kSweepInterval = std::chrono::milliseconds(500);
 
  private:
@@ -65,6 +75,8 @@
   std::unique_ptr<TcpListener> listener_;
   std::unordered_map<HttpServerStream*, std::unique_ptr<HttpServerStream>> streams_;
   bool closing_ = false;
+  std::int64_t buffered_ = 0;
+  std::uint64_t overflows_ = 0;
   Timer sweep_;
 };
 
--- a/include/primroseweir/loop/http_server_stream.h
+++ b/include/primroseweir/loop/http_server_stream.h
@@ -48,6 +48,8 @@
   void OnEnd(bool clean) override;
   void OnDrained() override;
 
+  // Longest pause in the middle of a request's body.
+  static constexpr Duration kBodyPause = std::chrono::seconds(10);
   // Requests sent ahead of their turn are read up to this size.
   static constexpr std::size_t kReadAhead = std::size_t{64} * 1024;
   // After an answer that ends the connection, input is discarded this long: closing with unread
@@ -58,6 +60,8 @@
   enum class State { kIdle, kReading, kServing, kLingering };
 
   void Feed();
+  // Tells the port how much this connection buffers.
+  void Account(std::size_t bytes);
   bool CheckHead();
   void Deliver();
   void Fault(int status);
@@ -71,8 +75,9 @@
   std::string input_;
   std::string body_;
   State state_ = State::kIdle;
-  // Start of the present state, for its time limit.
+  // Start of the present state, or the last piece of a body, for the time limits.
   Instant since_;
+  std::size_t accounted_ = 0;
   bool head_checked_ = false;
   bool close_after_ = false;
   bool chunked_ = false;
--- a/src/fleet/fleet_table.cc
+++ b/src/fleet/fleet_table.cc
@@ -84,7 +84,8 @@
     auto& group = !Live(known, now) ? silent : Near(known.member) ? near : far;
     group.push_back(ip);
   }
-  const bool far_round = beats % kBeatsPerFar == 0;
+  // All instances of a data centre know the same, so that a few speak for it elsewhere.
+  const bool far_round = beats % kBeatsPerFar == 0 && Rank(now) < kFarSpeakers;
   Targets targets;
   if (near.size() <= kDirect) {
     if (!near.empty()) {
@@ -105,6 +106,16 @@
   return targets;
 }
 
+// Place of this instance among the live ones of its data centre.
+std::size_t FleetTable::Rank(Instant now) const {
+  const auto own = StableHash(self_.ip);
+  return static_cast<std::size_t>(
+      std::count_if(peers_.begin(), peers_.end(), [this, own, now](const auto& entry) {
+        const auto& [ip, known] = entry;
+        return Live(known, now) && Near(known.member) && StableHash(ip) < own;
+      }));
+}
+
 // Takes one at random.
 std::string FleetTable::Pick(std::vector<std::string>* ips) {
   const auto position = random_.Below(ips->size());
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "primroseweir/base/line_log.h"
 #include "primroseweir/gateway/gateway_metrics.h"
 #include "primroseweir/gateway/routed_call.h"
 #include "primroseweir/gateway/upstream_prober.h"
@@ -163,6 +164,13 @@
   released_.clear();
   pool_.Sweep(now);
   prober_->Tick(now);
+  if (port_.overflows() != overflows_logged_) {
+    log_->Write("connections_refused",
+                {{"count", std::to_string(port_.overflows() - overflows_logged_)},
+                 {"connections", std::to_string(port_.connections())}},
+                now);
+    overflows_logged_ = port_.overflows();
+  }
 }
 
 // Paced and doubted upstreams come into use with time alone, and others may have found room that
--- a/src/gateway/routed_call.cc
+++ b/src/gateway/routed_call.cc
@@ -401,12 +401,8 @@
                          {"took_ms", std::to_string(ToMilliseconds(now - attempt->started()))}},
                         now);
   if (streaming_) {
-    // Part of the answer is with the caller: cutting it is all that is left.
-    auto* caller = caller_;
-    LogEnd(0, "cut", ReasonOfFailure(failure), now);
     attempt->Finish(AttemptResult::kLost, now);
-    gateway_->Release(this);
-    caller->Abort();
+    Cut(ReasonOfFailure(failure), now);
     return;
   }
   if (sent && failure != HttpClientListener::Failure::kMalformed) {
@@ -473,6 +469,9 @@
     RemoveConnectionFields(&passed.fields);
     caller_->BeginAnswer(std::move(passed));
   }
+  // The caller's deadline is for the start of a large answer; from there on it has to make
+  // progress.
+  deadline_timer_.Start(kStreamPause);
   caller_->WritePiece(piece);
   gateway_->CountAnswerBytes(piece.size());
   if (!whole) {
@@ -505,7 +504,7 @@
 void RoutedCall::OnDeadline() {
   const auto now = EventLoop::Now();
   if (streaming_) {
-    // The caller's deadline is for the start of a large answer; the rest is on its way.
+    Cut("no_progress", now);
     return;
   }
   bool sent = may_have_run_;
@@ -531,6 +530,14 @@
   caller->Answer(std::move(head), body);
 }
 
+// Part of the answer is with the caller: cutting it is all that is left.
+void RoutedCall::Cut(std::string_view reason, Instant now) {
+  LogEnd(0, "cut", reason, now);
+  auto* caller = caller_;
+  gateway_->Release(this);
+  caller->Abort();
+}
+
 void RoutedCall::Refuse(std::string_view reason, Instant now) {
   const auto wait = gateway_->book().ExpectedWait(service_, gateway_->queue(service_).size(), now);
   const auto retry_after = CallPolicy::RetryAfter(wait, deadline_ - now, gateway_->random().Unit());
--- a/src/loop/http_port.cc
+++ b/src/loop/http_port.cc
@@ -51,6 +51,7 @@
 
 void HttpPort::Take(std::unique_ptr<TcpStream> stream) {
   if (streams_.size() >= kMaxConnections) {
+    ++overflows_;
     return;
   }
   auto* accepted = stream.get();
--- a/src/loop/http_server_stream.cc
+++ b/src/loop/http_server_stream.cc
@@ -17,6 +17,7 @@
 
 constexpr int kRequestTimeout = 408;
 constexpr int kBodyTooLarge = 413;
+constexpr int kUnavailable = 503;
 constexpr char kContinue[] = "HTTP/1.1 100 Continue\r\n\r\n";
 
 MessageLimits ParserLimits(const CallerLimits& limits) {
@@ -39,7 +40,7 @@
       parser_(MessageParser::Kind::kRequest, ParserLimits(port->limits())),
       since_(now) {}
 
-HttpServerStream::~HttpServerStream() = default;
+HttpServerStream::~HttpServerStream() { Account(0); }
 
 Instant HttpServerStream::Now() const { return EventLoop::Now(); }
 
@@ -50,6 +51,7 @@
     return;
   }
   input_.append(data, size);
+  Account(input_.size() + body_.size());
   if (state_ == State::kServing) {
     // The connection must stay readable, or a caller that leaves would go unnoticed.
     if (input_.size() > kReadAhead) {
@@ -61,6 +63,11 @@
   Feed();
 }
 
+void HttpServerStream::Account(std::size_t bytes) {
+  port_->Account(static_cast<std::int64_t>(bytes) - static_cast<std::int64_t>(accounted_));
+  accounted_ = bytes;
+}
+
 void HttpServerStream::Feed() {
   feeding_ = true;
   while (state_ != State::kServing && state_ != State::kLingering && !input_.empty()) {
@@ -96,6 +103,13 @@
     Fault(kBodyTooLarge);
     return false;
   }
+  if (!parser_.message_complete()) {
+    since_ = Now();
+    if (port_->OverMemory()) {
+      Fault(kUnavailable);
+      return false;
+    }
+  }
   if (!std::exchange(head_checked_, true) && !parser_.message_complete() &&
       EqualsIgnoreCase(parser_.request()->fields.Get("Expect"), "100-continue")) {
     stream_->Write(kContinue);
@@ -185,6 +199,7 @@
   state_ = State::kIdle;
   parser_.Reset();
   body_.clear();
+  Account(input_.size());
   head_checked_ = false;
   if (std::exchange(paused_, false)) {
     stream_->ResumeReading();
@@ -219,7 +234,7 @@
       }
       break;
     case State::kReading:
-      if (now - since_ > limits.head_time) {
+      if (now - since_ > (head_checked_ ? Duration(kBodyPause) : limits.head_time)) {
         Fault(kRequestTimeout);
       }
       break;
--- a/tests/loop/http_port_test.cc
+++ b/tests/loop/http_port_test.cc
@@ -1,7 +1,10 @@
 #include "primroseweir/loop/http_port.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <memory>
 #include <string>
+#include <vector>
 
 #include "primroseweir/http/request_head.h"
 #include "primroseweir/loop/http_server_stream.h"
@@ -101,6 +104,38 @@
   CHECK(Contains(fixture.Exchange("GET / HTTP/1.1\r\nHost", " 408 "), " 408 "));
 }
 
+// Guards against long bodies that are taken for slow heads.
+TEST_CASE("a body may take longer than a head", "[loop]") {
+  PortFixture fixture;
+  fixture.limits.head_time = std::chrono::milliseconds(50);
+  LoopCaller caller(&fixture.loop(), fixture.port().address());
+  caller.Send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\na");
+  RunUntil(
+      &fixture.loop(), [&] { return caller.ended(); }, std::chrono::milliseconds(900));
+  caller.Send("bc");
+  CHECK(RunUntil(&fixture.loop(), [&] { return Contains(caller.received(), "POST /a abc"); }));
+}
+
+// Guards against unbounded memory under a flood of bodies.
+TEST_CASE("bodies in the middle share a bounded memory", "[loop]") {
+  PortFixture fixture;
+  fixture.limits.body_bytes = 8'000'000;
+  std::vector<std::unique_ptr<LoopCaller>> callers;
+  const std::string half(4'000'000, 'x');
+  for (int i = 0; i < 16; ++i) {
+    callers.push_back(std::make_unique<LoopCaller>(&fixture.loop(), fixture.port().address()));
+    callers.back()->Send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 8000000\r\n\r\n" + half);
+  }
+  const auto refused = [&] {
+    return std::count_if(callers.begin(), callers.end(),
+                         [](const auto& caller) { return caller->status() == 503; });
+  };
+  CHECK(RunUntil(&fixture.loop(), [&] { return refused() >= 4; }));
+  callers.clear();
+  REQUIRE(RunUntil(&fixture.loop(), [&] { return fixture.port().connections() == 0; }));
+  CHECK_FALSE(fixture.port().OverMemory());
+}
+
 TEST_CASE("an idle connection closes after the operators' time", "[loop]") {
   PortFixture fixture;
   fixture.limits.idle = std::chrono::milliseconds(50);
