--- a/tests/platform/soak.h
+++ b/tests/platform/soak.h
@@ -78,6 +78,7 @@
   static constexpr int kCallers = 5;
   static constexpr int kStoreRelayPort = 7005;
   static constexpr int kUpstreamRelayPort = 9100;
+  static constexpr std::size_t kLogTail = 3000;
   static constexpr Duration kRecovery = std::chrono::seconds(12);
 
   static std::string UpstreamName(int number) { return "u" + std::to_string(number); }
@@ -304,7 +305,12 @@
           },
           kRecovery);
       if (!served) {
-        Violate("instance " + std::to_string(i) + " does not serve after the faults");
+        const auto log = site_.Instance(i).Log();
+        Violate("instance " + std::to_string(i) + " does not serve after the faults: read " +
+                std::to_string(site_.Status(i, "GET", "/read/end", "endr")) + ", booking " +
+                std::to_string(site_.Status(i, "POST", "/book/end", "ends")) + ", running " +
+                std::to_string(site_.Instance(i).Running()) + "\n" +
+                log.substr(log.size() > kLogTail ? log.size() - kLogTail : 0));
       }
     }
   }
--- /dev/null
+++ b/tests/platform/store_client_test.cc
@@ -0,0 +1,128 @@
+#include "store_client.h"
+
+#include <fcntl.h>
+
+#include <catch2/catch.hpp>
+#include <memory>
+#include <string>
+
+#include "primroseweir/base/line_log.h"
+#include "primroseweir/gateway/gateway_metrics.h"
+#include "primroseweir/published/published_cache.h"
+#include "support/loop_server.h"
+
+namespace primroseweir::platform {
+namespace {
+
+using testing::LoopServer;
+using testing::RunUntil;
+
+std::string Json(const std::string& body) {
+  return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+// A client of a scripted store.
+struct StoreFixture {
+  explicit StoreFixture(LoopServer::Script script)
+      : server(&loop, std::move(script)),
+        log("test", open("/dev/null", O_WRONLY | O_CLOEXEC)),
+        cache("servers/") {
+    StoreClient::Options options;
+    options.address = server.address();
+    options.keep_lapsed = std::chrono::milliseconds(1700);
+    StoreClient::Hooks hooks;
+    hooks.should_read = [this](Instant) { return should_read; };
+    hooks.on_answer = [this](bool) { ++answers; };
+    hooks.on_served = [this](bool now_served) { served = now_served; };
+    client = std::make_unique<StoreClient>(&loop, options, &cache, &log, &metrics, hooks);
+    client->Start();
+  }
+
+  EventLoop loop;
+  LoopServer server;
+  LineLog log;
+  GatewayMetrics metrics;
+  PublishedCache cache;
+  std::unique_ptr<StoreClient> client;
+  bool should_read = true;
+  bool served = false;
+  int answers = 0;
+};
+
+constexpr char kEmptyRange[] = R"({"items":[],"hasMore":false,"at":7})";
+
+// Guards against an instance that stays on an old state because one answer of the store was lost
+// while its connection stayed alive (soak seeds 110, 205, 211 and 3110).
+TEST_CASE("a watch whose answer was lost is asked again", "[platform][config-in-force]") {
+  int watches = 0;
+  StoreFixture fixture([&watches](const LoopServer::Request& request) {
+    if (request.head.target.find("kv-range") != std::string::npos) {
+      return LoopServer::Reply{Json(kEmptyRange), {}, {}};
+    }
+    // "aQ==" is "i".
+    return ++watches == 1
+               ? LoopServer::Reply()
+               : LoopServer::Reply{
+                     Json(R"({"events":[{"key":"op/config","value":"aQ==","revision":9}],"at":9})"),
+                     {},
+                     {}};
+  });
+  REQUIRE(RunUntil(&fixture.loop, [&] { return fixture.served; }));
+  CHECK(RunUntil(
+      &fixture.loop, [&] { return fixture.cache.at() == Revision(9); },
+      StoreClient::kWatchTime + StoreClient::kWatchMargin + std::chrono::seconds(1)));
+  CHECK(fixture.cache.Items().size() == 1);
+}
+
+// Guards against changes that are missed between two pages, and against a lost history.
+TEST_CASE("pages are read from the first one's revision on", "[platform]") {
+  int watches = 0;
+  StoreFixture fixture([&watches](const LoopServer::Request& request) {
+    const auto& target = request.head.target;
+    if (target.find("kv-range") != std::string::npos) {
+      const bool second = target.find("after=a") != std::string::npos;
+      return LoopServer::Reply{
+          Json(
+              second
+                  ? R"({"items":[{"key":"b","value":"aQ==","revision":3}],"hasMore":false,"at":8})"
+                  : R"({"items":[{"key":"a","value":"aQ==","revision":2}],"hasMore":true,"at":5})"),
+          {},
+          {}};
+    }
+    if (++watches == 1) {
+      CHECK(target.find("after=5&") != std::string::npos);
+      return LoopServer::Reply{"HTTP/1.1 410 Gone\r\nContent-Length: 0\r\n\r\n", {}, {}};
+    }
+    return LoopServer::Reply();
+  });
+  CHECK(RunUntil(&fixture.loop, [&] { return watches == 2; }));
+  CHECK(fixture.cache.Items().size() == 2);
+}
+
+// Guards against calls to the store by instances that follow another.
+TEST_CASE("an instance that need not read asks the store no further", "[platform]") {
+  StoreFixture fixture([](const LoopServer::Request&) {
+    return LoopServer::Reply{Json(kEmptyRange), {}, {}};
+  });
+  fixture.should_read = false;
+  REQUIRE(RunUntil(&fixture.loop, [&] { return fixture.answers == 1; }));
+  RunUntil(
+      &fixture.loop, [] { return false; }, std::chrono::milliseconds(800));
+  CHECK(fixture.server.requests().size() == 1);
+  CHECK_FALSE(fixture.served);
+}
+
+// Guards against a client that gives up, or that floods a store which refuses.
+TEST_CASE("refused calls are tried again with growing pauses", "[platform]") {
+  int calls = 0;
+  StoreFixture fixture([&calls](const LoopServer::Request&) {
+    return ++calls < 4 ? LoopServer::Reply{"HTTP/1.1 429 Busy\r\nContent-Length: 0\r\n\r\n", {}, {}}
+                       : LoopServer::Reply{Json(kEmptyRange), {}, {}};
+  });
+  const auto begin = MonotonicNow();
+  CHECK(RunUntil(&fixture.loop, [&] { return fixture.answers >= 1; }));
+  CHECK(MonotonicNow() - begin >= std::chrono::milliseconds(600));
+}
+
+}  // namespace
+}  // namespace primroseweir::platform
