--- a/include/primroseweir/gateway/routed_call.h
+++ b/include/primroseweir/gateway/routed_call.h
@@ -45,7 +45,8 @@
   void OnCallerGone(Instant now);
 
   void OnAttemptSent(Instant now);
-  void OnAttemptAnswer(UpstreamAttempt* attempt, ResponseHead* head, std::string piece, bool whole);
+  void OnAttemptAnswer(UpstreamAttempt* attempt, ResponseHead* head, const std::string& piece,
+                       bool whole);
   void OnAttemptFailure(UpstreamAttempt* attempt, HttpClientListener::Failure failure);
 
   // A probe that the call waits for was answered.
@@ -111,8 +112,11 @@
   // upstream's own failure, for Step::kPass.
   void EndAttempt(UpstreamAttempt* attempt, CallPolicy::Ending ending, AttemptResult result,
                   const ResponseHead* failure, const std::string& body, Instant now);
+  // Gives the answer that `step` asks for when no further attempt follows.
+  void AnswerWithout(CallPolicy::Step step, const ResponseHead& failure, const std::string& body,
+                     Instant now);
   void RemoveAttempt(UpstreamAttempt* attempt);
-  void Deliver(UpstreamAttempt* attempt, ResponseHead* head, std::string piece, bool whole,
+  void Deliver(UpstreamAttempt* attempt, ResponseHead* head, const std::string& piece, bool whole,
                Instant now);
 
   // ---- final answers; each releases the call ----
--- a/src/gateway/routed_call.cc
+++ b/src/gateway/routed_call.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <chrono>
-#include <cstdio>
 #include <cstdlib>
 #include <utility>
 
@@ -35,7 +34,6 @@
 constexpr int kFirstServerError = 500;
 constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
-constexpr int kGatewayTimeout = 504;
 
 bool IsSuccess(int status) { return status >= 200 && status < 300; }
 
@@ -59,13 +57,6 @@
   return "unknown";
 }
 
-std::string FormatSeconds(Duration duration) {
-  char buffer[32];
-  const int length =
-      std::snprintf(buffer, sizeof buffer, "%.3f", std::chrono::duration<double>(duration).count());
-  return {buffer, static_cast<std::size_t>(length)};
-}
-
 const char* ReasonOfFailure(HttpClientListener::Failure failure) {
   switch (failure) {
     case HttpClientListener::Failure::kConnect:
@@ -346,13 +337,13 @@
   return state;
 }
 
-void RoutedCall::OnAttemptAnswer(UpstreamAttempt* attempt, ResponseHead* head, std::string piece,
-                                 bool whole) {
+void RoutedCall::OnAttemptAnswer(UpstreamAttempt* attempt, ResponseHead* head,
+                                 const std::string& piece, bool whole) {
   const auto now = EventLoop::Now();
   const auto& fields = gateway_->fields();
   auto& upstream = attempt->upstream();
   if (streaming_) {
-    Deliver(attempt, head, std::move(piece), whole, now);
+    Deliver(attempt, head, piece, whole, now);
     return;
   }
   if (const auto load = ParseLoad(head->fields.Get(fields.load))) {
@@ -384,7 +375,7 @@
   } else if (IsSuccess(head->status) && head->fields.Find(fields.signature) == nullptr) {
     EndAttempt(attempt, Ending::kLost, AttemptResult::kFailed, nullptr, {}, now);
   } else {
-    Deliver(attempt, head, std::move(piece), whole, now);
+    Deliver(attempt, head, piece, whole, now);
   }
 }
 
@@ -423,25 +414,29 @@
     may_have_run_ = may_have_run_ || ending != CallPolicy::Ending::kNotRun;
     return;
   }
-  auto step = CallPolicy::After(ending, PolicyState());
+  const bool again = CallPolicy::After(ending, PolicyState()) == CallPolicy::Step::kTryElsewhere;
   const auto without = CallPolicy::WithoutRetry(ending, PolicyState());
   may_have_run_ = may_have_run_ || ending != CallPolicy::Ending::kNotRun;
-  if (step == CallPolicy::Step::kTryElsewhere && without != CallPolicy::Step::kPass) {
+  if (again && without != CallPolicy::Step::kPass) {
     Place(without, now);
-  } else if (step == CallPolicy::Step::kTryElsewhere &&
-             TryStart(Effort::kUsual, now) == Placement::kStarted) {
-    return;
-  } else if (without == CallPolicy::Step::kRefuse) {
+  } else if (!again || TryStart(Effort::kUsual, now) != Placement::kStarted) {
+    AnswerWithout(without, passed, body, now);
+  }
+  gateway_->OfferRoom(service_, now);
+}
+
+void RoutedCall::AnswerWithout(CallPolicy::Step step, const ResponseHead& failure,
+                               const std::string& body, Instant now) {
+  if (step == CallPolicy::Step::kRefuse) {
     Refuse("upstreams_refused", now);
-  } else if (without == CallPolicy::Step::kFail) {
+  } else if (step == CallPolicy::Step::kFail) {
     Fail(kBadGateway, "upstream_lost", now);
-  } else if (StatesNotRun(passed.status)) {
+  } else if (StatesNotRun(failure.status)) {
     // Without the explicit field the status does not prove that the call did not run.
     Fail(kBadGateway, "unproven_refusal", now);
   } else {
-    Pass(passed, body, now);
+    Pass(failure, body, now);
   }
-  gateway_->OfferRoom(service_, now);
 }
 
 void RoutedCall::RemoveAttempt(UpstreamAttempt* attempt) {
@@ -450,7 +445,7 @@
                   attempts_.end());
 }
 
-void RoutedCall::Deliver(UpstreamAttempt* attempt, ResponseHead* head, std::string piece,
+void RoutedCall::Deliver(UpstreamAttempt* attempt, ResponseHead* head, const std::string& piece,
                          bool whole, Instant now) {
   if (whole && !streaming_) {
     attempt->Finish(AttemptResult::kAnswered, now);
@@ -488,109 +483,4 @@
   caller->EndAnswer();
 }
 
-// ---- caller ----
-
-void RoutedCall::OnCallerReady() {
-  if (streaming_ && !attempts_.empty()) {
-    attempts_.front()->stream()->ResumeReading();
-  }
-}
-
-void RoutedCall::OnCallerGone(Instant now) {
-  LogEnd(0, "caller_gone", attempts_.empty() ? "waiting" : "at_upstream", now);
-  gateway_->Release(this);
-}
-
-void RoutedCall::OnDeadline() {
-  const auto now = EventLoop::Now();
-  if (streaming_) {
-    Cut("no_progress", now);
-    return;
-  }
-  bool sent = may_have_run_;
-  for (const auto& attempt : attempts_) {
-    sent = sent || attempt->sent();
-    attempt->Finish(AttemptResult::kTimedOut, now);
-  }
-  if (sent) {
-    Fail(kGatewayTimeout, "deadline", now);
-  } else {
-    Refuse("deadline", now);
-  }
-}
-
-// ---- final answers ----
-
-void RoutedCall::Pass(ResponseHead head, const std::string& body, Instant now) {
-  RemoveConnectionFields(&head.fields);
-  LogEnd(head.status, "answered", "passed", now);
-  gateway_->CountAnswerBytes(body.size());
-  auto* caller = caller_;
-  gateway_->Release(this);
-  caller->Answer(std::move(head), body);
-}
-
-// Part of the answer is with the caller: cutting it is all that is left.
-void RoutedCall::Cut(std::string_view reason, Instant now) {
-  LogEnd(0, "cut", reason, now);
-  auto* caller = caller_;
-  gateway_->Release(this);
-  caller->Abort();
-}
-
-void RoutedCall::Refuse(std::string_view reason, Instant now) {
-  const auto wait = gateway_->book().ExpectedWait(service_, gateway_->queue(service_).size(), now);
-  const auto retry_after = CallPolicy::RetryAfter(wait, deadline_ - now, gateway_->random().Unit());
-  AnswerOwn(kUnavailable, "refused", reason, retry_after, now);
-}
-
-void RoutedCall::Fail(int status, std::string_view reason, Instant now) {
-  AnswerOwn(status, "failed", reason, std::nullopt, now);
-}
-
-void RoutedCall::AnswerOwn(int status, std::string_view outcome, std::string_view reason,
-                           std::optional<Duration> retry_after, Instant now) {
-  ResponseHead head;
-  head.status = status;
-  if (!id_.empty()) {
-    head.fields.Add(gateway_->fields().request_id, id_);
-  }
-  if (retry_after) {
-    head.fields.Add("Retry-After", FormatSeconds(*retry_after));
-  }
-  head.fields.Add("Content-Type", "text/plain");
-  LogEnd(status, outcome, reason, now);
-  gateway_->CountOwnAnswer(status);
-  auto* caller = caller_;
-  const std::string body(reason);
-  gateway_->Release(this);
-  caller->Answer(std::move(head), body + "\n");
-}
-
-void RoutedCall::LogEnd(int status, std::string_view outcome, std::string_view reason,
-                        Instant now) const {
-  std::string tried;
-  for (const auto& upstream : tried_) {
-    tried += (tried.empty() ? "" : ",") + upstream.value();
-  }
-  const auto& state = gateway_->state();
-  gateway_->log().WriteCall(
-      "call_ended",
-      {{"request", id_},
-       {"outcome", outcome},
-       {"reason", reason},
-       {"status", std::to_string(status)},
-       {"prefix", route_ == nullptr ? std::string_view() : std::string_view(route_->prefix)},
-       {"service", service_.value()},
-       {"upstreams", tried},
-       {"sends", std::to_string(sends_)},
-       {"occupancy", std::to_string(static_cast<int>(occupancy_))},
-       {"took_ms", std::to_string(ToMilliseconds(now - arrived_))},
-       {"left_ms", std::to_string(ToMilliseconds(deadline_ - now))},
-       {"configuration", std::to_string(routes_ == nullptr ? 0 : routes_->version())},
-       {"revision", std::to_string(state.revision.value())},
-       {"heard_ms", std::to_string(ToMilliseconds(now - gateway_->state_heard()))}},
-      now);
-}
-
 }  // namespace primroseweir
--- /dev/null
+++ b/src/gateway/routed_call_answers.cc
@@ -0,0 +1,139 @@
+// How a call ends: its caller, its deadline, the final answers and the log line.
+#include <cstdio>
+#include <utility>
+
+#include "primroseweir/balance/call_policy.h"
+#include "primroseweir/base/line_log.h"
+#include "primroseweir/base/random.h"
+#include "primroseweir/gateway/call_fields.h"
+#include "primroseweir/gateway/gateway.h"
+#include "primroseweir/gateway/routed_call.h"
+#include "primroseweir/gateway/serving_state.h"
+#include "primroseweir/gateway/upstream_attempt.h"
+#include "primroseweir/http/message_writer.h"
+#include "primroseweir/loop/event_loop.h"
+#include "primroseweir/loop/http_client_stream.h"
+#include "primroseweir/loop/http_server_stream.h"
+#include "primroseweir/routes/route_table.h"
+
+namespace primroseweir {
+namespace {
+
+constexpr int kUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+
+std::string FormatSeconds(Duration duration) {
+  char buffer[32];
+  const int length =
+      std::snprintf(buffer, sizeof buffer, "%.3f", std::chrono::duration<double>(duration).count());
+  return {buffer, static_cast<std::size_t>(length)};
+}
+
+}  // namespace
+
+// ---- caller ----
+
+void RoutedCall::OnCallerReady() {
+  if (streaming_ && !attempts_.empty()) {
+    attempts_.front()->stream()->ResumeReading();
+  }
+}
+
+void RoutedCall::OnCallerGone(Instant now) {
+  LogEnd(0, "caller_gone", attempts_.empty() ? "waiting" : "at_upstream", now);
+  gateway_->Release(this);
+}
+
+void RoutedCall::OnDeadline() {
+  const auto now = EventLoop::Now();
+  if (streaming_) {
+    Cut("no_progress", now);
+    return;
+  }
+  bool sent = may_have_run_;
+  for (const auto& attempt : attempts_) {
+    sent = sent || attempt->sent();
+    attempt->Finish(AttemptResult::kTimedOut, now);
+  }
+  if (sent) {
+    Fail(kGatewayTimeout, "deadline", now);
+  } else {
+    Refuse("deadline", now);
+  }
+}
+
+// ---- final answers ----
+
+void RoutedCall::Pass(ResponseHead head, const std::string& body, Instant now) {
+  RemoveConnectionFields(&head.fields);
+  LogEnd(head.status, "answered", "passed", now);
+  gateway_->CountAnswerBytes(body.size());
+  auto* caller = caller_;
+  gateway_->Release(this);
+  caller->Answer(std::move(head), body);
+}
+
+// Part of the answer is with the caller: cutting it is all that is left.
+void RoutedCall::Cut(std::string_view reason, Instant now) {
+  LogEnd(0, "cut", reason, now);
+  auto* caller = caller_;
+  gateway_->Release(this);
+  caller->Abort();
+}
+
+void RoutedCall::Refuse(std::string_view reason, Instant now) {
+  const auto wait = gateway_->book().ExpectedWait(service_, gateway_->queue(service_).size(), now);
+  const auto retry_after = CallPolicy::RetryAfter(wait, deadline_ - now, gateway_->random().Unit());
+  AnswerOwn(kUnavailable, "refused", reason, retry_after, now);
+}
+
+void RoutedCall::Fail(int status, std::string_view reason, Instant now) {
+  AnswerOwn(status, "failed", reason, std::nullopt, now);
+}
+
+void RoutedCall::AnswerOwn(int status, std::string_view outcome, std::string_view reason,
+                           std::optional<Duration> retry_after, Instant now) {
+  ResponseHead head;
+  head.status = status;
+  if (!id_.empty()) {
+    head.fields.Add(gateway_->fields().request_id, id_);
+  }
+  if (retry_after) {
+    head.fields.Add("Retry-After", FormatSeconds(*retry_after));
+  }
+  head.fields.Add("Content-Type", "text/plain");
+  LogEnd(status, outcome, reason, now);
+  gateway_->CountOwnAnswer(status);
+  auto* caller = caller_;
+  const std::string body(reason);
+  gateway_->Release(this);
+  caller->Answer(std::move(head), body + "\n");
+}
+
+void RoutedCall::LogEnd(int status, std::string_view outcome, std::string_view reason,
+                        Instant now) const {
+  std::string tried;
+  for (const auto& upstream : tried_) {
+    tried += (tried.empty() ? "" : ",") + upstream.value();
+  }
+  const auto& state = gateway_->state();
+  gateway_->log().WriteCall(
+      "call_ended",
+      {{"request", id_},
+       {"outcome", outcome},
+       {"reason", reason},
+       {"status", std::to_string(status)},
+       {"prefix", route_ == nullptr ? std::string_view() : std::string_view(route_->prefix)},
+       {"service", service_.value()},
+       {"upstreams", tried},
+       {"sends", std::to_string(sends_)},
+       {"occupancy", std::to_string(static_cast<int>(occupancy_))},
+       {"took_ms", std::to_string(ToMilliseconds(now - arrived_))},
+       {"left_ms", std::to_string(ToMilliseconds(deadline_ - now))},
+       {"configuration", std::to_string(routes_ == nullptr ? 0 : routes_->version())},
+       {"revision", std::to_string(state.revision.value())},
+       {"heard_ms", std::to_string(ToMilliseconds(now - gateway_->state_heard()))}},
+      now);
+}
+
+}  // namespace primroseweir
--- a/src/gateway/upstream_attempt.cc
+++ b/src/gateway/upstream_attempt.cc
@@ -53,7 +53,7 @@
 
 void UpstreamAttempt::OnAnswer(ResponseHead* head, std::string piece, bool whole) {
   whole_ = whole;
-  call_->OnAttemptAnswer(this, head, std::move(piece), whole);
+  call_->OnAttemptAnswer(this, head, piece, whole);
 }
 
 void UpstreamAttempt::OnFailure(Failure failure) { call_->OnAttemptFailure(this, failure); }
