--- a/tests/published/published_cache_test.cc
+++ b/tests/published/published_cache_test.cc
@@ -28,32 +28,32 @@
 
 // Guards against a stale read or a peer that takes the state back.
 TEST_CASE("the cache never steps back", "[published][config-in-force]") {
-  PublishedCache cache("servers/");
-  CHECK(cache.Replace({ItemOf("op/config", 5)}, Revision(5), kNow, kNow));
-  CHECK_FALSE(cache.Replace({ItemOf("op/config", 3)}, Revision(4), kNow, kNow));
-  CHECK_FALSE(cache.Put(ItemOf("op/config", 4)));
-  CHECK_FALSE(cache.Erase("op/config", Revision(4), kNow, kNow));
-  CHECK(KeysOf(cache) == "op/config@5");
+  PublishedCache cache("upstreams/");
+  CHECK(cache.Replace({ItemOf("text", 5)}, Revision(5), kNow, kNow));
+  CHECK_FALSE(cache.Replace({ItemOf("text", 3)}, Revision(4), kNow, kNow));
+  CHECK_FALSE(cache.Put(ItemOf("text", 4)));
+  CHECK_FALSE(cache.Erase("text", Revision(4), kNow, kNow));
+  CHECK(KeysOf(cache) == "text@5");
   CHECK(cache.at() == Revision(5));
 }
 
 // Guards against upstreams that are given up because their entries lapsed while the store was away.
 TEST_CASE("items that may have lapsed are kept for a while", "[published]") {
-  PublishedCache cache("servers/");
-  cache.Replace({ItemOf("op/evacuate/a", 1), ItemOf("servers/x", 2), ItemOf("servers/y", 3)},
+  PublishedCache cache("upstreams/");
+  cache.Replace({ItemOf("out/a", 1), ItemOf("upstreams/x", 2), ItemOf("upstreams/y", 3)},
                 Revision(3), kNow, kNow);
   CHECK(cache.Replace({}, Revision(6), kNow + seconds(2), kNow));
-  CHECK(KeysOf(cache) == "servers/x@2 servers/y@3");
-  cache.Put(ItemOf("servers/x", 7));
+  CHECK(KeysOf(cache) == "upstreams/x@2 upstreams/y@3");
+  cache.Put(ItemOf("upstreams/x", 7));
   CHECK_FALSE(cache.Expire(kNow + seconds(1)));
   CHECK(cache.Expire(kNow + seconds(2)));
-  CHECK(KeysOf(cache) == "servers/x@7");
+  CHECK(KeysOf(cache) == "upstreams/x@7");
 }
 
 TEST_CASE("withdrawn items vanish at once when nothing lapsed", "[published][upstream-leaving]") {
-  PublishedCache cache("servers/");
-  cache.Replace({ItemOf("servers/x", 2)}, Revision(3), kNow, kNow);
-  CHECK(cache.Erase("servers/x", Revision(4), kNow, kNow));
+  PublishedCache cache("upstreams/");
+  cache.Replace({ItemOf("upstreams/x", 2)}, Revision(3), kNow, kNow);
+  CHECK(cache.Erase("upstreams/x", Revision(4), kNow, kNow));
   CHECK(KeysOf(cache).empty());
 }
 
@@ -61,12 +61,12 @@
 TEST_CASE("a peer that follows by copies ends with the same items", "[published]") {
   for (std::uint64_t seed = 1; seed <= 30; ++seed) {
     Random random(seed);
-    PublishedCache source("servers/");
-    PublishedCache follower("servers/");
+    PublishedCache source("upstreams/");
+    PublishedCache follower("upstreams/");
     Instant now = kNow;
     for (std::uint64_t revision = 1; revision <= 1500; ++revision) {
       now += milliseconds(50);
-      const auto key = "servers/" + std::to_string(random.Below(40));
+      const auto key = "upstreams/" + std::to_string(random.Below(40));
       if (random.Below(3) == 0) {
         const auto keep = random.Below(2) == 0 ? now : now + seconds(1);
         source.Erase(key, Revision(revision), keep, now);
@@ -92,13 +92,13 @@
 // Guards against a peer that keeps what was withdrawn while the source did not run yet (soak seed
 // 3112: both data centres stayed out of service).
 TEST_CASE("a source that started later tells everything", "[published][data-centre-out]") {
-  PublishedCache follower("servers/");
-  follower.Replace({ItemOf("op/evacuate/a", 3), ItemOf("op/config", 2)}, Revision(21), kNow, kNow);
-  PublishedCache source("servers/");
-  source.Replace({ItemOf("op/config", 29)}, Revision(29), kNow, kNow);
+  PublishedCache follower("upstreams/");
+  follower.Replace({ItemOf("out/a", 3), ItemOf("text", 2)}, Revision(21), kNow, kNow);
+  PublishedCache source("upstreams/");
+  source.Replace({ItemOf("text", 29)}, Revision(29), kNow, kNow);
   follower.Take(source.CopyAfter(follower.at(), kNow), kNow);
-  CHECK(KeysOf(follower) == "op/config@29");
-  source.Put(ItemOf("op/config", 30));
+  CHECK(KeysOf(follower) == "text@29");
+  source.Put(ItemOf("text", 30));
   source.Advance(Revision(30));
   CHECK(source.CopyAfter(Revision(29), kNow).after == Revision(29));
 }
