Let the own earlier run at the same address hold no seat

After a kill and a restart peers still told of the instance's earlier run, which counted as a live holder of the seat until it fell silent, so that the restarted instance refused calls. For other members a newer run at the same address already ended the older one; it does so for the own run too now.

--- a/src/membership/membership_table.cc
+++ b/src/membership/membership_table.cc
@@ -22,6 +22,13 @@
   }
 }
 
+// Whether `newer` is a later run of the same instance at the same address, which proves that
+// `older` has ended.
+bool Succeeds(const Member& newer, const Member& older) {
+  return newer.id == older.id && newer.peer_address == older.peer_address &&
+         newer.incarnation > older.incarnation;
+}
+
 // A member declares its states in this order.
 static_assert(MemberState::kAlive < MemberState::kLeaving);
 static_assert(MemberState::kLeaving < MemberState::kDead);
@@ -47,6 +54,7 @@
   MemberRecord record = received;
   // Suspicion is the conclusion of the instance that passed the record on; the age tells as much.
   if (record.member.state == MemberState::kSuspect) record.member.state = MemberState::kAlive;
+  if (Succeeds(self_, record.member)) record.member.state = MemberState::kDead;
   const auto forgotten = forgotten_.find(key);
   if (forgotten != forgotten_.end() && record.heartbeat <= forgotten->second) return false;
   const Duration heard_at = listened_ - record.age - waited;
@@ -150,9 +158,7 @@
   bool changed = false;
   auto entry = entries_.lower_bound(Key{record.member.id, Incarnation(0)});
   for (; entry != entries_.end() && entry->first.first == record.member.id; ++entry) {
-    const Member& earlier = entry->second.record.member;
-    if (earlier.incarnation >= record.member.incarnation) continue;
-    if (earlier.peer_address != record.member.peer_address) continue;
+    if (!Succeeds(record.member, entry->second.record.member)) continue;
     entry->second.record.member.state = MemberState::kDead;
     changed = Judge(&entry->second) || changed;
   }
--- a/tests/membership/membership_table_test.cc
+++ b/tests/membership/membership_table_test.cc
@@ -58,6 +58,21 @@
 
 using States = std::vector<MemberState>;
 
+// ---- own earlier run ----
+
+// Guards against a restarted instance that refuses calls, because peers still tell of its earlier
+// run at the same address as of a live holder of its seat.
+TEST_CASE("the own earlier run at the same address holds no seat") {
+  MembershipTable table(MemberNamed("a", 10), {}, kStart);
+  table.Receive(RecordOf(MemberNamed("a", 9), 70, milliseconds(100)), {}, kStart);
+  CHECK_FALSE(table.View().seat_taken);
+  // A run at another address may still live.
+  Member elsewhere = MemberNamed("a", 8);
+  elsewhere.peer_address.port = 9999;
+  table.Receive(RecordOf(elsewhere, 70, milliseconds(100)), {}, kStart);
+  CHECK(table.View().seat_taken);
+}
+
 // ---- failure detection ----
 
 // Guards against limits that differ from the design page.
--- a/tests/process/configuration_in_force_test.cc
+++ b/tests/process/configuration_in_force_test.cc
@@ -45,6 +45,7 @@
   MarkAll(&site);
   for (int i = 0; i < 30; ++i) {
     const auto answer = Send(site.CallerAddress(i % 3), "GET", std::string("/") + kReads + "/read");
+    INFO("call " << i << ": " << answer.body);
     CHECK(answer.head.status == 200);
   }
   CHECK(WorkIn(site, "spitz").calls == 0);
