--- a/tests/membership/naive_membership.h
+++ b/tests/membership/naive_membership.h
@@ -109,9 +109,15 @@
     return facts;
   }
 
-  // Suspicion is not declared by the member.
-  static MemberState Declared(const MemberRecord& record) {
-    const MemberState state = record.member.state;
+  // Suspicion is not declared by the member. An earlier run at the own address has ended, since
+  // this one could bind it.
+  MemberState Declared(const MemberRecord& record) const {
+    const Member& member = record.member;
+    if (member.id == self_.id && member.incarnation < self_.incarnation &&
+        member.peer_address == self_.peer_address) {
+      return MemberState::kDead;
+    }
+    const MemberState state = member.state;
     return state == MemberState::kSuspect ? MemberState::kAlive : state;
   }
 
