--- a/include/primroseweir/balance/balanced_upstream.h
+++ b/include/primroseweir/balance/balanced_upstream.h
@@ -48,14 +48,12 @@
   bool usable() const {
     return listed_ && !out_ && !misdirected_ && record_.state == ListedState::kLive;
   }
-  bool listed() const { return listed_; }
 
   // ---- cold start ----
 
   // The upstream is cold until `until`. `instances` as for ColdPacer.
   void SetCold(Instant until, std::size_t instances, Instant now, Random* random);
   bool cold(Instant now) const { return now < cold_until_; }
-  Instant cold_until() const { return cold_until_; }
   ColdPacer& pacer() { return pacer_; }
   const ColdPacer::Bound& cold_bound() const { return cold_bound_; }
 
--- a/include/primroseweir/balance/cold_pacer.h
+++ b/include/primroseweir/balance/cold_pacer.h
@@ -34,9 +34,6 @@
   // A call is sent. `instances` is the highest number of instances that may be running.
   void NoteSent(const Bound& bound, std::size_t instances, Instant now);
 
-  // When the next call may be sent.
-  Instant next() const { return next_; }
-
   // Time between two calls of one instance.
   static Duration Spacing(const Bound& bound, std::size_t instances);
 
--- a/include/primroseweir/gateway/fleet_service.h
+++ b/include/primroseweir/gateway/fleet_service.h
@@ -67,7 +67,6 @@
 
   // IP addresses of the instances that a caller from that data centre should use.
   std::vector<std::string> AddressesFor(const DataCentre& caller) const;
-  std::size_t live_peers() const { return table_.LivePeers(now_()).size(); }
 
   // A reader of the store asks a peer that was ahead this long: usually the store's own notice
   // arrives within milliseconds. Others ask a peer of their data centre at once, and one elsewhere
--- a/include/primroseweir/gateway/gateway_metrics.h
+++ b/include/primroseweir/gateway/gateway_metrics.h
@@ -9,7 +9,6 @@
 
 namespace prometheus {
 class Counter;
-class Gauge;
 class Histogram;
 class Registry;
 template <typename T>
@@ -30,7 +29,6 @@
   void CountOwnAnswer(int status);
   // Something else that is counted, by name: "probe", "repeat", "store_call", ...
   void Count(const std::string& what);
-  void Set(const std::string& what, double value);
 
   // All figures as text. Linear in their number.
   std::string Text() const;
@@ -40,11 +38,9 @@
   prometheus::Family<prometheus::Histogram>* answers_;
   prometheus::Family<prometheus::Counter>* own_answers_;
   prometheus::Family<prometheus::Counter>* events_;
-  prometheus::Family<prometheus::Gauge>* gauges_;
   std::map<std::string, prometheus::Histogram*> histograms_;
   std::map<int, prometheus::Counter*> by_status_;
   std::map<std::string, prometheus::Counter*> by_event_;
-  std::map<std::string, prometheus::Gauge*> by_gauge_;
 };
 
 }  // namespace primroseweir
--- a/include/primroseweir/gateway/upstream_pool.h
+++ b/include/primroseweir/gateway/upstream_pool.h
@@ -35,9 +35,6 @@
   // Closes connections that ended or that the upstream is about to close.
   void Sweep(Instant now);
 
-  // Connections opened so far.
-  std::uint64_t opened() const { return opened_; }
-
   // Idle time up to which a connection carries any call, without a word of the upstream.
   static constexpr Duration kMaxIdle = std::chrono::seconds(8);
   // Idle time up to which it carries a call that must run at most once.
@@ -56,7 +53,6 @@
 
   EventLoop* const loop_;
   std::map<UpstreamId, Entry> idle_;
-  std::uint64_t opened_ = 0;
 };
 
 }  // namespace primroseweir
--- a/include/primroseweir/loop/http_port.h
+++ b/include/primroseweir/loop/http_port.h
@@ -41,8 +41,6 @@
   void StopAccepting();
 
   std::size_t connections() const { return streams_.size(); }
-  // Connections that are in the middle of a request or an answer.
-  std::size_t busy() const;
   bool closing() const { return closing_; }
   CallerLimits limits() const { return limits_(); }
   EventLoop* loop() const { return loop_; }
--- a/include/primroseweir/loop/http_server_stream.h
+++ b/include/primroseweir/loop/http_server_stream.h
@@ -42,7 +42,6 @@
   void CheckTime(Instant now);
   // Closes the connection if it is idle.
   void CloseIfIdle();
-  bool idle() const { return state_ == State::kIdle; }
 
   void OnData(const char* data, std::size_t size) override;
   void OnEnd(bool clean) override;
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -1,7 +1,6 @@
 #include "primroseweir/gateway/gateway_metrics.h"
 
 #include <prometheus/counter.h>
-#include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
@@ -33,10 +32,6 @@
                  .Name("primroseweir_events_total")
                  .Help("Events by name")
                  .Register(*registry_);
-  gauges_ = &prometheus::BuildGauge()
-                 .Name("primroseweir_state")
-                 .Help("Present figures by name")
-                 .Register(*registry_);
 }
 
 GatewayMetrics::~GatewayMetrics() = default;
@@ -65,14 +60,6 @@
   counter->Increment();
 }
 
-void GatewayMetrics::Set(const std::string& what, double value) {
-  auto& gauge = by_gauge_[what];
-  if (gauge == nullptr) {
-    gauge = &gauges_->Add({{"name", what}});
-  }
-  gauge->Set(value);
-}
-
 std::string GatewayMetrics::Text() const {
   return prometheus::TextSerializer().Serialize(registry_->Collect());
 }
--- a/src/gateway/upstream_pool.cc
+++ b/src/gateway/upstream_pool.cc
@@ -44,7 +44,6 @@
   }
   upstream->SetConnected(!streams.empty());
   if (taken == nullptr) {
-    ++opened_;
     taken = std::make_unique<HttpClientStream>(loop_, record.address);
   }
   return taken;
--- a/src/loop/http_port.cc
+++ b/src/loop/http_port.cc
@@ -1,6 +1,5 @@
 #include "primroseweir/loop/http_port.h"
 
-#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -42,11 +41,6 @@
 
 void HttpPort::StopAccepting() { listener_.reset(); }
 
-std::size_t HttpPort::busy() const {
-  return static_cast<std::size_t>(std::count_if(
-      streams_.begin(), streams_.end(), [](const auto& entry) { return !entry.first->idle(); }));
-}
-
 void HttpPort::Remove(HttpServerStream* stream) { streams_.erase(stream); }
 
 void HttpPort::Take(std::unique_ptr<TcpStream> stream) {
