Learn slowness from overtaken attempts; probe doubted upstreams only for calls

Cause: a second attempt that answers first cancels the slow one, and a cancelled attempt taught nothing, so the slow upstream was chosen again. Answers that were long because of a slowdown the upstream had stated were remembered for seconds, though such a slowdown passes within 150 ms. Each idle instance probed each doubted upstream: 100 probes an upstream after an evacuation.

Change: overdue and overtaken attempts count against their upstream, less what it stated itself.

--- a/include/primroseweir/balance/balanced_upstream.h
+++ b/include/primroseweir/balance/balanced_upstream.h
@@ -76,6 +76,10 @@
   void NoteStart() { ++in_flight_; }
   // An attempt that started at `started` ended. `usual` is the service's usual time to answer.
   void NoteEnd(AttemptResult result, Instant started, Duration usual, Instant now);
+  // An attempt that started at `started` has no answer yet. Counts only when it is overdue, and
+  // only when it shows the upstream slower than known: the whole time to answer would be longer
+  // still.
+  void NoteUnanswered(Instant started, Duration usual, Instant now);
   // An answer to a call that is still counted here, or to a probe, stated the load.
   enum class ReportSource { kAnswer, kProbe };
   void NoteReport(const UpstreamLoad& load, ReportSource source, Instant now);
@@ -110,6 +114,8 @@
   // What this instance saw of latencies and failures fades over this time, so that an upstream that
   // was avoided is tried again.
   static constexpr Duration kObservationMemory = std::chrono::milliseconds(2500);
+  // An attempt without an answer for this many usual times is overdue.
+  static constexpr double kOverdue = 1.5;
   // Reports of calls from instances that state nothing themselves.
   static constexpr Duration kReportMemory = std::chrono::milliseconds(1000);
   // Between two probes of a doubted upstream by one instance.
@@ -119,6 +125,14 @@
   static constexpr int kIgnoredProbes = 4;
 
  private:
+  // Logarithm of the observed slowness as it counts now, 0 for as usual.
+  double SeenSlowness(Instant now) const;
+  void AddSample(double log_ratio, Instant now);
+  // What the upstream's own word does not explain of a long answer: a slowdown by its neighbours
+  // passes soon and is told from each report, while observations last.
+  double Unexplained(double log_ratio, Instant now) const;
+  double StatedSlowdown(Instant now) const;
+
   UpstreamRecord record_;
   const std::uint64_t hash_;
   ColdPacer::Bound cold_bound_;
@@ -141,7 +155,7 @@
   bool answered_probe_ = false;
   double slowdown_ = 1;
   Instant slowdown_at_;
-  // Logarithm of the observed slowness, 0 for as usual.
+  // SeenSlowness at slowness_at_.
   double log_slowness_ = 0;
   Instant slowness_at_;
   double failures_ = 0;
--- a/include/primroseweir/balance/upstream_book.h
+++ b/include/primroseweir/balance/upstream_book.h
@@ -47,6 +47,8 @@
     Duration acceptable = Duration::max();
     // Upstreams of other data centres count as full, unless the own data centre has none.
     bool near_only = false;
+    // The call waits for probes that the choice asks for.
+    bool may_probe = false;
   };
 
   // Why no upstream was chosen: none may be used, those that are fast enough are full, or only slow
@@ -57,9 +59,9 @@
   struct Choice {
     std::shared_ptr<BalancedUpstream> upstream;
     Obstacle obstacle = Obstacle::kNone;
-    // Upstreams with old reports that might be a better choice than this one, best first: a probe
-    // of them is worth its price before the call is sent. Empty when the choice rests on fresh
-    // reports, or when the upstreams state no load.
+    // Upstreams to probe before the call is sent: with old reports that might be a better choice
+    // than this one, best first, or, when none was chosen, doubted ones whose probe is due. Empty
+    // when the choice rests on fresh reports, or when the upstreams state no load.
     std::vector<std::shared_ptr<BalancedUpstream>> unsure;
   };
 
@@ -94,6 +96,11 @@
   void NoteEnd(BalancedUpstream* upstream, AttemptResult result, Instant started, double occupancy,
                Instant now);
 
+  // An attempt that started at `started` is still without an answer.
+  void NoteUnanswered(BalancedUpstream* upstream, Instant started, Instant now) {
+    upstream->NoteUnanswered(started, Usual(upstream->record().service), now);
+  }
+
   // Time until a call that waits now would find room, by the service's usual time to answer.
   Duration ExpectedWait(const ServiceName& service, std::size_t waiting, Instant now) const;
   // Usual time to answer of the service.
@@ -101,7 +108,8 @@
 
   // ---- upkeep ----
 
-  // Upstreams whose probe is due now.
+  // Doubted upstreams whose probe is due now, of services that had calls lately: an instance
+  // without callers need not know.
   std::vector<std::shared_ptr<BalancedUpstream>> DueProbes(Instant now);
   void Trust(BalancedUpstream* upstream, Duration warm_up_left, Instant now);
 
@@ -109,6 +117,8 @@
   std::shared_ptr<BalancedUpstream> Find(const UpstreamId& id) const;
   const std::map<UpstreamId, std::shared_ptr<BalancedUpstream>>& all() const { return upstreams_; }
 
+  // A service without calls for this long gets no probes.
+  static constexpr Duration kProbedAfterCall = std::chrono::seconds(5);
   // A report of this age still tells whether neighbours slow the upstream down.
   static constexpr Duration kFreshReport = std::chrono::milliseconds(20);
   // Upstreams that are probed at a time while calls wait.
@@ -128,8 +138,13 @@
   struct ServiceEntry {
     std::vector<std::shared_ptr<BalancedUpstream>> upstreams;
     ServiceLoad load;
+    // When a call was last to be placed.
+    Instant wanted;
   };
 
+  // Doubted upstreams whose probe is due, those of the own data centre first; takes the probes.
+  std::vector<std::shared_ptr<BalancedUpstream>> DoubtedToAsk(const ServiceEntry& service,
+                                                              Instant now) const;
   ColdPacer::Bound ColdBoundOf(const UpstreamRecord& record, const RouteTable& terms) const;
   void AddOrUpdate(const UpstreamRecord& record, const RouteTable& terms, Instant now);
   bool Near(const BalancedUpstream& upstream) const {
--- a/include/primroseweir/gateway/gateway.h
+++ b/include/primroseweir/gateway/gateway.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -69,6 +70,8 @@
   // Accepts no further connections.
   void StopAccepting() { port_.StopAccepting(); }
   std::size_t calls() const { return calls_.size(); }
+  // `listener` hears of each call that arrives while none is under way.
+  void SetWakeListener(std::function<void()> listener) { on_wake_ = std::move(listener); }
   // Calls that arrived and bytes of answers so far.
   std::uint64_t calls_taken() const { return calls_taken_; }
   std::uint64_t answer_bytes() const { return answer_bytes_; }
@@ -114,8 +117,10 @@
   void OnCallerGone(HttpServerStream* stream) override;
   void OnCallerReady(HttpServerStream* stream) override;
 
-  // Upkeep, and how often room is sought while calls wait.
+  // Upkeep with and without calls under way, and how often room is sought while calls wait. Each
+  // wake-up is charged, and most instances of a large fleet have no calls.
   static constexpr Duration kTick = std::chrono::milliseconds(100);
+  static constexpr Duration kIdleTick = std::chrono::milliseconds(500);
   static constexpr Duration kSeekInterval = std::chrono::milliseconds(25);
   // A crash must show this soon after the broken connection to be put down to the request.
   static constexpr Duration kCrashWindow = std::chrono::seconds(2);
@@ -127,6 +132,7 @@
   };
 
   void Tick();
+  void Wake();
   void OfferAll();
   void AskMaybeFree(const ServiceName& service, Instant now);
 
@@ -154,6 +160,7 @@
   Timer tick_;
   Timer seek_timer_;
   bool seeking_ = false;
+  std::function<void()> on_wake_ = [] {};
   std::uint64_t overflows_logged_ = 0;
 };
 
--- a/include/primroseweir/gateway/upstream_attempt.h
+++ b/include/primroseweir/gateway/upstream_attempt.h
@@ -53,8 +53,13 @@
 
   // Longer than a lost opening packet would need on a healthy link, shorter than its repetition.
   static constexpr Duration kConnectTimeout = std::chrono::milliseconds(250);
+  // An attempt is reported as overdue after this many usual times, and again each time that the
+  // time since then has grown by the same factor.
+  static constexpr int kOverdueFactor = 2;
 
  private:
+  void OnOverdue();
+
   const Services services_;
   std::shared_ptr<BalancedUpstream> upstream_;
   RoutedCall* const call_;
@@ -66,6 +71,8 @@
   bool finished_ = false;
   std::unique_ptr<HttpClientStream> stream_;
   Timer connect_timer_;
+  Duration overdue_after_{};
+  Timer overdue_timer_;
 };
 
 }  // namespace primroseweir
--- a/include/primroseweir/gateway/upstream_prober.h
+++ b/include/primroseweir/gateway/upstream_prober.h
@@ -23,6 +23,8 @@
 
   // Asks an upstream for its load, unless a probe of it is under way. False when it can't be asked.
   bool Ask(const std::shared_ptr<BalancedUpstream>& upstream, Instant now);
+  // Asks; a doubted upstream that can't be asked is trusted again, since only a call can tell.
+  bool Check(const std::shared_ptr<BalancedUpstream>& upstream, Instant now);
 
   // Starts the probes of doubted upstreams that are due and gives up those that take too long.
   void Tick(Instant now);
--- a/src/balance/balanced_upstream.cc
+++ b/src/balance/balanced_upstream.cc
@@ -25,6 +25,12 @@
   return std::exp(-std::chrono::duration<double>(age) / std::chrono::duration<double>(memory));
 }
 
+// Logarithm of how many usual times an attempt has taken.
+double LogRatio(Duration took, Duration usual) {
+  const double ratio = std::chrono::duration<double>(took) / std::chrono::duration<double>(usual);
+  return std::log(std::clamp(ratio, 1 / kLargestSlowness, kLargestSlowness));
+}
+
 bool SameProcess(const UpstreamRecord& a, const UpstreamRecord& b) {
   return a.started_ms == b.started_ms && a.address == b.address;
 }
@@ -98,23 +104,43 @@
     --in_flight_;
   }
   if (result == AttemptResult::kCancelled) {
+    NoteUnanswered(started, usual, now);
     return;
   }
   const bool failed = result != AttemptResult::kAnswered;
   failures_ = failures(now) * (1 - kFailureWeight) + (failed ? kFailureWeight : 0);
   failures_at_ = now;
   const bool timed = result == AttemptResult::kAnswered || result == AttemptResult::kTimedOut;
-  if (!timed || usual <= Duration::zero()) {
+  if (timed && usual > Duration::zero()) {
+    AddSample(Unexplained(LogRatio(now - started, usual), now), now);
+  }
+}
+
+void BalancedUpstream::NoteUnanswered(Instant started, Duration usual, Instant now) {
+  if (usual <= Duration::zero()) {
     return;
   }
-  const double ratio =
-      std::chrono::duration<double>(now - started) / std::chrono::duration<double>(usual);
-  const double sample = std::log(std::clamp(ratio, 1 / kLargestSlowness, kLargestSlowness));
-  const double known = log_slowness_ * Fade(now - slowness_at_, kObservationMemory);
-  log_slowness_ = known + kLatencyWeight * (sample - known);
+  const double sample = Unexplained(LogRatio(now - started, usual), now);
+  if (sample >= std::log(kOverdue) && sample > SeenSlowness(now)) {
+    AddSample(sample, now);
+  }
+}
+
+double BalancedUpstream::Unexplained(double log_ratio, Instant now) const {
+  const double stated = std::log(StatedSlowdown(now));
+  return log_ratio <= 0 || stated <= 0 ? log_ratio : std::max(0.0, log_ratio - stated);
+}
+
+void BalancedUpstream::AddSample(double log_ratio, Instant now) {
+  const double known = SeenSlowness(now);
+  log_slowness_ = known + kLatencyWeight * (log_ratio - known);
   slowness_at_ = now;
 }
 
+double BalancedUpstream::SeenSlowness(Instant now) const {
+  return log_slowness_ * Fade(now - slowness_at_, kObservationMemory);
+}
+
 void BalancedUpstream::NoteReport(const UpstreamLoad& load, ReportSource source, Instant now) {
   // A call whose answer brings the report may no longer count there, but still counts here.
   const double own =
@@ -140,9 +166,12 @@
 }
 
 double BalancedUpstream::slowness(Instant now) const {
-  const double seen = std::exp(log_slowness_ * Fade(now - slowness_at_, kObservationMemory));
-  const double stated = 1 + (slowdown_ - 1) * Fade(now - slowdown_at_, kSlowdownMemory);
-  return seen * stated;
+  const double seen = std::exp(SeenSlowness(now));
+  return seen * StatedSlowdown(now);
+}
+
+double BalancedUpstream::StatedSlowdown(Instant now) const {
+  return 1 + (slowdown_ - 1) * Fade(now - slowdown_at_, kSlowdownMemory);
 }
 
 double BalancedUpstream::failures(Instant now) const {
--- a/src/balance/upstream_book.cc
+++ b/src/balance/upstream_book.cc
@@ -89,7 +89,8 @@
   if (found == services_.end()) {
     return {nullptr, Obstacle::kNoUpstream, {}};
   }
-  const auto& service = found->second;
+  auto& service = found->second;
+  service.wanted = now;
   Choice choice;
   choice.obstacle = Obstacle::kNoUpstream;
   std::vector<std::pair<double, std::shared_ptr<BalancedUpstream>>> ranked;
@@ -122,6 +123,9 @@
     ranked.emplace_back(cost, upstream);
   }
   if (ranked.empty()) {
+    if (query.may_probe) {
+      choice.unsure = DoubtedToAsk(service, now);
+    }
     return choice;
   }
   const auto shown = std::min(kProbedPerCall, ranked.size());
@@ -138,6 +142,20 @@
   return choice;
 }
 
+std::vector<std::shared_ptr<BalancedUpstream>> UpstreamBook::DoubtedToAsk(
+    const ServiceEntry& service, Instant now) const {
+  std::vector<std::shared_ptr<BalancedUpstream>> asked;
+  for (const bool near : {true, false}) {
+    for (const auto& upstream : service.upstreams) {
+      if (asked.size() < kProbedPerCall && Near(*upstream) == near && upstream->usable() &&
+          upstream->TakeProbe(now)) {
+        asked.push_back(upstream);
+      }
+    }
+  }
+  return asked;
+}
+
 double UpstreamBook::Cost(const BalancedUpstream& upstream, const ServiceEntry& service,
                           CallKind kind, std::uint32_t limit, Instant now) const {
   const double load = (upstream.occupancy(now) + 1) / limit;
@@ -224,9 +242,14 @@
 
 std::vector<std::shared_ptr<BalancedUpstream>> UpstreamBook::DueProbes(Instant now) {
   std::vector<std::shared_ptr<BalancedUpstream>> due;
-  for (const auto& [id, upstream] : upstreams_) {
-    if (upstream->usable() && upstream->TakeProbe(now)) {
-      due.push_back(upstream);
+  for (const auto& [name, service] : services_) {
+    if (service.wanted == Instant() || now - service.wanted > kProbedAfterCall) {
+      continue;
+    }
+    for (const auto& upstream : service.upstreams) {
+      if (upstream->usable() && upstream->TakeProbe(now)) {
+        due.push_back(upstream);
+      }
     }
   }
   return due;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -36,7 +36,7 @@
 }
 
 absl::Status Gateway::Listen() {
-  tick_.Repeat(kTick);
+  tick_.Start(kTick);
   return port_.Listen(options_.callers);
 }
 
@@ -84,6 +84,7 @@
 }
 
 void Gateway::SeekRoom(const ServiceName& service, Instant now) {
+  prober_->Tick(now);
   AskMaybeFree(service, now);
   if (!std::exchange(seeking_, true)) {
     seek_timer_.Start(kSeekInterval);
@@ -137,6 +138,9 @@
 void Gateway::OnRequest(HttpServerStream* stream, RequestHead* head, std::string body) {
   const auto now = EventLoop::Now();
   ++calls_taken_;
+  if (calls_.empty()) {
+    Wake();
+  }
   auto call = std::make_unique<RoutedCall>(this, stream, *head, std::move(body), now);
   auto* started = call.get();
   calls_[stream] = std::move(call);
@@ -171,6 +175,12 @@
                 now);
     overflows_logged_ = port_.overflows();
   }
+  tick_.Start(calls_.empty() ? kIdleTick : kTick);
+}
+
+void Gateway::Wake() {
+  tick_.Start(kTick);
+  on_wake_();
 }
 
 // Paced and doubted upstreams come into use with time alone, and others may have found room that
--- a/src/gateway/routed_call.cc
+++ b/src/gateway/routed_call.cc
@@ -167,19 +167,20 @@
   query.excluded = tried_;
   query.near_only = route_->kind == CallKind::kDownload && effort <= Effort::kUsual;
   query.acceptable = effort == Effort::kAnySpeed ? Duration::max() : Acceptable(now);
+  query.may_probe = effort == Effort::kProbe;
   auto choice = gateway_->book().Choose(query, now);
-  if (choice.upstream == nullptr) {
-    return PlacementOf(choice.obstacle);
-  }
-  if (effort == Effort::kProbe && !choice.unsure.empty()) {
+  if (query.may_probe && !choice.unsure.empty()) {
     for (const auto& upstream : choice.unsure) {
-      probing_ = gateway_->prober().Ask(upstream, now) || probing_;
+      probing_ = gateway_->prober().Check(upstream, now) || probing_;
     }
     if (probing_) {
       probe_timer_.Start(kProbeWait);
       return Placement::kProbing;
     }
   }
+  if (choice.upstream == nullptr) {
+    return PlacementOf(choice.obstacle);
+  }
   if (sends_ > 0 && !gateway_->ledger(service_).TrySpend(gateway_->book().fleet_size(), now)) {
     return Placement::kNoBudget;
   }
--- a/src/gateway/upstream_attempt.cc
+++ b/src/gateway/upstream_attempt.cc
@@ -19,7 +19,8 @@
       started_(now),
       occupancy_(upstream_->occupancy(now) + 1),
       slowness_(upstream_->slowness(now)),
-      connect_timer_(services.loop, [this] { OnFailure(Failure::kConnect); }) {
+      connect_timer_(services.loop, [this] { OnFailure(Failure::kConnect); }),
+      overdue_timer_(services.loop, [this] { OnOverdue(); }) {
   services_.book->NoteStart(upstream_.get(), now);
   stream_ = services_.pool->Take(upstream_, at_most_once, now);
   if (!stream_->connected()) {
@@ -41,6 +42,7 @@
 
 void UpstreamAttempt::Finish(AttemptResult result, Instant now) {
   if (!std::exchange(finished_, true)) {
+    overdue_timer_.Cancel();
     services_.book->NoteEnd(upstream_.get(), result, started_, occupancy_, now);
   }
 }
@@ -49,6 +51,15 @@
   sent_ = true;
   call_->OnAttemptSent(EventLoop::Now());
   connect_timer_.Cancel();
+  overdue_after_ = services_.book->Usual(upstream_->record().service) * kOverdueFactor;
+  overdue_timer_.Start(overdue_after_);
+}
+
+// Other calls shall avoid the upstream before this attempt ends.
+void UpstreamAttempt::OnOverdue() {
+  services_.book->NoteUnanswered(upstream_.get(), started_, EventLoop::Now());
+  overdue_after_ *= kOverdueFactor;
+  overdue_timer_.Start(overdue_after_);
 }
 
 void UpstreamAttempt::OnAnswer(ResponseHead* head, std::string piece, bool whole) {
--- a/src/gateway/upstream_prober.cc
+++ b/src/gateway/upstream_prober.cc
@@ -153,6 +153,17 @@
   return true;
 }
 
+bool UpstreamProber::Check(const std::shared_ptr<BalancedUpstream>& upstream, Instant now) {
+  if (Ask(upstream, now)) {
+    return true;
+  }
+  if (upstream->doubted()) {
+    // Nothing can be asked: the next call tells.
+    gateway_->book().Trust(upstream.get(), Duration::zero(), now);
+  }
+  return false;
+}
+
 void UpstreamProber::Tick(Instant now) {
   for (auto it = lines_.begin(); it != lines_.end();) {
     auto& line = *it->second;
@@ -162,10 +173,7 @@
     it = line.Idle(now) ? lines_.erase(it) : std::next(it);
   }
   for (auto& upstream : gateway_->book().DueProbes(now)) {
-    if (!Ask(upstream, now)) {
-      // Nothing can be asked: the next call tells.
-      gateway_->book().Trust(upstream.get(), Duration::zero(), now);
-    }
+    Check(upstream, now);
   }
 }
 
--- a/tests/balance/upstream_book_test.cc
+++ b/tests/balance/upstream_book_test.cc
@@ -163,6 +163,39 @@
   CHECK(fixture.ChooseId() == "a");
 }
 
+// Guards against the refusal of the first calls of an instance that had none while all upstreams
+// came back into service (soak seed 3112).
+TEST_CASE("a call that finds only doubted upstreams names them for probes", "[balance]") {
+  BalanceFixture fixture;
+  fixture.Add("a");
+  fixture.Add("b");
+  fixture.Add("c");
+  fixture.Apply();
+  for (const char* id : {"a", "b", "c"}) {
+    fixture.At(id).Doubt(fixture.now);
+  }
+  UpstreamBook::Query query;
+  query.service = ServiceName("s");
+  CHECK(fixture.book.Choose(query, fixture.now).unsure.empty());
+  query.may_probe = true;
+  CHECK(fixture.book.Choose(query, fixture.now).unsure.size() == UpstreamBook::kProbedPerCall);
+  CHECK(fixture.book.Choose(query, fixture.now).unsure.size() == 1);
+  CHECK(fixture.book.Choose(query, fixture.now).unsure.empty());
+}
+
+// Guards against probes from each of a hundred instances of which a few have callers.
+TEST_CASE("doubted upstreams are probed only for services with calls", "[balance][probe-budget]") {
+  BalanceFixture fixture;
+  fixture.Add("a");
+  fixture.Apply();
+  fixture.At("a").Doubt(fixture.now);
+  CHECK(fixture.book.DueProbes(fixture.now).empty());
+  CHECK(fixture.ChooseId() == "");
+  CHECK(fixture.book.DueProbes(fixture.now).size() == 1);
+  fixture.now += UpstreamBook::kProbedAfterCall + milliseconds(1);
+  CHECK(fixture.book.DueProbes(fixture.now).empty());
+}
+
 // Guards against calls to the next process at an address that was reused.
 TEST_CASE("a misdirected upstream gets no calls until its entry changes", "[balance]") {
   BalanceFixture fixture;
@@ -190,6 +223,58 @@
   CHECK(fixture.ChooseId() == "a");
 }
 
+// Guards against slow upstreams that are chosen again and again: a second attempt answers first,
+// and the one that showed the slowness is cancelled.
+TEST_CASE("an upstream that was overtaken by a second attempt counts as slow", "[balance]") {
+  BalanceFixture fixture;
+  fixture.Add("a");
+  fixture.Add("b");
+  fixture.Apply();
+  const auto cancel = [&fixture](const char* id, Duration after) {
+    auto& upstream = fixture.At(id);
+    fixture.book.NoteStart(&upstream, fixture.now - after);
+    fixture.book.NoteEnd(&upstream, AttemptResult::kCancelled, fixture.now - after, 1, fixture.now);
+  };
+  const auto usual = fixture.book.Usual(ServiceName("s"));
+  cancel("b", usual * 3);
+  CHECK(fixture.At("b").slowness(fixture.now) > 1.2);
+  CHECK(fixture.ChooseId() == "a");
+  // A caller that left early shows nothing.
+  cancel("a", usual / 2);
+  CHECK(fixture.At("a").slowness(fixture.now) == 1);
+}
+
+// Guards against upstreams that are avoided for seconds because of a neighbour that slowed them
+// down for some milliseconds.
+TEST_CASE("a slowdown that the upstream states is not remembered as its own", "[balance]") {
+  BalanceFixture fixture;
+  fixture.Add("a");
+  fixture.Apply();
+  const auto usual = fixture.book.Usual(ServiceName("s"));
+  auto& upstream = fixture.At("a");
+  fixture.book.NoteStart(&upstream, fixture.now - usual * 4);
+  fixture.Report("a", 1, 4);
+  fixture.book.NoteEnd(&upstream, AttemptResult::kAnswered, fixture.now - usual * 4, 1,
+                       fixture.now);
+  fixture.now += seconds(1);
+  CHECK(upstream.slowness(fixture.now) < 1.1);
+}
+
+// Guards against calls that pile up at an upstream that has become slow while no answer shows it.
+TEST_CASE("an upstream with an overdue attempt counts as slow before the attempt ends",
+          "[balance]") {
+  BalanceFixture fixture;
+  fixture.Add("a");
+  fixture.Apply();
+  const auto usual = fixture.book.Usual(ServiceName("s"));
+  auto& upstream = fixture.At("a");
+  fixture.book.NoteStart(&upstream, fixture.now);
+  fixture.book.NoteUnanswered(&upstream, fixture.now - usual, fixture.now);
+  CHECK(upstream.slowness(fixture.now) == 1);
+  fixture.book.NoteUnanswered(&upstream, fixture.now - usual * 2, fixture.now);
+  CHECK(upstream.slowness(fixture.now) > 1.1);
+}
+
 // Guards against upstreams that fail a part of their calls while they look well.
 TEST_CASE("an upstream that fails is avoided and tried again later", "[balance]") {
   BalanceFixture fixture;
