--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -5,6 +5,8 @@
 #include <catch2/catch.hpp>
 #include <memory>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "primroseweir/base/line_log.h"
 #include "primroseweir/gateway/gateway_metrics.h"
@@ -99,6 +101,37 @@
   CHECK(fixture.cache.Items().size() == 2);
 }
 
+// Guards against changes that are missed because a later page of a stale read is older than the
+// first, and against a second stale read that begins before the history again.
+TEST_CASE("the first read may be stale and is watched from its oldest page", "[platform]") {
+  std::vector<std::string> ranges;
+  std::string watched;
+  StoreFixture fixture([&](const LoopServer::Request& request) {
+    const auto& target = request.head.target;
+    if (target.find("kv-range") != std::string::npos) {
+      ranges.push_back(target);
+      const bool second = target.find("after=a") != std::string::npos;
+      return LoopServer::Reply{
+          Json(
+              second
+                  ? R"({"items":[{"key":"b","value":"aQ==","revision":3}],"hasMore":false,"at":4})"
+                  : R"({"items":[{"key":"a","value":"aQ==","revision":2}],"hasMore":true,"at":5})"),
+          {},
+          {}};
+    }
+    if (std::exchange(watched, target).empty()) {
+      return LoopServer::Reply{"HTTP/1.1 410 Gone\r\nContent-Length: 0\r\n\r\n", {}, {}};
+    }
+    return LoopServer::Reply();
+  });
+  CHECK(RunUntil(&fixture.loop, [&] { return !watched.empty(); }));
+  CHECK(watched.find("after=4&") != std::string::npos);
+  CHECK(RunUntil(&fixture.loop, [&] { return ranges.size() == 4; }));
+  CHECK(ranges[0].find("isStale=1") != std::string::npos);
+  CHECK(ranges[1].find("isStale=1") != std::string::npos);
+  CHECK(ranges[2].find("isStale") == std::string::npos);
+}
+
 // Guards against calls to the store by instances that follow another.
 TEST_CASE("an instance that need not read asks the store no further", "[platform]") {
   StoreFixture fixture([](const LoopServer::Request&) {
