Let idle instances sleep; leave the store to instances that already read it

Cause: an instance without calls woke 44 times a second for timers (load 20, gateway 10, platform 10, heartbeat 4), and encoded all statements for no receiver. 100 instances that start together all became readers of the store for three seconds.

An instance that starts and is no seed leaves the store to others for 300 to 600 ms, and an instance that hears of a new one tells it of the fleet at once.

--- a/include/primroseweir/gateway/fleet_service.h
+++ b/include/primroseweir/gateway/fleet_service.h
@@ -61,7 +61,7 @@
   void SetLeaving(bool leaving);
   // Whether the platform's store serves this instance.
   void SetReadsStore(bool reads) { table_.SetReadsStore(reads); }
-  bool ShouldReadStore(Instant now) const { return table_.ShouldReadStore(now); }
+  bool ShouldReadStore(Instant now) const;
   // Tells the peers at once, after a change of the own state.
   void Announce();
 
@@ -73,6 +73,9 @@
   // after a short time.
   static constexpr Duration kReaderCopyDelay = std::chrono::milliseconds(300);
   static constexpr Duration kFarCopyDelay = std::chrono::milliseconds(60);
+  // An instance that has just started and is no seed leaves the store to others for this long plus
+  // a part of the same again: by then it has heard who reads it.
+  static constexpr Duration kReaderGrace = std::chrono::milliseconds(300);
   static constexpr Duration kCopyTimeout = std::chrono::milliseconds(500);
   static constexpr Duration kLoadInterval = std::chrono::milliseconds(50);
   // Seeds are asked this often even when peers are known, so that parts of a split fleet meet.
@@ -86,9 +89,14 @@
 
   void Beat();
   void SendLoad();
+  // Sends the load soon, unless that is planned already.
+  void PlanLoad();
   void Receive(const std::string& ip, std::string_view data);
   void Send(const std::string& ip, const std::string& data);
+  // Tells an instance that was not live before of the fleet, in full within the data centre.
+  void Greet(const FleetMember& member, Instant now);
   std::string OwnState() const;
+  std::string AllStates(Instant now) const;
   void TakeLoad(const std::string& ip, const LoadDigest& load, Instant now);
   void FollowPeers(Instant now);
   void NoteLost(Instant now);
@@ -114,6 +122,11 @@
   std::uint64_t bytes_counted_ = 0;
   Instant measured_;
   bool had_load_ = false;
+  bool load_planned_ = false;
+  // Until when others are to read the store.
+  Instant reader_grace_end_;
+  // Instances that callers of the own data centre use, as of the last beat.
+  std::vector<std::string> callers_use_;
   std::vector<CrashStrike> strikes_;
   // Since when a peer has been ahead of this instance.
   Instant behind_since_ = Instant::max();
--- a/src/fleet/fleet_table.cc
+++ b/src/fleet/fleet_table.cc
@@ -137,6 +137,11 @@
   return live;
 }
 
+bool FleetTable::LivePeer(const std::string& ip, Instant now) const {
+  const auto found = peers_.find(ip);
+  return found != peers_.end() && Live(found->second, now);
+}
+
 std::optional<FleetMember> FleetTable::MostAdvanced(Instant now) const {
   std::optional<FleetMember> best;
   for (const auto& [ip, known] : peers_) {
--- a/src/gateway/fleet_service.cc
+++ b/src/gateway/fleet_service.cc
@@ -88,11 +88,17 @@
       beat_timer_(loop, [this] { Beat(); }),
       load_timer_(loop, [this] { SendLoad(); }),
       follow_timer_(loop, [this] { FollowPeers(now_()); }) {
-  gateway_->crash_guard().SetSender(
-      [this](const CrashStrike& strike) { strikes_.push_back(strike); });
+  gateway_->crash_guard().SetSender([this](const CrashStrike& strike) {
+    strikes_.push_back(strike);
+    PlanLoad();
+  });
+  gateway_->SetWakeListener([this] { PlanLoad(); });
 }
 
-FleetService::~FleetService() { gateway_->crash_guard().SetSender(nullptr); }
+FleetService::~FleetService() {
+  gateway_->crash_guard().SetSender(nullptr);
+  gateway_->SetWakeListener([] {});
+}
 
 absl::Status FleetService::Start() {
   auto status =
@@ -101,12 +107,22 @@
   if (!status.ok()) {
     return status;
   }
+  const auto& own = table_.self().ip;
+  if (std::find(seeds_.begin(), seeds_.end(), own) == seeds_.end()) {
+    const double part = gateway_->random().Unit();
+    reader_grace_end_ =
+        now_() + kReaderGrace +
+        std::chrono::duration_cast<Duration>(std::chrono::duration<double>(kReaderGrace) * part);
+  }
   beat_timer_.Repeat(FleetTable::kBeatInterval);
-  load_timer_.Repeat(kLoadInterval);
   Beat();
   return absl::OkStatus();
 }
 
+bool FleetService::ShouldReadStore(Instant now) const {
+  return now >= reader_grace_end_ && table_.ShouldReadStore(now);
+}
+
 void FleetService::SetLeaving(bool leaving) {
   if (table_.self().leaving != leaving) {
     table_.SetLeaving(leaving);
@@ -133,12 +149,13 @@
     full.insert(seeds_.begin(), seeds_.end());
   }
   ++beats_;
-  FleetMessage message;
-  message.members = table_.Statements(now);
-  const auto data = EncodeFleetMessage(message);
-  for (const auto& ip : full) {
-    Send(ip, data);
+  if (!full.empty()) {
+    const auto data = AllStates(now);
+    for (const auto& ip : full) {
+      Send(ip, data);
+    }
   }
+  callers_use_.clear();
   FollowPeers(now);
 }
 
@@ -175,13 +192,21 @@
   return EncodeFleetMessage(message);
 }
 
+std::string FleetService::AllStates(Instant now) const {
+  FleetMessage message;
+  message.members = table_.Statements(now);
+  return EncodeFleetMessage(message);
+}
+
+void FleetService::Greet(const FleetMember& member, Instant now) {
+  Send(member.ip, table_.Near(member) ? AllStates(now) : OwnState());
+}
+
 // Calls in flight go to the instances of the data centre that callers use: those share its
 // upstreams. Crash strikes go to all.
 void FleetService::SendLoad() {
   const auto now = now_();
-  if (gateway_->calls() == 0 && !had_load_ && strikes_.empty()) {
-    return;
-  }
+  load_planned_ = false;
   FleetMessage message;
   for (const auto& [id, upstream] : gateway_->book().all()) {
     const auto age = now - upstream->reported_at();
@@ -200,6 +225,9 @@
   }
   message.load.strikes = std::exchange(strikes_, {});
   const bool has_load = !message.load.uses.empty() || !message.load.strikes.empty();
+  if (gateway_->calls() > 0 || has_load) {
+    PlanLoad();
+  }
   if (!has_load && !had_load_) {
     return;
   }
@@ -210,9 +238,10 @@
   if (!message.load.strikes.empty()) {
     targets = live_;
   } else {
-    for (auto& ip : AddressesFor(table_.self().data_centre)) {
-      targets.insert(std::move(ip));
+    if (callers_use_.empty()) {
+      callers_use_ = AddressesFor(table_.self().data_centre);
     }
+    targets.insert(callers_use_.begin(), callers_use_.end());
   }
   targets.erase(table_.self().ip);
   for (const auto& ip : targets) {
@@ -220,6 +249,12 @@
   }
 }
 
+void FleetService::PlanLoad() {
+  if (!std::exchange(load_planned_, true)) {
+    load_timer_.Start(kLoadInterval);
+  }
+}
+
 void FleetService::Send(const std::string& ip, const std::string& data) {
   if (ip != table_.self().ip) {
     socket_.Send({ip, options_.datagram_port}, data);
@@ -242,6 +277,9 @@
   }
   for (const auto& member : message->members) {
     if (table_.Merge(member, now)) {
+      if (member.ip == ip) {
+        Greet(member, now);
+      }
       live_.insert(member.ip);
       log_->Write("peer_live",
                   {{"peer", member.ip},
@@ -303,16 +341,14 @@
 }
 
 void FleetService::NoteLost(Instant now) {
-  std::set<std::string> live;
-  for (const auto& peer : table_.LivePeers(now)) {
-    live.insert(peer.ip);
-  }
-  for (const auto& ip : live_) {
-    if (live.count(ip) == 0) {
-      log_->Write("peer_silent", {{"peer", ip}}, now);
+  for (auto it = live_.begin(); it != live_.end();) {
+    if (table_.LivePeer(*it, now)) {
+      ++it;
+      continue;
     }
+    log_->Write("peer_silent", {{"peer", *it}}, now);
+    it = live_.erase(it);
   }
-  live_ = std::move(live);
 }
 
 // ---- view ----
