Spread large configurations within their bound over slow links

Cause: the reader of krems had the configuration 0.6 s before its acknowledgement, but some thirty instances copied 0.5 MB each from it over one 10 Mbit/s link, and each copy was given up after 500 ms in all and begun again.

Change: large copies are deflated and encoded once for all who ask; a copy or a read of the store is given up when it stalls, not when it is long; the instance with the best link of a data centre reads the store; equal sources are chosen by a hash, so that they share those who follow.

--- a/include/primroseweir/gateway/fleet_service.h
+++ b/include/primroseweir/gateway/fleet_service.h
@@ -76,6 +76,7 @@
   // An instance that has just started and is no seed leaves the store to others for this long plus
   // a part of the same again: by then it has heard who reads it.
   static constexpr Duration kReaderGrace = std::chrono::milliseconds(300);
+  // Longest pause of a peer that is asked for its copy.
   static constexpr Duration kCopyTimeout = std::chrono::milliseconds(500);
   static constexpr Duration kLoadInterval = std::chrono::milliseconds(50);
   // Seeds are asked this often even when peers are known, so that parts of a split fleet meet.
--- a/include/primroseweir/loop/http_client_stream.h
+++ b/include/primroseweir/loop/http_client_stream.h
@@ -54,6 +54,8 @@
   // Time for which the server keeps an idle connection; zero when it did not say.
   Duration kept_for() const { return kept_for_; }
   const SocketAddress& address() const { return address_; }
+  // When bytes last arrived; zero for never.
+  Instant heard_at() const { return heard_at_; }
 
   void OnConnected() override;
   void OnData(const char* data, std::size_t size) override;
@@ -83,6 +85,7 @@
   // An answer of another request was dropped: the next one may be out of step too.
   bool out_of_step_ = false;
   Instant idle_since_;
+  Instant heard_at_;
   Duration kept_for_{};
 };
 
--- a/include/primroseweir/published/published_copy.h
+++ b/include/primroseweir/published/published_copy.h
@@ -29,7 +29,8 @@
   std::vector<Withdrawn> withdrawn;
 };
 
-// JSON: {"after":N,"at":N,"items":[[key,value,revision],...],"withdrawn":[[key,revision,ms],...]}.
+// JSON: {"after":N,"at":N,"items":[[key,value,revision],...],"withdrawn":[[key,revision,ms],...]},
+// deflated when it is large: a whole data centre may copy a configuration over one slow link.
 std::string EncodePublishedCopy(const PublishedCopy& copy);
 // InvalidArgument for anything that EncodePublishedCopy does not write.
 absl::StatusOr<PublishedCopy> DecodePublishedCopy(const std::string& text);
--- a/src/fleet/fleet_table.cc
+++ b/src/fleet/fleet_table.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <tuple>
 #include <utility>
 
 #include "primroseweir/base/rendezvous.h"
@@ -149,7 +150,10 @@
     if (!Live(known, now) || member.published <= self_.published) {
       continue;
     }
-    const auto rank = [this](const FleetMember& m) { return std::make_pair(m.published, Near(m)); };
+    // Equal ones share the load of those that follow.
+    const auto rank = [this](const FleetMember& m) {
+      return std::make_tuple(m.published, Near(m), StableHash(self_.ip + m.ip));
+    };
     if (!best || rank(member) > rank(*best)) {
       best = member;
     }
@@ -158,11 +162,16 @@
 }
 
 bool FleetTable::ShouldReadStore(Instant now) const {
-  const auto own = StableHash(self_.ip);
-  return std::none_of(peers_.begin(), peers_.end(), [this, own, now](const auto& entry) {
+  // Those that follow copy from the reader over its link.
+  const auto rank = [](const FleetMember& member) {
+    return std::make_pair(-static_cast<std::int64_t>(member.capacity.link_kilobytes),
+                          StableHash(member.ip));
+  };
+  const auto own = rank(self_);
+  return std::none_of(peers_.begin(), peers_.end(), [this, &rank, &own, now](const auto& entry) {
     const auto& member = entry.second.member;
     return Live(entry.second, now) && Near(member) && member.reads_store && !member.leaving &&
-           StableHash(member.ip) < own;
+           rank(member) < own;
   });
 }
 
--- a/src/gateway/fleet_service.cc
+++ b/src/gateway/fleet_service.cc
@@ -38,7 +38,10 @@
     stream_.Send(head, std::string(), {}, this);
   }
 
-  bool over(Instant now) const { return done_ || now - started_ > kCopyTimeout; }
+  // Whether it ended, or has brought nothing for a while: many may copy over one slow link.
+  bool over(Instant now) const {
+    return done_ || now - std::max(started_, stream_.heard_at()) > kCopyTimeout;
+  }
 
   void OnAnswer(ResponseHead* head, std::string piece, bool whole) override {
     text_ += piece;
--- a/src/loop/http_client_stream.cc
+++ b/src/loop/http_client_stream.cc
@@ -74,6 +74,7 @@
     broken_ = true;
     return;
   }
+  heard_at_ = EventLoop::Now();
   input_.append(data, size);
   while (!input_.empty() && Consume()) {
   }
--- a/src/published/published_copy.cc
+++ b/src/published/published_copy.cc
@@ -1,12 +1,62 @@
 #include "primroseweir/published/published_copy.h"
 
+#include <zlib.h>
+
 #include <chrono>
 #include <exception>
 #include <nlohmann/json.hpp>
+#include <stdexcept>
 
 #include "primroseweir/base/error.h"
 
 namespace primroseweir {
+namespace {
+
+// A JSON object begins with another byte.
+constexpr char kFirstDeflatedByte = '\x78';
+// Shorter copies fit into a few packets as they are.
+constexpr std::size_t kDeflatedFrom = 4096;
+constexpr std::size_t kInflatePiece = std::size_t{64} * 1024;
+// Bounds the memory that a peer can claim: far above a configuration and entries of 1 MB each.
+constexpr std::size_t kLargestCopy = std::size_t{32} * 1024 * 1024;
+
+std::string Deflate(const std::string& text) {
+  auto size = compressBound(text.size());
+  std::string result(size, '\0');
+  const int status =
+      compress2(reinterpret_cast<Bytef*>(result.data()), &size,
+                reinterpret_cast<const Bytef*>(text.data()), text.size(), Z_BEST_SPEED);
+  if (status != Z_OK) {
+    throw std::runtime_error("deflate failed");
+  }
+  result.resize(size);
+  return result;
+}
+
+std::string Inflate(const std::string& bytes) {
+  z_stream stream{};
+  if (inflateInit(&stream) != Z_OK) {
+    throw std::runtime_error("inflate failed");
+  }
+  stream.next_in = reinterpret_cast<Bytef*>(const_cast<char*>(bytes.data()));
+  stream.avail_in = static_cast<uInt>(bytes.size());
+  std::string text;
+  std::string piece(kInflatePiece, '\0');
+  int status = Z_OK;
+  while (status == Z_OK && text.size() <= kLargestCopy) {
+    stream.next_out = reinterpret_cast<Bytef*>(piece.data());
+    stream.avail_out = static_cast<uInt>(piece.size());
+    status = inflate(&stream, Z_NO_FLUSH);
+    text.append(piece, 0, piece.size() - stream.avail_out);
+  }
+  inflateEnd(&stream);
+  if (status != Z_STREAM_END) {
+    throw std::invalid_argument("not a whole deflated copy, or one above the limit");
+  }
+  return text;
+}
+
+}  // namespace
 
 std::string EncodePublishedCopy(const PublishedCopy& copy) {
   auto items = nlohmann::json::array();
@@ -22,12 +72,14 @@
                                {"items", std::move(items)},
                                {"withdrawn", std::move(withdrawn)}};
   // Values of other writers may hold bytes that are not UTF-8; no reader accepts those anyway.
-  return json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  auto text = json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  return text.size() < kDeflatedFrom ? text : Deflate(text);
 }
 
 absl::StatusOr<PublishedCopy> DecodePublishedCopy(const std::string& text) {
   try {
-    const auto json = nlohmann::json::parse(text);
+    const bool deflated = !text.empty() && text.front() == kFirstDeflatedByte;
+    const auto json = nlohmann::json::parse(deflated ? Inflate(text) : text);
     PublishedCopy copy;
     copy.after = Revision(json.at("after").get<std::uint64_t>());
     copy.at = Revision(json.at("at").get<std::uint64_t>());
--- a/tests/fleet/fleet_table_test.cc
+++ b/tests/fleet/fleet_table_test.cc
@@ -161,6 +161,23 @@
   CHECK(readers() == 4);
 }
 
+// Guards against a data centre that copies a large configuration over the reader's slow link.
+TEST_CASE("the instance with the best link reads the store", "[fleet][config-in-force]") {
+  auto small = MemberOf(Ip(1), "a");
+  small.capacity.link_kilobytes = 1250;
+  small.reads_store = true;
+  auto large = MemberOf(Ip(2), "a");
+  large.capacity.link_kilobytes = 25000;
+  large.reads_store = true;
+  const Instant now(seconds(10));
+  FleetTable at_small(small, 1);
+  at_small.Merge(large, now);
+  CHECK_FALSE(at_small.ShouldReadStore(now));
+  FleetTable at_large(large, 1);
+  at_large.Merge(small, now);
+  CHECK(at_large.ShouldReadStore(now));
+}
+
 // Guards against an instance that stays behind although a peer elsewhere knows more.
 TEST_CASE("the most advanced live peer is followed", "[fleet]") {
   auto fleet = FleetOf(6);
--- a/tests/published/published_cache_test.cc
+++ b/tests/published/published_cache_test.cc
@@ -4,6 +4,8 @@
 #include <map>
 
 #include "primroseweir/base/random.h"
+#include "primroseweir/published/encoded_copies.h"
+#include "primroseweir/published/published_copy.h"
 #include "support/property.h"
 
 namespace primroseweir {
@@ -57,6 +59,39 @@
   CHECK(KeysOf(cache).empty());
 }
 
+// Guards against a large configuration that takes longer to reach a data centre over one slow link
+// than it may take to be in force.
+TEST_CASE("a large copy is small on the wire and survives it", "[published][config-in-force]") {
+  PublishedCache cache("upstreams/");
+  std::string routes;
+  for (int i = 0; i < 1500; ++i) {
+    routes += R"({"host":"example","prefix":"/some/path)" + std::to_string(i) + R"(/"},)";
+  }
+  cache.Replace({{"text", routes, Revision(5)}}, Revision(5), kNow, kNow);
+  EncodedCopies copies(&cache);
+  const auto text = copies.After(Revision(), kNow);
+  CHECK(text.size() * 5 < routes.size());
+  const auto copy = DecodePublishedCopy(text);
+  REQUIRE(copy.ok());
+  CHECK(copy->items.at(0).value == routes);
+  for (std::size_t size = 0; size < text.size(); size += 97) {
+    CHECK_FALSE(DecodePublishedCopy(text.substr(0, size)).ok());
+  }
+}
+
+// Guards against peers that get an old answer because another one was kept.
+TEST_CASE("a kept copy is encoded anew after a change", "[published][config-in-force]") {
+  PublishedCache cache("upstreams/");
+  EncodedCopies copies(&cache);
+  cache.Replace({ItemOf("text", 5)}, Revision(5), kNow, kNow);
+  const auto first = copies.After(Revision(), kNow);
+  CHECK(copies.After(Revision(), kNow) == first);
+  CHECK(copies.After(Revision(5), kNow) != first);
+  cache.Put(ItemOf("text", 6));
+  cache.Advance(Revision(6));
+  CHECK(DecodePublishedCopy(copies.After(Revision(), kNow))->at == Revision(6));
+}
+
 // Guards against peers that miss a change, whatever they knew before.
 TEST_CASE("a peer that follows by copies ends with the same items", "[published]") {
   for (std::uint64_t seed = 1; seed <= 30; ++seed) {
--- a/tools/install_packages.sh
+++ b/tools/install_packages.sh
@@ -5,7 +5,7 @@
 packages=(g++ cmake ninja-build pkg-config clang-format-14 clang-tidy-14 git curl
   libcxxtools-dev libjsonrpccpp-dev libmicrohttpd-dev libcurl4-openssl-dev libjsoncpp-dev
   prometheus-cpp-dev libtclap-dev libgoogle-glog-dev libabsl-dev catch2 libhttp-parser-dev liburcu-dev
-  librapidcheck-dev nlohmann-json3-dev libxxhash-dev libssl-dev libuv1-dev libmsgpack-cxx-dev gnuplot-nox)
+  librapidcheck-dev nlohmann-json3-dev libxxhash-dev libssl-dev libuv1-dev libmsgpack-cxx-dev zlib1g-dev gnuplot-nox)
 missing=()
 for package in "${packages[@]}"; do
   status=$(dpkg-query -W -f='${db:Status-Status}' "$package" 2>/dev/null || true)
