Let callers that an upstream shed come back at once; use nine tenths of the repeat budget

The ledger left 30% of the budget unused while the only gap between its windows and the upstreams' is one bucket, 2%.

Change: Retry-After is below 20 ms when the last upstream refused the call with a free slot by its own report; with full ones it stays spread. kUsedPart 0.7 to 0.9.

--- a/include/primroseweir/balance/balanced_upstream.h
+++ b/include/primroseweir/balance/balanced_upstream.h
@@ -95,6 +95,8 @@
   // Calls that wait at the upstream and calls that run there, by its newest report.
   std::uint32_t reported_waiting() const { return reported_waiting_; }
   std::uint32_t reported_running() const { return reported_running_; }
+  // Whether it had a free slot at its newest report.
+  bool reports_room() const { return reported_waiting_ == 0 && reported_running_ < record_.slots; }
   // Calls that are probably there now, from all instances.
   double occupancy(Instant now) const;
   // Factor on the usual time to answer, from the newest reports and this instance's own calls.
--- a/include/primroseweir/balance/call_policy.h
+++ b/include/primroseweir/balance/call_policy.h
@@ -54,15 +54,25 @@
   // Time after which a repeatable call gets a second attempt beside the first.
   static Duration HedgeAfter(Duration objective, Duration usual);
 
-  // Seconds that a refused caller should stay away, by its time left: soon enough that it can still
+  // Why a call is refused, as far as it decides when the caller should come back.
+  enum class Refusal {
+    // There is no room: callers come back spread over the time in which there may be some.
+    kNoRoom,
+    // Upstreams with room refused the call: another try is as likely to succeed at once as later.
+    kByUpstream,
+  };
+
+  // Time that a refused caller should stay away, by its time left: soon enough that it can still
   // be served, and spread so that callers refused together do not return together. `spread` is
   // uniform in [0, 1).
-  static Duration RetryAfter(Duration expected_wait, Duration left, double spread);
+  static Duration RetryAfter(Refusal refusal, Duration expected_wait, Duration left, double spread);
 
   // A caller follows Retry-After up to this part of the time it has left.
   static constexpr int kRetryAfterPart = 3;
   static constexpr Duration kShortestRetryAfter = std::chrono::milliseconds(50);
   static constexpr Duration kRetryAfterSpread = std::chrono::milliseconds(250);
+  // Spread of callers that an upstream refused.
+  static constexpr Duration kSoonSpread = std::chrono::milliseconds(20);
 };
 
 }  // namespace primroseweir
--- a/include/primroseweir/balance/retry_ledger.h
+++ b/include/primroseweir/balance/retry_ledger.h
@@ -38,8 +38,8 @@
   std::uint64_t repeats(Instant now);
 
   // Part of the budget that is used. The rest covers sends that other instances count in another
-  // window than the upstream does.
-  static constexpr double kUsedPart = 0.7;
+  // window than the upstream does: a window here is up to one bucket, a fiftieth, shorter.
+  static constexpr double kUsedPart = 0.9;
 
  private:
   static constexpr std::int64_t kBuckets = 50;
--- a/include/primroseweir/gateway/routed_call.h
+++ b/include/primroseweir/gateway/routed_call.h
@@ -146,6 +146,8 @@
   std::uint32_t hedge_tries_ = 0;
   // Attempts that were sent and ended without a word that the call did not run.
   bool may_have_run_ = false;
+  // The last upstream that said that it did not run the call had room by its own report.
+  bool refused_by_upstream_ = false;
   bool streaming_ = false;
   bool probing_ = false;
   // The last choice's inputs, for the log.
--- a/src/balance/call_policy.cc
+++ b/src/balance/call_policy.cc
@@ -44,9 +44,12 @@
   return std::max(objective - Times(usual, kSecondFactor), Times(usual, kSlowFactor));
 }
 
-Duration CallPolicy::RetryAfter(Duration expected_wait, Duration left, double spread) {
-  const auto wait =
-      std::max<Duration>(expected_wait, kShortestRetryAfter) + Times(kRetryAfterSpread, spread);
+Duration CallPolicy::RetryAfter(Refusal refusal, Duration expected_wait, Duration left,
+                                double spread) {
+  const auto wait = refusal == Refusal::kByUpstream
+                        ? Times(kSoonSpread, spread)
+                        : std::max<Duration>(expected_wait, kShortestRetryAfter) +
+                              Times(kRetryAfterSpread, spread);
   return std::max(Duration::zero(), std::min<Duration>(wait, left / kRetryAfterPart));
 }
 
--- a/src/gateway/routed_call.cc
+++ b/src/gateway/routed_call.cc
@@ -370,6 +370,8 @@
                               {{"request", id_}, {"upstream", upstream.record().id.value()}}, now);
     EndAttempt(attempt, Ending::kNotRun, AttemptResult::kRefused, nullptr, {}, now);
   } else if (head->fields.Find(fields.not_run) != nullptr) {
+    // One that is full says nothing about the others, but there is little room.
+    refused_by_upstream_ = upstream.reports_room();
     EndAttempt(attempt, Ending::kNotRun, AttemptResult::kRefused, nullptr, {}, now);
   } else if (head->status >= kFirstServerError || StatesNotRun(head->status)) {
     EndAttempt(attempt, Ending::kFailed, AttemptResult::kFailed, head, piece, now);
--- a/tests/balance/policies_test.cc
+++ b/tests/balance/policies_test.cc
@@ -42,11 +42,25 @@
 
 // Guards against a Retry-After that callers don't follow, or follow all at once.
 TEST_CASE("refused callers come back spread over a time that they have", "[balance]") {
-  const auto early = CallPolicy::RetryAfter(milliseconds(0), milliseconds(1200), 0);
-  const auto late = CallPolicy::RetryAfter(milliseconds(0), milliseconds(1200), 0.99);
+  const auto after = [](Duration wait, Duration left, double spread) {
+    return CallPolicy::RetryAfter(CallPolicy::Refusal::kNoRoom, wait, left, spread);
+  };
+  const auto early = after(milliseconds(0), milliseconds(1200), 0);
+  const auto late = after(milliseconds(0), milliseconds(1200), 0.99);
   CHECK(late - early > milliseconds(200));
-  CHECK(CallPolicy::RetryAfter(seconds(3), milliseconds(900), 0.5) == milliseconds(300));
-  CHECK(CallPolicy::RetryAfter(seconds(3), milliseconds(-5), 0.5) == Duration::zero());
+  CHECK(after(seconds(3), milliseconds(900), 0.5) == milliseconds(300));
+  CHECK(after(seconds(3), milliseconds(-5), 0.5) == Duration::zero());
+}
+
+// Guards against callers that come back too late for their objective although nothing would have
+// kept them waiting: upstreams that shed a part of their calls at random.
+TEST_CASE("callers that an upstream refused come back at once", "[balance]") {
+  const auto after = [](Duration left, double spread) {
+    return CallPolicy::RetryAfter(CallPolicy::Refusal::kByUpstream, seconds(3), left, spread);
+  };
+  CHECK(after(milliseconds(1200), 0) == Duration::zero());
+  CHECK(after(milliseconds(1200), 0.99) < milliseconds(25));
+  CHECK(after(milliseconds(30), 0.99) <= milliseconds(10));
 }
 
 // Guards against repeats that, summed over instances that know nothing of each other, exceed the
