Tell seeds only the own state; let three data centres read the store

Instances that started with the readers did not hear of them within their grace and read the store themselves.

--- a/include/primroseweir/fleet/fleet_table.h
+++ b/include/primroseweir/fleet/fleet_table.h
@@ -71,8 +71,9 @@
   std::optional<FleetMember> MostAdvanced(Instant now) const;
   bool Near(const FleetMember& member) const { return member.data_centre == self_.data_centre; }
   // Whether this instance should read the platform's store: no live instance of its data centre
-  // that the store serves has a better rank. The store counts and prices each call, so that one
-  // instance of a data centre reads and the others follow it.
+  // that the store serves has a better rank, and its data centre is one of those that read. The
+  // store counts and prices each call, so that one instance of a data centre reads and the others
+  // follow it.
   bool ShouldReadStore(Instant now) const;
   // Highest number of instances, this one included, that may be sending. Before any peer was heard
   // it is kUnknownFleet: an instance that is cut off from its start can't know the number.
@@ -95,6 +96,9 @@
   static constexpr std::uint64_t kBeatsPerFar = 4;
   // Instances of one data centre that send statements to others.
   static constexpr std::size_t kFarSpeakers = 4;
+  // Data centres in which an instance reads the store: two of them may be cut off from it at a
+  // time.
+  static constexpr std::size_t kReadingDataCentres = 3;
   static constexpr std::size_t kUnknownFleet = 64;
 
  private:
@@ -105,6 +109,8 @@
 
   bool Live(const Known& known, Instant now) const;
   std::size_t Rank(Instant now) const;
+  // Other data centres that read the store and go before the own one.
+  std::size_t ReadingBefore(Instant now) const;
   std::string Pick(std::vector<std::string>* ips);
 
   FleetMember self_;
--- a/include/primroseweir/gateway/fleet_service.h
+++ b/include/primroseweir/gateway/fleet_service.h
@@ -60,7 +60,7 @@
   void SetSeeds(std::vector<std::string> seeds) { seeds_ = std::move(seeds); }
   void SetLeaving(bool leaving);
   // Whether the platform's store serves this instance.
-  void SetReadsStore(bool reads) { table_.SetReadsStore(reads); }
+  void SetReadsStore(bool reads);
   bool ShouldReadStore(Instant now) const;
   // Tells the peers at once, after a change of the own state.
   void Announce();
@@ -79,7 +79,8 @@
   // Longest pause of a peer that is asked for its copy.
   static constexpr Duration kCopyTimeout = std::chrono::milliseconds(500);
   static constexpr Duration kLoadInterval = std::chrono::milliseconds(50);
-  // Seeds are asked this often even when peers are known, so that parts of a split fleet meet.
+  // Seeds hear the own state this often even when peers are known, so that parts of a split fleet
+  // meet: a seed greets whom it did not know.
   static constexpr std::uint64_t kBeatsPerSeedRound = 16;
   // Time over which the callers' load is averaged.
   static constexpr Duration kLoadMemory = std::chrono::seconds(2);
--- a/src/fleet/fleet_table.cc
+++ b/src/fleet/fleet_table.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <set>
 #include <tuple>
 #include <utility>
 
@@ -161,12 +162,28 @@
   return best;
 }
 
+std::size_t FleetTable::ReadingBefore(Instant now) const {
+  const auto own = StableHash(self_.data_centre.value());
+  std::set<DataCentre> reading;
+  for (const auto& [ip, known] : peers_) {
+    const auto& member = known.member;
+    if (member.reads_store && !member.leaving && Live(known, now) &&
+        StableHash(member.data_centre.value()) < own) {
+      reading.insert(member.data_centre);
+    }
+  }
+  return reading.size();
+}
+
 bool FleetTable::ShouldReadStore(Instant now) const {
   // Those that follow copy from the reader over its link.
   const auto rank = [](const FleetMember& member) {
     return std::make_pair(-static_cast<std::int64_t>(member.capacity.link_kilobytes),
                           StableHash(member.ip));
   };
+  if (ReadingBefore(now) >= kReadingDataCentres) {
+    return false;
+  }
   const auto own = rank(self_);
   return std::none_of(peers_.begin(), peers_.end(), [this, &rank, &own, now](const auto& entry) {
     const auto& member = entry.second.member;
--- a/src/gateway/fleet_service.cc
+++ b/src/gateway/fleet_service.cc
@@ -122,6 +122,11 @@
   return absl::OkStatus();
 }
 
+void FleetService::SetReadsStore(bool reads) {
+  table_.SetReadsStore(reads);
+  Announce();
+}
+
 bool FleetService::ShouldReadStore(Instant now) const {
   return now >= reader_grace_end_ && table_.ShouldReadStore(now);
 }
@@ -143,19 +148,19 @@
   MeasureLoad(now);
   gateway_->book().SetFleetSize(table_.PeakSize(now));
   const auto targets = table_.TargetsOf(beats_, now);
-  const auto brief = OwnState();
-  for (const auto& ip : targets.brief) {
-    Send(ip, brief);
-  }
-  std::set<std::string> full(targets.full.begin(), targets.full.end());
+  std::set<std::string> brief(targets.brief.begin(), targets.brief.end());
   if (live_.empty() || beats_ % kBeatsPerSeedRound == 0) {
-    full.insert(seeds_.begin(), seeds_.end());
+    brief.insert(seeds_.begin(), seeds_.end());
   }
   ++beats_;
-  if (!full.empty()) {
-    const auto data = AllStates(now);
-    for (const auto& ip : full) {
-      Send(ip, data);
+  const auto own_state = OwnState();
+  for (const auto& ip : brief) {
+    Send(ip, own_state);
+  }
+  if (!targets.full.empty()) {
+    const auto all_states = AllStates(now);
+    for (const auto& ip : targets.full) {
+      Send(ip, all_states);
     }
   }
   callers_use_.clear();
--- a/tests/fleet/fleet_table_test.cc
+++ b/tests/fleet/fleet_table_test.cc
@@ -178,6 +178,32 @@
   CHECK(at_large.ShouldReadStore(now));
 }
 
+// Guards against calls to the store that grow with the number of data centres, and against a fleet
+// that reads nothing because those that should are gone.
+TEST_CASE("instances of three data centres read the store", "[fleet][config-in-force]") {
+  const Instant now(seconds(10));
+  std::vector<std::string> names = {"a", "b", "c", "d", "e"};
+  const auto readers = [&names, now](const std::vector<std::string>& reading) {
+    std::size_t count = 0;
+    for (const auto& own : names) {
+      FleetTable table(MemberOf(Ip(100), own), 1);
+      int number = 0;
+      for (const auto& name : reading) {
+        auto member = MemberOf(Ip(++number), name);
+        member.reads_store = true;
+        if (name != own) {
+          table.Merge(member, now);
+        }
+      }
+      count += table.ShouldReadStore(now) ? 1 : 0;
+    }
+    return count;
+  };
+  CHECK(readers({}) == names.size());
+  CHECK(readers(names) == FleetTable::kReadingDataCentres);
+  CHECK(readers({"a", "b"}) == names.size());
+}
+
 // Guards against an instance that stays behind although a peer elsewhere knows more.
 TEST_CASE("the most advanced live peer is followed", "[fleet]") {
   auto fleet = FleetOf(6);
