Size the set of instances that take callers by its smallest machine

While a large instance was replaced, the next best one took half of its data centre's callers over a 10 Mbit/s link: 106 of 182 of its calls from 28 s to 30 s took over 380 ms, 10 of 279 at the large one. The choice compared the sum of the machines with the load, but callers choose evenly.

Change: so many instances take callers that an equal share fits the smallest with headroom.

--- a/src/fleet/address_choice.cc
+++ b/src/fleet/address_choice.cc
@@ -23,11 +23,14 @@
   return members;
 }
 
-// Whether machines of these sizes carry the load with headroom.
-bool Enough(const FleetCapacity& sum, const FleetCapacity& load) {
+// Whether `count` machines, of which the smallest has that size, carry the load with headroom.
+// Callers choose evenly among the addresses they know, so that a small machine gets as much as a
+// large one.
+bool Enough(const FleetCapacity& smallest, std::size_t count, const FleetCapacity& load) {
+  const auto machines = static_cast<double>(count);
   const double millicores = load.calls * AddressChoice::kMillicoresPerCall;
-  return sum.millicores >= millicores * AddressChoice::kHeadroom &&
-         sum.link_kilobytes >= load.kilobytes * AddressChoice::kHeadroom;
+  return smallest.millicores * machines >= millicores * AddressChoice::kHeadroom &&
+         smallest.link_kilobytes * machines >= load.kilobytes * AddressChoice::kHeadroom;
 }
 
 std::vector<std::string> Best(std::vector<FleetMember> members) {
@@ -40,14 +43,18 @@
                                [](const FleetMember& member) { return member.leaving; }),
                 members.end());
   std::vector<std::string> ips;
-  FleetCapacity sum;
+  FleetCapacity smallest;
   for (const auto& member : Ranked(std::move(members))) {
-    const bool enough = ips.size() >= AddressChoice::kLeast && Enough(sum, load);
+    const bool enough = ips.size() >= AddressChoice::kLeast && Enough(smallest, ips.size(), load);
     if (enough || ips.size() >= AddressChoice::kMost) {
       break;
     }
-    sum.millicores += member.capacity.millicores;
-    sum.link_kilobytes += member.capacity.link_kilobytes;
+    const auto& capacity = member.capacity;
+    const bool first = ips.empty();
+    smallest.millicores =
+        first ? capacity.millicores : std::min(smallest.millicores, capacity.millicores);
+    smallest.link_kilobytes = first ? capacity.link_kilobytes
+                                    : std::min(smallest.link_kilobytes, capacity.link_kilobytes);
     ips.push_back(member.ip);
   }
   return ips;
