--- a/tests/process/data_centre_test.cc
+++ b/tests/process/data_centre_test.cc
@@ -26,7 +26,9 @@
   for (const char* id : {"ib-1", "bl-1", "cd-1"}) site.Control(id, "/cold");
   MarkAll(&site);
   site.DeclareOut({});
-  CHECK(WaitUntil([&] { return WorkIn(site, "krems").calls > 100; }, kAFewSeconds));
+  const bool returned = WaitUntil([&] { return WorkIn(site, "krems").calls > 100; }, kAFewSeconds);
+  INFO("calls at krems since its return: " << WorkIn(site, "krems").calls);
+  CHECK(returned);
   CheckAllRight(load.Stop());
   CHECK(site.UpstreamState("ib-1")["cold_overruns"] == 0);
   CHECK(site.UpstreamState("bl-1")["cold_overruns"] == 0);
