--- a/include/primroseweir/fleet/fleet_table.h
+++ b/include/primroseweir/fleet/fleet_table.h
@@ -66,8 +66,6 @@
   // Live instances other than this one.
   std::vector<FleetMember> LivePeers(Instant now) const;
   bool LivePeer(const std::string& ip, Instant now) const;
-  // Live peers of the own data centre, as of the last beat.
-  std::size_t near() const { return near_; }
   // The live peer that knows the most of the published state, one of the own data centre between
   // equals; nothing when none knows more than this instance.
   std::optional<FleetMember> MostAdvanced(Instant now) const;
@@ -77,6 +75,10 @@
   // store counts and prices each call, so that one instance of a data centre reads and the others
   // follow it.
   bool ShouldReadStore(Instant now) const;
+  // The same for an instance that asks again and again: while no instance of the data centre reads
+  // the store, one of them has its turn at a time on average, by chance, since all of them would
+  // flood a store that is down. A reader goes on.
+  bool TakesReadersTurn(Instant now);
   // Highest number of instances, this one included, that may be sending. Before any peer was heard
   // it is kUnknownFleet: an instance that is cut off from its start can't know the number.
   std::size_t PeakSize(Instant now) const;
--- a/include/primroseweir/gateway/fleet_service.h
+++ b/include/primroseweir/gateway/fleet_service.h
@@ -61,9 +61,10 @@
   void SetLeaving(bool leaving);
   // Whether the platform's store serves this instance.
   void SetReadsStore(bool reads);
-  // Whether this instance is to ask the store now. While no instance of the data centre reads it, a
-  // few try at a time: all of them would flood a store that is down.
-  bool ShouldReadStore(Instant now);
+  // Whether this instance is to ask the store now.
+  bool ShouldReadStore(Instant now) {
+    return now >= reader_grace_end_ && table_.TakesReadersTurn(now);
+  }
   // Tells the peers at once, after a change of the own state.
   void Announce();
 
@@ -75,8 +76,6 @@
   // after a short time.
   static constexpr Duration kReaderCopyDelay = std::chrono::milliseconds(300);
   static constexpr Duration kFarCopyDelay = std::chrono::milliseconds(60);
-  // Instances of a data centre that try at a time whether the store serves them.
-  static constexpr double kTriesPerRound = 1;
   // An instance that has just started and is no seed leaves the store to others for this long plus
   // a part of the same again: by then it has heard who reads it.
   static constexpr Duration kReaderGrace = std::chrono::milliseconds(300);
--- a/src/fleet/fleet_table.cc
+++ b/src/fleet/fleet_table.cc
@@ -192,6 +192,11 @@
   });
 }
 
+bool FleetTable::TakesReadersTurn(Instant now) {
+  const auto instances = static_cast<double>(near_ + 1);
+  return ShouldReadStore(now) && (self_.reads_store || random_.Unit() * instances < 1);
+}
+
 std::size_t FleetTable::PeakSize(Instant now) const {
   if (peers_.empty()) {
     return kUnknownFleet;
--- a/src/gateway/fleet_service.cc
+++ b/src/gateway/fleet_service.cc
@@ -127,14 +127,6 @@
   Announce();
 }
 
-bool FleetService::ShouldReadStore(Instant now) {
-  if (now < reader_grace_end_ || !table_.ShouldReadStore(now)) {
-    return false;
-  }
-  const auto near = static_cast<double>(table_.near() + 1);
-  return table_.self().reads_store || gateway_->random().Unit() * near < kTriesPerRound;
-}
-
 void FleetService::SetLeaving(bool leaving) {
   if (table_.self().leaving != leaving) {
     table_.SetLeaving(leaving);
--- a/tests/fleet/fleet_table_test.cc
+++ b/tests/fleet/fleet_table_test.cc
@@ -178,6 +178,30 @@
   CHECK(at_large.ShouldReadStore(now));
 }
 
+// Guards against a flood of calls from a large data centre while the store is down.
+TEST_CASE("without a reader few instances of a data centre try at a time", "[fleet]") {
+  constexpr int kNear = 25;
+  constexpr int kRounds = 100;
+  const Instant now(seconds(10));
+  int tries = 0;
+  for (int own = 1; own <= kNear; ++own) {
+    FleetTable table(MemberOf(Ip(own), "a"), static_cast<std::uint64_t>(own));
+    for (int i = 1; i <= kNear; ++i) {
+      table.Merge(MemberOf(Ip(i), "a"), now);
+    }
+    table.Beat(now);
+    for (int round = 0; round < kRounds; ++round) {
+      tries += table.TakesReadersTurn(now) ? 1 : 0;
+    }
+    table.SetReadsStore(true);
+    CHECK(table.TakesReadersTurn(now));
+  }
+  CHECK(tries > kRounds / 2);
+  CHECK(tries < kRounds * 2);
+  FleetTable alone(MemberOf(Ip(1), "a"), 1);
+  CHECK(alone.TakesReadersTurn(now));
+}
+
 // Guards against calls to the store that grow with the number of data centres, and against a fleet
 // that reads nothing because those that should are gone.
 TEST_CASE("instances of three data centres read the store", "[fleet][config-in-force]") {
