--- a/include/primroseweir/gateway/routed_call.h
+++ b/include/primroseweir/gateway/routed_call.h
@@ -45,6 +45,7 @@
   void OnCallerGone(Instant now);
 
   void OnAttemptSent(Instant now);
+  void OnAttemptOverdue(const UpstreamAttempt& attempt, Instant now);
   void OnAttemptAnswer(UpstreamAttempt* attempt, ResponseHead* head, const std::string& piece,
                        bool whole);
   void OnAttemptFailure(UpstreamAttempt* attempt, HttpClientListener::Failure failure);
--- a/include/primroseweir/loop/http_client_listener.h
+++ b/include/primroseweir/loop/http_client_listener.h
@@ -21,6 +21,8 @@
     // The bytes received are no proper answer.
     kMalformed,
   };
+  // Its name in logs.
+  static const char* NameOf(Failure failure);
 
   virtual ~HttpClientListener() = default;
 
--- a/src/gateway/routed_call.cc
+++ b/src/gateway/routed_call.cc
@@ -57,20 +57,6 @@
   return "unknown";
 }
 
-const char* ReasonOfFailure(HttpClientListener::Failure failure) {
-  switch (failure) {
-    case HttpClientListener::Failure::kConnect:
-      return "connect_failed";
-    case HttpClientListener::Failure::kReset:
-      return "connection_reset";
-    case HttpClientListener::Failure::kClosed:
-      return "connection_closed";
-    case HttpClientListener::Failure::kMalformed:
-      return "malformed_answer";
-  }
-  return "unknown";
-}
-
 }  // namespace
 
 RoutedCall::RoutedCall(Gateway* gateway, HttpServerStream* caller, RequestHead head,
@@ -329,6 +315,18 @@
   }
 }
 
+void RoutedCall::OnAttemptOverdue(const UpstreamAttempt& attempt, Instant now) {
+  const auto& upstream = attempt.upstream();
+  gateway_->log().WriteCall(
+      "attempt_overdue",
+      {{"request", id_},
+       {"service", service_.value()},
+       {"upstream", upstream.record().id.value()},
+       {"slowness_percent", std::to_string(static_cast<int>(upstream.slowness(now) * kPercent))},
+       {"took_ms", std::to_string(ToMilliseconds(now - attempt.started()))}},
+      now);
+}
+
 CallPolicy::State RoutedCall::PolicyState() const {
   CallPolicy::State state;
   state.kind = route_->kind;
@@ -390,13 +388,13 @@
                             {{"request", id_},
                              {"service", service_.value()},
                              {"upstream", upstream.record().id.value()},
-                             {"reason", ReasonOfFailure(failure)},
+                             {"reason", HttpClientListener::NameOf(failure)},
                              {"sent", sent ? "yes" : "no"},
                              {"took_ms", std::to_string(ToMilliseconds(now - attempt->started()))}},
                             now);
   if (streaming_) {
     attempt->Finish(AttemptResult::kLost, now);
-    Cut(ReasonOfFailure(failure), now);
+    Cut(HttpClientListener::NameOf(failure), now);
     return;
   }
   if (sent && failure != HttpClientListener::Failure::kMalformed) {
--- a/src/gateway/upstream_attempt.cc
+++ b/src/gateway/upstream_attempt.cc
@@ -57,7 +57,9 @@
 
 // Other calls shall avoid the upstream before this attempt ends.
 void UpstreamAttempt::OnOverdue() {
-  services_.book->NoteUnanswered(upstream_.get(), started_, EventLoop::Now());
+  const auto now = EventLoop::Now();
+  services_.book->NoteUnanswered(upstream_.get(), started_, now);
+  call_->OnAttemptOverdue(*this, now);
   overdue_after_ *= kOverdueFactor;
   overdue_timer_.Start(overdue_after_);
 }
--- /dev/null
+++ b/src/loop/http_client_listener.cc
@@ -0,0 +1,19 @@
+#include "primroseweir/loop/http_client_listener.h"
+
+namespace primroseweir {
+
+const char* HttpClientListener::NameOf(Failure failure) {
+  switch (failure) {
+    case Failure::kConnect:
+      return "connect_failed";
+    case Failure::kReset:
+      return "connection_reset";
+    case Failure::kClosed:
+      return "connection_closed";
+    case Failure::kMalformed:
+      return "malformed_answer";
+  }
+  return "unknown";
+}
+
+}  // namespace primroseweir
