Let seeds read the store at once after their start

Cause, from the lines of three instances: the others were in their grace and the seed, which had heard of a neighbour, took its turn by chance and missed it, so that nobody read the store for 0.5 s.

--- a/include/primroseweir/gateway/fleet_service.h
+++ b/include/primroseweir/gateway/fleet_service.h
@@ -62,9 +62,7 @@
   // Whether the platform's store serves this instance.
   void SetReadsStore(bool reads);
   // Whether this instance is to ask the store now.
-  bool ShouldReadStore(Instant now) {
-    return now >= reader_grace_end_ && table_.TakesReadersTurn(now);
-  }
+  bool ShouldReadStore(Instant now);
   // Tells the peers at once, after a change of the own state.
   void Announce();
 
@@ -76,8 +74,8 @@
   // after a short time.
   static constexpr Duration kReaderCopyDelay = std::chrono::milliseconds(300);
   static constexpr Duration kFarCopyDelay = std::chrono::milliseconds(60);
-  // An instance that has just started and is no seed leaves the store to others for this long plus
-  // a part of the same again: by then it has heard who reads it.
+  // An instance that has just started leaves the store to the seeds for this long plus a part of
+  // the same again: by then it has heard who reads it.
   static constexpr Duration kReaderGrace = std::chrono::milliseconds(300);
   // Longest pause of a peer that is asked for its copy.
   static constexpr Duration kCopyTimeout = std::chrono::milliseconds(500);
@@ -128,8 +126,9 @@
   Instant measured_;
   bool had_load_ = false;
   bool load_planned_ = false;
-  // Until when others are to read the store.
+  // Until when only seeds are to read the store.
   Instant reader_grace_end_;
+  bool is_seed_ = false;
   // Instances that callers of the own data centre use, as of the last beat.
   std::vector<std::string> callers_use_;
   std::vector<CrashStrike> strikes_;
--- a/src/gateway/fleet_service.cc
+++ b/src/gateway/fleet_service.cc
@@ -110,18 +110,21 @@
   if (!status.ok()) {
     return status;
   }
-  const auto& own = table_.self().ip;
-  if (std::find(seeds_.begin(), seeds_.end(), own) == seeds_.end()) {
-    const double part = gateway_->random().Unit();
-    reader_grace_end_ =
-        now_() + kReaderGrace +
-        std::chrono::duration_cast<Duration>(std::chrono::duration<double>(kReaderGrace) * part);
-  }
+  is_seed_ = std::find(seeds_.begin(), seeds_.end(), table_.self().ip) != seeds_.end();
+  const auto grace = std::chrono::duration<double>(kReaderGrace) * (1 + gateway_->random().Unit());
+  reader_grace_end_ = now_() + std::chrono::duration_cast<Duration>(grace);
   beat_timer_.Repeat(FleetTable::kBeatInterval);
   Beat();
   return absl::OkStatus();
 }
 
+bool FleetService::ShouldReadStore(Instant now) {
+  if (now < reader_grace_end_) {
+    return is_seed_ && table_.ShouldReadStore(now);
+  }
+  return table_.TakesReadersTurn(now);
+}
+
 void FleetService::SetReadsStore(bool reads) {
   table_.SetReadsStore(reads);
   Announce();
