--- a/include/primroseweir/balance/call_policy.h
+++ b/include/primroseweir/balance/call_policy.h
@@ -51,6 +51,10 @@
   static Step After(Ending ending, const State& state);
   static Step WithoutRetry(Ending ending, const State& state);
 
+  // Whether an answer with that status promises its caller that the call did not run; only the
+  // upstream's explicit word allows it once the call was sent.
+  static bool StatesNotRun(int status);
+
   // Time after which a repeatable call gets a second attempt beside the first.
   static Duration HedgeAfter(Duration objective, Duration usual);
 
--- a/include/primroseweir/gateway/gateway.h
+++ b/include/primroseweir/gateway/gateway.h
@@ -70,6 +70,8 @@
   // Accepts no further connections.
   void StopAccepting() { port_.StopAccepting(); }
   std::size_t calls() const { return calls_.size(); }
+  // Bytes of requests that are held in memory.
+  std::int64_t held_bytes() const { return port_.buffered(); }
   // `listener` hears of each call that arrives while none is under way.
   void SetWakeListener(std::function<void()> listener) { on_wake_ = std::move(listener); }
   // Calls that arrived and bytes of answers so far.
@@ -94,6 +96,8 @@
   // A doubted upstream refused connections: what it ran when it broke may have crashed it.
   void ConfirmCrash(const UpstreamId& upstream, Instant now);
   void ClearCrash(const UpstreamId& upstream) { suspects_.erase(upstream); }
+  // Whether the calls of all callers hold more memory than they may together.
+  bool OverMemory() const { return port_.OverMemory(); }
   void CountAnswer(const Route& route, Duration took);
   void CountOwnAnswer(int status);
 
@@ -113,7 +117,10 @@
 
   // ---- requests ----
 
+  bool StreamsBody(const RequestHead& head) override;
   void OnRequest(HttpServerStream* stream, RequestHead* head, std::string body) override;
+  void OnBodyPiece(HttpServerStream* stream, const std::string& piece, bool last) override;
+  void OnBodyBroken(HttpServerStream* stream, int status) override;
   void OnCallerGone(HttpServerStream* stream) override;
   void OnCallerReady(HttpServerStream* stream) override;
 
--- a/include/primroseweir/gateway/routed_call.h
+++ b/include/primroseweir/gateway/routed_call.h
@@ -14,6 +14,7 @@
 #include "primroseweir/balance/wait_queue.h"
 #include "primroseweir/base/ids.h"
 #include "primroseweir/base/time.h"
+#include "primroseweir/gateway/call_body.h"
 #include "primroseweir/http/request_head.h"
 #include "primroseweir/http/response_head.h"
 #include "primroseweir/loop/http_client_listener.h"
@@ -31,6 +32,7 @@
 // Refuse, Fail and OnCallerGone, after which the gateway has released the call.
 class RoutedCall {
  public:
+  // `body` is the whole body, or the first part of one that the gateway streams.
   RoutedCall(Gateway* gateway, HttpServerStream* caller, RequestHead head, std::string body,
              Instant now);
   ~RoutedCall();
@@ -44,7 +46,14 @@
   void OnCallerReady();
   void OnCallerGone(Instant now);
 
+  // A further piece of a streamed body arrived.
+  void OnBodyPiece(const std::string& piece, bool last);
+  // The rest of a streamed body will not come; `status` is the answer if the call went nowhere.
+  void OnBodyBroken(int status, Instant now);
+
   void OnAttemptSent(Instant now);
+  // The upstream took what it was sent of a streamed body.
+  void OnAttemptTaken();
   void OnAttemptOverdue(const UpstreamAttempt& attempt, Instant now);
   void OnAttemptAnswer(UpstreamAttempt* attempt, ResponseHead* head, const std::string& piece,
                        bool whole);
@@ -57,12 +66,19 @@
   HttpServerStream* caller() const { return caller_; }
   const ServiceName& service() const { return service_; }
 
-  // Deadline of callers that state none.
+  // Deadline of callers that state none, and the longest that one can state.
   static constexpr Duration kDefaultDeadline = std::chrono::seconds(10);
+  static constexpr Duration kLongestDeadline = std::chrono::hours(1);
   // A streamed answer waits for the caller above this size.
   static constexpr std::size_t kMaxPending = std::size_t{256} * 1024;
-  // Longest pause in the middle of a streamed answer.
+  // Longest pause in the middle of a streamed answer, and longest time for all of it: an upstream
+  // may send without end.
   static constexpr Duration kStreamPause = std::chrono::seconds(10);
+  static constexpr Duration kLongestStream = std::chrono::minutes(10);
+  // A streamed body waits for the upstream above this size.
+  static constexpr std::size_t kMaxUnsent = std::size_t{128} * 1024;
+  // What was sent of a body is kept up to this size, for another upstream.
+  static constexpr std::size_t kMaxReplay = std::size_t{512} * 1024;
   // Upstreams to which no connection could be opened, before the call is refused.
   static constexpr std::size_t kMaxTried = 5;
   // A second attempt that found no room is tried again after this time.
@@ -106,6 +122,13 @@
   void StartAttempt(std::shared_ptr<BalancedUpstream> upstream, Instant now);
   void StartHedge();
   RequestHead UpstreamHead(const UpstreamAttempt& attempt, Instant now) const;
+  // Sends on what arrived of a streamed body, and holds the caller back when the upstream takes it
+  // more slowly.
+  void SendBody();
+  // Whether the body is still at hand for another upstream.
+  bool MayResend() const { return sends_ == 0 || body_.replayable(); }
+  // Whether an upstream may have run the call.
+  bool MayHaveRun() const;
 
   // ---- endings of attempts ----
   CallPolicy::State PolicyState() const;
@@ -133,7 +156,9 @@
   Gateway* const gateway_;
   HttpServerStream* const caller_;
   const RequestHead head_;
-  const std::string body_;
+  CallBody body_;
+  // Bytes of the body that went to the present attempt.
+  std::size_t body_sent_ = 0;
   const Instant arrived_;
   const std::string id_;
   // Keeps route_ valid.
@@ -150,6 +175,7 @@
   // The last upstream that said that it did not run the call had room by its own report.
   bool refused_by_upstream_ = false;
   bool streaming_ = false;
+  Instant stream_end_;
   bool probing_ = false;
   // The last choice's inputs, for the log.
   double occupancy_ = 0;
--- a/include/primroseweir/gateway/upstream_attempt.h
+++ b/include/primroseweir/gateway/upstream_attempt.h
@@ -34,6 +34,10 @@
 
   void Send(const RequestHead& head, const std::string& body, const std::string& echo_field,
             const std::string& echo_value);
+  // Sends a further piece of the body.
+  void SendPiece(const std::string& piece, bool last);
+  // Bytes that the upstream has not taken yet.
+  std::size_t pending() const;
 
   // Notes how the attempt ended.
   void Finish(AttemptResult result, Instant now);
@@ -41,6 +45,8 @@
   // Whether a byte of the request may have reached the upstream.
   bool sent() const { return sent_; }
   BalancedUpstream& upstream() const { return *upstream_; }
+  // When the attempt started, or when the end of a body in pieces was sent: before that the
+  // upstream waits for the caller.
   Instant started() const { return started_; }
   // What was known of the upstream at the choice: calls there, this one included, and slowness.
   double occupancy() const { return occupancy_; }
@@ -48,6 +54,7 @@
   HttpClientStream* stream() const { return stream_.get(); }
 
   void OnSent() override;
+  void OnTaken() override;
   void OnAnswer(ResponseHead* head, std::string piece, bool whole) override;
   void OnFailure(Failure failure) override;
 
@@ -59,14 +66,18 @@
 
  private:
   void OnOverdue();
+  // The answer is due from now on.
+  void StartClock();
 
   const Services services_;
   std::shared_ptr<BalancedUpstream> upstream_;
   RoutedCall* const call_;
-  const Instant started_;
+  Instant started_;
   double occupancy_ = 0;
   double slowness_ = 1;
   bool sent_ = false;
+  // More of the call's body follows.
+  bool sending_ = false;
   bool whole_ = false;
   bool finished_ = false;
   std::unique_ptr<HttpClientStream> stream_;
--- a/include/primroseweir/http/message_writer.h
+++ b/include/primroseweir/http/message_writer.h
@@ -20,6 +20,11 @@
 // of a 304 then stay as they are in `fields`.
 std::string SerializeHead(const ResponseHead& head, bool bodiless);
 
+// One chunk of a body in chunks; `piece` must not be empty.
+std::string SerializeChunk(const std::string& piece);
+// What ends a body in chunks.
+constexpr char kLastChunk[] = "0\r\n\r\n";
+
 // The usual reason phrase of a status.
 const char* ReasonOf(int status);
 
--- a/include/primroseweir/loop/http_client_listener.h
+++ b/include/primroseweir/loop/http_client_listener.h
@@ -20,14 +20,18 @@
     kClosed,
     // The bytes received are no proper answer.
     kMalformed,
+    // The bytes received exceed a bound: they may never end.
+    kOversized,
   };
   // Its name in logs.
   static const char* NameOf(Failure failure);
 
   virtual ~HttpClientListener() = default;
 
-  // The request left this process.
+  // The request left this process, or its head and the first part of its body did.
   virtual void OnSent() {}
+  // The server took what was sent of the request so far.
+  virtual void OnTaken() {}
   // A further piece of the answer; `whole` with the last one. Answers up to
   // HttpClientStream::kBuffered come in one piece.
   virtual void OnAnswer(ResponseHead* head, std::string piece, bool whole) = 0;
--- a/include/primroseweir/loop/http_client_stream.h
+++ b/include/primroseweir/loop/http_client_stream.h
@@ -21,10 +21,12 @@
 // towards upstreams, the platform and other instances.
 //
 // With an echo field, an answer that echoes another value belongs to another request (a server may
-// send an extra or late answer): it is dropped, and the wait goes on.
+// send an extra or late answer): it is dropped, and the wait goes on. What never ends is cut off at
+// the bounds below.
 class HttpClientStream : public StreamHandler {
  public:
-  // A field of the request that the server repeats in its answer; empty for none.
+  // A field of the request that the server repeats in its answer; empty for none. With an empty
+  // value the request does not carry the field, and no answer that carries it belongs to it.
   struct Echo {
     std::string field;
     std::string value;
@@ -35,8 +37,14 @@
   ~HttpClientStream() override;
 
   // Sends a request, now or as soon as the connection is open. `listener` outlives the request.
+  // When `head` announces a longer body than `body`, or one in chunks, the rest follows by
+  // SendPiece.
   void Send(const RequestHead& head, const std::string& body, Echo echo,
             HttpClientListener* listener);
+  // Sends a further piece of the body; `last` with its end. Without effect once the answer ended.
+  void SendPiece(const std::string& piece, bool last);
+  // Bytes of the request that the server has not taken yet.
+  std::size_t pending() const;
   // Forgets the listener; the connection can't be used afterwards.
   void Abandon();
 
@@ -60,13 +68,21 @@
   void OnConnected() override;
   void OnData(const char* data, std::size_t size) override;
   void OnEnd(bool clean) override;
+  void OnDrained() override;
 
+  // Interim answers to one request; servers send one or two.
+  static constexpr int kMaxInterim = 16;
+  // Bytes of answers to other requests that are dropped while one waits for its own.
+  static constexpr std::size_t kMaxForeign = std::size_t{2} * 1024 * 1024;
   // Longer answers are handed over in pieces; shorter ones can be fetched again when they break.
   static constexpr std::size_t kBuffered = std::size_t{768} * 1024;
 
  private:
   bool Consume();
+  // Drops the `used` bytes that came of an answer to another request; false when that was too much.
+  bool DropForeign(std::size_t used);
   bool BelongsHere();
+  void Write(std::string bytes);
   void Complete();
   void Fail(HttpClientListener::Failure failure);
 
@@ -79,6 +95,11 @@
   Echo echo_;
   HttpClientListener* listener_ = nullptr;
   bool bodiless_ = false;
+  // More of the request's body follows.
+  bool sending_ = false;
+  bool chunked_ = false;
+  int interim_ = 0;
+  std::size_t foreign_ = 0;
   bool connected_ = false;
   bool reusable_ = false;
   bool broken_ = false;
--- a/include/primroseweir/loop/http_port.h
+++ b/include/primroseweir/loop/http_port.h
@@ -53,6 +53,7 @@
   void Account(std::int64_t change) { buffered_ += change; }
   // Whether requests in the middle hold more memory than they may together.
   bool OverMemory() const { return buffered_ > kMaxBuffered; }
+  std::int64_t buffered() const { return buffered_; }
   // Connections that were closed at once because of kMaxConnections.
   std::uint64_t overflows() const { return overflows_; }
 
--- a/include/primroseweir/loop/http_server_stream.h
+++ b/include/primroseweir/loop/http_server_stream.h
@@ -36,6 +36,17 @@
   // Bytes that the caller has not taken yet.
   std::size_t pending() const;
 
+  // ---- streamed body ----
+
+  // Whether more of the present request's body follows. An answer meanwhile ends the connection
+  // after it, since the rest of the body would stand before the next request.
+  bool receiving() const { return receiving_; }
+  // Holds back the rest of the body.
+  void PauseBody();
+  void ResumeBody();
+  // Bytes of the body that the sink holds; they count against the port's memory.
+  void AccountHeld(std::size_t bytes);
+
   // ---- port ----
 
   // Closes the connection when it broke a time limit; called by the port.
@@ -47,22 +58,35 @@
   void OnEnd(bool clean) override;
   void OnDrained() override;
 
-  // Longest pause in the middle of a request's body.
+  // Longest pause in the middle of a request's body, and longest time for all of it when it is held
+  // here.
   static constexpr Duration kBodyPause = std::chrono::seconds(10);
+  static constexpr Duration kLongestBody = std::chrono::minutes(1);
+  // Longest pause of a streamed body, which holds a slot of an upstream: the second repetition of a
+  // lost packet arrives within it.
+  static constexpr Duration kStreamedBodyPause = std::chrono::seconds(2);
+  // Bodies up to this size are handed over as a whole: a caller that stalls in them costs no
+  // upstream anything.
+  static constexpr std::size_t kStreamedFrom = std::size_t{64} * 1024;
   // Requests sent ahead of their turn are read up to this size.
   static constexpr std::size_t kReadAhead = std::size_t{64} * 1024;
-  // After an answer that ends the connection, input is discarded this long: closing with unread
-  // input would reset the connection and could destroy the answer on its way.
+  // After an answer that ends the connection, input is discarded until it has paused for this long:
+  // closing with unread input would reset the connection and could destroy the answer on its way.
   static constexpr Duration kLinger = std::chrono::seconds(1);
+  // Input without end is discarded for this long.
+  static constexpr Duration kLongestLinger = std::chrono::seconds(5);
 
  private:
   enum class State { kIdle, kReading, kServing, kLingering };
 
   void Feed();
+  // Whether input is to be parsed now.
+  bool Reads() const;
   // Tells the port how much this connection buffers.
-  void Account(std::size_t bytes);
+  void Account();
   bool CheckHead();
   void Deliver();
+  void PassPiece();
   void Fault(int status);
   void Finish();
   void Remove();
@@ -76,7 +100,14 @@
   State state_ = State::kIdle;
   // Start of the present state, or the last piece of a body, for the time limits.
   Instant since_;
+  // Start of the present request or of lingering, for the limits on the whole of it.
+  Instant began_;
   std::size_t accounted_ = 0;
+  // Bytes of the present request that the sink holds, and bytes of its body that were passed on.
+  std::size_t held_ = 0;
+  std::size_t passed_ = 0;
+  bool receiving_ = false;
+  bool body_paused_ = false;
   bool head_checked_ = false;
   bool close_after_ = false;
   bool chunked_ = false;
--- a/include/primroseweir/loop/request_sink.h
+++ b/include/primroseweir/loop/request_sink.h
@@ -13,9 +13,19 @@
  public:
   virtual ~RequestSink() = default;
 
-  // A whole request arrived. The sink answers through `stream`, at once or later. `head` is valid
-  // until then.
+  // Whether a large body of that request is taken in pieces, so that it need not be held as a
+  // whole.
+  virtual bool StreamsBody(const RequestHead& /*head*/) { return false; }
+  // A request arrived: as a whole, or, when the sink streams its body and stream->receiving() says
+  // that more of it follows, its first part. The sink answers through `stream`, at once or later.
+  // `head` is valid until then.
   virtual void OnRequest(HttpServerStream* stream, RequestHead* head, std::string body) = 0;
+  // A further piece of a streamed body; `last` with its end.
+  virtual void OnBodyPiece(HttpServerStream* /*stream*/, const std::string& /*piece*/,
+                           bool /*last*/) {}
+  // A streamed body will not end properly: it stalled, broke its framing or exceeds the limits. The
+  // sink answers; `status` is the answer to a request that did not go anywhere.
+  virtual void OnBodyBroken(HttpServerStream* /*stream*/, int /*status*/) {}
   // The caller closed its connection before the answer was complete; `stream` is invalid
   // afterwards.
   virtual void OnCallerGone(HttpServerStream* stream) {}
--- a/include/primroseweir/routes/route.h
+++ b/include/primroseweir/routes/route.h
@@ -10,9 +10,14 @@
 
 namespace primroseweir {
 
-// What may be repeated: kRepeatable and kDownload calls may run more than once, kOnce calls may
-// not. The answers of kDownload calls are large.
-enum class CallKind { kRepeatable, kOnce, kDownload };
+// What may be repeated, and what is large: the answers of kDownload calls, the bodies of kUpload
+// calls.
+enum class CallKind { kRepeatable, kOnce, kDownload, kUpload };
+
+// Whether a call of that kind may run more than once.
+constexpr bool MayRepeat(CallKind kind) {
+  return kind == CallKind::kRepeatable || kind == CallKind::kDownload;
+}
 
 // One service of a route and its share of the calls.
 struct RouteTarget {
--- a/src/balance/call_policy.cc
+++ b/src/balance/call_policy.cc
@@ -6,6 +6,10 @@
 namespace primroseweir {
 namespace {
 
+constexpr int kRequestTimeout = 408;
+constexpr int kMisdirected = 421;
+constexpr int kTooManyRequests = 429;
+constexpr int kUnavailable = 503;
 // A call that takes this many times the usual time is likely to be at a slow or silent upstream.
 constexpr double kSlowFactor = 1.6;
 // Usual times that a second attempt needs to bring its answer.
@@ -22,7 +26,7 @@
   if (ending == Ending::kNotRun) {
     return again ? Step::kTryElsewhere : WithoutRetry(ending, state);
   }
-  if (again && state.kind != CallKind::kOnce) {
+  if (again && MayRepeat(state.kind)) {
     return Step::kTryElsewhere;
   }
   return WithoutRetry(ending, state);
@@ -40,6 +44,11 @@
   return Step::kFail;
 }
 
+bool CallPolicy::StatesNotRun(int status) {
+  return status == kRequestTimeout || status == kMisdirected || status == kTooManyRequests ||
+         status == kUnavailable;
+}
+
 Duration CallPolicy::HedgeAfter(Duration objective, Duration usual) {
   return std::max(objective - Times(usual, kSecondFactor), Times(usual, kSlowFactor));
 }
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -6,6 +6,7 @@
 #include "primroseweir/gateway/gateway_metrics.h"
 #include "primroseweir/gateway/routed_call.h"
 #include "primroseweir/gateway/upstream_prober.h"
+#include "primroseweir/http/request_head.h"
 #include "primroseweir/loop/event_loop.h"
 #include "primroseweir/loop/http_server_stream.h"
 #include "primroseweir/routes/route_table.h"
@@ -135,6 +136,27 @@
 
 // ---- requests ----
 
+bool Gateway::StreamsBody(const RequestHead& head) {
+  const auto* route = state_->routes == nullptr
+                          ? nullptr
+                          : state_->routes->Find(head.fields.Get("Host"), head.target);
+  return route != nullptr && route->kind == CallKind::kUpload;
+}
+
+void Gateway::OnBodyPiece(HttpServerStream* stream, const std::string& piece, bool last) {
+  const auto found = calls_.find(stream);
+  if (found != calls_.end()) {
+    found->second->OnBodyPiece(piece, last);
+  }
+}
+
+void Gateway::OnBodyBroken(HttpServerStream* stream, int status) {
+  const auto found = calls_.find(stream);
+  if (found != calls_.end()) {
+    found->second->OnBodyBroken(status, EventLoop::Now());
+  }
+}
+
 void Gateway::OnRequest(HttpServerStream* stream, RequestHead* head, std::string body) {
   const auto now = EventLoop::Now();
   ++calls_taken_;
--- a/src/gateway/routed_call.cc
+++ b/src/gateway/routed_call.cc
@@ -28,21 +28,12 @@
 
 constexpr double kPercent = 100;
 constexpr int kNotFound = 404;
-constexpr int kRequestTimeout = 408;
 constexpr int kMisdirected = 421;
-constexpr int kTooManyRequests = 429;
 constexpr int kFirstServerError = 500;
 constexpr int kBadGateway = 502;
-constexpr int kUnavailable = 503;
 
 bool IsSuccess(int status) { return status >= 200 && status < 300; }
 
-// Statuses that state that the call did not run; only the upstream's explicit word allows them.
-bool StatesNotRun(int status) {
-  return status == kRequestTimeout || status == kMisdirected || status == kTooManyRequests ||
-         status == kUnavailable;
-}
-
 const char* NameOf(BodyKind kind) {
   switch (kind) {
     case BodyKind::kNone:
@@ -64,7 +55,7 @@
     : gateway_(gateway),
       caller_(caller),
       head_(std::move(head)),
-      body_(std::move(body)),
+      body_(std::move(body), !caller->receiving()),
       arrived_(now),
       id_(head_.fields.Get(gateway->fields().request_id)),
       deadline_(now + kDefaultDeadline),
@@ -92,7 +83,8 @@
     return;
   }
   SetDeadline(now);
-  fingerprint_ = StableHash(head_.method + " " + head_.target + "\n" + body_);
+  fingerprint_ = StableHash(head_.method + " " + head_.target + "\n" +
+                            body_.held().substr(0, CallBody::kIdentifying));
   if (gateway_->crash_guard().Check(fingerprint_, now) == CrashGuard::Verdict::kQuarantined) {
     Refuse("crashes_upstreams", now);
     return;
@@ -118,7 +110,9 @@
 void RoutedCall::SetDeadline(Instant now) {
   Duration left = kDefaultDeadline;
   if (const auto* stated = head_.fields.Find(gateway_->fields().deadline)) {
-    left = std::chrono::milliseconds(std::max<std::int64_t>(0, std::atoll(stated->c_str())));
+    const std::int64_t milliseconds = std::atoll(stated->c_str());
+    left = std::chrono::milliseconds(
+        std::clamp<std::int64_t>(milliseconds, 0, ToMilliseconds(kLongestDeadline)));
   }
   if (route_->timeout > Duration::zero()) {
     left = std::min(left, route_->timeout);
@@ -263,7 +257,7 @@
 }
 
 void RoutedCall::StartAttempt(std::shared_ptr<BalancedUpstream> upstream, Instant now) {
-  const bool at_most_once = route_->kind == CallKind::kOnce;
+  const bool at_most_once = !MayRepeat(route_->kind);
   tried_.push_back(upstream->record().id);
   UpstreamAttempt::Services services{gateway_->loop(), &gateway_->book(), &gateway_->pool()};
   attempts_.push_back(
@@ -271,7 +265,10 @@
   auto* attempt = attempts_.back().get();
   occupancy_ = attempt->occupancy();
   const auto& field = gateway_->fields().request_id;
-  attempt->Send(UpstreamHead(*attempt, now), body_, id_.empty() ? std::string() : field, id_);
+  body_sent_ = body_.arrived();
+  attempt->Send(UpstreamHead(*attempt, now), body_.held(), id_.empty() ? std::string() : field,
+                id_);
+  SendBody();
   if (!at_most_once && attempts_.size() == 1 && sends_ < route_->max_attempts) {
     hedge_timer_.Start(CallPolicy::HedgeAfter(route_->objective, gateway_->book().Usual(service_)));
   }
@@ -301,18 +298,41 @@
   head.fields.Set(fields.expected_upstream, attempt.upstream().record().id.value());
   head.keep_alive = true;
   head.minor_version = 1;
-  head.body = {
-      body_.empty() && head_.body.kind == BodyKind::kNone ? BodyKind::kNone : BodyKind::kLength,
-      body_.size()};
+  if (body_.whole() && head_.body.kind != BodyKind::kNone) {
+    head.body = {BodyKind::kLength, body_.arrived()};
+  }
   return head;
 }
 
+void RoutedCall::SendBody() {
+  if (!caller_->receiving() && body_sent_ == body_.arrived()) {
+    return;
+  }
+  auto* attempt = attempts_.empty() ? nullptr : attempts_.front().get();
+  if (attempt != nullptr && body_sent_ < body_.arrived()) {
+    attempt->SendPiece(body_.From(body_sent_), body_.whole());
+    body_sent_ = body_.arrived();
+  }
+  const bool sent = attempt != nullptr && attempt->sent();
+  if (sent && (body_.held().size() > kMaxReplay || gateway_->OverMemory())) {
+    body_.DropBefore(body_sent_);
+  }
+  caller_->AccountHeld(body_.held().size());
+  const auto unsent = attempt == nullptr ? body_.held().size() : attempt->pending();
+  if (unsent > kMaxUnsent) {
+    caller_->PauseBody();
+  } else {
+    caller_->ResumeBody();
+  }
+}
+
 // ---- endings of attempts ----
 
 void RoutedCall::OnAttemptSent(Instant now) {
   if (sends_++ == 0) {
     gateway_->ledger(service_).NoteFirst(now);
   }
+  SendBody();
 }
 
 void RoutedCall::OnAttemptOverdue(const UpstreamAttempt& attempt, Instant now) {
@@ -327,6 +347,13 @@
       now);
 }
 
+void RoutedCall::OnAttemptTaken() { SendBody(); }
+
+bool RoutedCall::MayHaveRun() const {
+  return may_have_run_ || std::any_of(attempts_.begin(), attempts_.end(),
+                                      [](const auto& attempt) { return attempt->sent(); });
+}
+
 CallPolicy::State RoutedCall::PolicyState() const {
   CallPolicy::State state;
   state.kind = route_->kind;
@@ -371,7 +398,7 @@
     // One that is full says nothing about the others, but there is little room.
     refused_by_upstream_ = upstream.reports_room();
     EndAttempt(attempt, Ending::kNotRun, AttemptResult::kRefused, nullptr, {}, now);
-  } else if (head->status >= kFirstServerError || StatesNotRun(head->status)) {
+  } else if (head->status >= kFirstServerError || CallPolicy::StatesNotRun(head->status)) {
     EndAttempt(attempt, Ending::kFailed, AttemptResult::kFailed, head, piece, now);
   } else if (IsSuccess(head->status) && head->fields.Find(fields.signature) == nullptr) {
     EndAttempt(attempt, Ending::kLost, AttemptResult::kFailed, nullptr, {}, now);
@@ -415,7 +442,8 @@
     may_have_run_ = may_have_run_ || ending != CallPolicy::Ending::kNotRun;
     return;
   }
-  const bool again = CallPolicy::After(ending, PolicyState()) == CallPolicy::Step::kTryElsewhere;
+  const bool again =
+      MayResend() && CallPolicy::After(ending, PolicyState()) == CallPolicy::Step::kTryElsewhere;
   const auto without = CallPolicy::WithoutRetry(ending, PolicyState());
   may_have_run_ = may_have_run_ || ending != CallPolicy::Ending::kNotRun;
   if (again && without != CallPolicy::Step::kPass) {
@@ -432,7 +460,7 @@
     Refuse("upstreams_refused", now);
   } else if (step == CallPolicy::Step::kFail) {
     Fail(kBadGateway, "upstream_lost", now);
-  } else if (StatesNotRun(failure.status)) {
+  } else if (CallPolicy::StatesNotRun(failure.status)) {
     // Without the explicit field the status does not prove that the call did not run.
     Fail(kBadGateway, "unproven_refusal", now);
   } else {
@@ -456,6 +484,7 @@
     return;
   }
   if (!std::exchange(streaming_, true)) {
+    stream_end_ = now + kLongestStream;
     hedge_timer_.Cancel();
     // The other attempt of a hedged call is no longer needed.
     attempts_.erase(std::remove_if(attempts_.begin(), attempts_.end(),
@@ -467,7 +496,7 @@
   }
   // The caller's deadline is for the start of a large answer; from there on it has to make
   // progress.
-  deadline_timer_.Start(kStreamPause);
+  deadline_timer_.Start(std::min<Duration>(kStreamPause, stream_end_ - now));
   caller_->WritePiece(piece);
   gateway_->CountAnswerBytes(piece.size());
   if (!whole) {
--- a/src/gateway/routed_call_answers.cc
+++ b/src/gateway/routed_call_answers.cc
@@ -50,18 +50,34 @@
     Cut("no_progress", now);
     return;
   }
-  bool sent = may_have_run_;
   for (const auto& attempt : attempts_) {
-    sent = sent || attempt->sent();
     attempt->Finish(AttemptResult::kTimedOut, now);
   }
-  if (sent) {
+  if (MayHaveRun()) {
     Fail(kGatewayTimeout, "deadline", now);
   } else {
     Refuse("deadline", now);
   }
 }
 
+// ---- streamed body ----
+
+void RoutedCall::OnBodyPiece(const std::string& piece, bool last) {
+  body_.Append(piece, last);
+  SendBody();
+}
+
+void RoutedCall::OnBodyBroken(int status, Instant now) {
+  if (streaming_) {
+    Cut("body_broken", now);
+  } else if (MayHaveRun() && CallPolicy::StatesNotRun(status)) {
+    // A part of the call may have run.
+    Fail(kGatewayTimeout, "body_broken", now);
+  } else {
+    AnswerOwn(status, "failed", "body_broken", std::nullopt, now);
+  }
+}
+
 // ---- final answers ----
 
 void RoutedCall::Pass(ResponseHead head, const std::string& body, Instant now) {
--- a/src/gateway/upstream_attempt.cc
+++ b/src/gateway/upstream_attempt.cc
@@ -5,6 +5,7 @@
 #include "primroseweir/balance/upstream_book.h"
 #include "primroseweir/gateway/routed_call.h"
 #include "primroseweir/gateway/upstream_pool.h"
+#include "primroseweir/http/request_head.h"
 #include "primroseweir/loop/event_loop.h"
 #include "primroseweir/loop/http_client_stream.h"
 
@@ -37,9 +38,20 @@
 
 void UpstreamAttempt::Send(const RequestHead& head, const std::string& body,
                            const std::string& echo_field, const std::string& echo_value) {
+  sending_ = head.body.kind == BodyKind::kChunked || body.size() < head.body.length;
   stream_->Send(head, body, {echo_field, echo_value}, this);
 }
 
+void UpstreamAttempt::SendPiece(const std::string& piece, bool last) {
+  stream_->SendPiece(piece, last);
+  if (last && std::exchange(sending_, false) && sent_ && !finished_) {
+    started_ = EventLoop::Now();
+    StartClock();
+  }
+}
+
+std::size_t UpstreamAttempt::pending() const { return stream_->pending(); }
+
 void UpstreamAttempt::Finish(AttemptResult result, Instant now) {
   if (!std::exchange(finished_, true)) {
     overdue_timer_.Cancel();
@@ -51,6 +63,14 @@
   sent_ = true;
   call_->OnAttemptSent(EventLoop::Now());
   connect_timer_.Cancel();
+  if (!sending_) {
+    StartClock();
+  }
+}
+
+void UpstreamAttempt::OnTaken() { call_->OnAttemptTaken(); }
+
+void UpstreamAttempt::StartClock() {
   overdue_after_ = services_.book->Usual(upstream_->record().service) * kOverdueFactor;
   overdue_timer_.Start(overdue_after_);
 }
--- a/src/http/message_writer.cc
+++ b/src/http/message_writer.cc
@@ -2,6 +2,7 @@
 
 #include <http_parser.h>
 
+#include <cstdio>
 #include <string_view>
 #include <vector>
 
@@ -110,6 +111,13 @@
   return out;
 }
 
+std::string SerializeChunk(const std::string& piece) {
+  char size[24];
+  const int length = std::snprintf(size, sizeof size, "%zx\r\n", piece.size());
+  std::string chunk(size, static_cast<std::size_t>(length));
+  return chunk.append(piece).append("\r\n");
+}
+
 const char* ReasonOf(int status) {
   const char* text = http_status_str(static_cast<http_status>(status));
   return std::string_view(text) == "<unknown>" ? "Unknown" : text;
--- a/src/loop/http_client_listener.cc
+++ b/src/loop/http_client_listener.cc
@@ -12,6 +12,8 @@
       return "connection_closed";
     case Failure::kMalformed:
       return "malformed_answer";
+    case Failure::kOversized:
+      return "oversized_answer";
   }
   return "unknown";
 }
--- a/src/loop/http_client_stream.cc
+++ b/src/loop/http_client_stream.cc
@@ -45,13 +45,40 @@
   bodiless_ = head.method == "HEAD";
   parser_.Reset(bodiless_);
   body_.clear();
-  unsent_ = SerializeHead(head) + body;
+  interim_ = 0;
+  foreign_ = 0;
+  chunked_ = head.body.kind == BodyKind::kChunked;
+  sending_ = chunked_ || (head.body.kind == BodyKind::kLength && body.size() < head.body.length);
+  auto bytes = SerializeHead(head);
+  bytes += chunked_ && !body.empty() ? SerializeChunk(body) : body;
+  Write(std::move(bytes));
   if (connected_) {
-    stream_->Write(std::exchange(unsent_, std::string()));
     listener_->OnSent();
   }
 }
 
+void HttpClientStream::SendPiece(const std::string& piece, bool last) {
+  if (listener_ == nullptr || !sending_) {
+    return;
+  }
+  auto bytes = chunked_ && !piece.empty() ? SerializeChunk(piece) : piece;
+  if (last) {
+    sending_ = false;
+    bytes += chunked_ ? kLastChunk : "";
+  }
+  Write(std::move(bytes));
+}
+
+void HttpClientStream::Write(std::string bytes) {
+  if (connected_) {
+    stream_->Write(std::move(bytes));
+  } else {
+    unsent_ += bytes;
+  }
+}
+
+std::size_t HttpClientStream::pending() const { return unsent_.size() + stream_->pending(); }
+
 void HttpClientStream::Abandon() {
   listener_ = nullptr;
   reusable_ = false;
@@ -69,9 +96,17 @@
   }
 }
 
+void HttpClientStream::OnDrained() {
+  if (listener_ != nullptr) {
+    listener_->OnTaken();
+  }
+}
+
 void HttpClientStream::OnData(const char* data, std::size_t size) {
   if (listener_ == nullptr) {
+    // Nobody reads what comes while the connection is idle, and it may have no end.
     broken_ = true;
+    stream_->PauseReading();
     return;
   }
   heard_at_ = EventLoop::Now();
@@ -83,38 +118,60 @@
 // Reads on in the input; false when the answer ended or failed, after which this stream may be
 // destroyed.
 bool HttpClientStream::Consume() {
+  using Failure = HttpClientListener::Failure;
   const auto used = parser_.Feed(input_.data(), input_.size(), &body_);
   if (!used.ok()) {
-    Fail(HttpClientListener::Failure::kMalformed);
+    Fail(absl::IsOutOfRange(used.status()) ? Failure::kOversized : Failure::kMalformed);
     return false;
   }
   input_.erase(0, *used);
-  if (parser_.message_complete()) {
-    if (parser_.response()->status < kFirstFinalStatus) {
-      parser_.Reset(bodiless_);
-      return true;
-    }
-    if (!BelongsHere()) {
-      out_of_step_ = true;
-      parser_.Reset(bodiless_);
-      body_.clear();
-      return true;
+  if (!parser_.head_complete()) {
+    return true;
+  }
+  if (parser_.response()->status < kFirstFinalStatus) {
+    if (++interim_ > kMaxInterim) {
+      Fail(Failure::kOversized);
+      return false;
     }
+    parser_.Reset(bodiless_);
+    return true;
+  }
+  if (!BelongsHere()) {
+    return DropForeign(*used);
+  }
+  if (parser_.message_complete()) {
     Complete();
     return false;
   }
-  if (parser_.head_complete() && body_.size() > kBuffered && BelongsHere()) {
+  if (body_.size() > kBuffered) {
     listener_->OnAnswer(parser_.response(), std::exchange(body_, std::string()), false);
     return false;
   }
   return true;
 }
 
+bool HttpClientStream::DropForeign(std::size_t used) {
+  out_of_step_ = true;
+  foreign_ += used;
+  body_.clear();
+  if (foreign_ > kMaxForeign) {
+    Fail(HttpClientListener::Failure::kOversized);
+    return false;
+  }
+  if (parser_.message_complete()) {
+    parser_.Reset(bodiless_);
+  }
+  return true;
+}
+
 bool HttpClientStream::BelongsHere() {
   if (echo_.field.empty()) {
     return true;
   }
   const auto* value = parser_.response()->fields.Find(echo_.field);
+  if (echo_.value.empty()) {
+    return value == nullptr;
+  }
   // A server that refuses a request before it has read it can't repeat the field.
   return value == nullptr ? parser_.response()->status >= kFirstFailureStatus
                           : *value == echo_.value;
@@ -125,8 +182,8 @@
   kept_for_ = KeptFor(head->fields);
   idle_since_ = EventLoop::Now();
   // An answer before the whole request was taken leaves the connection out of step.
-  reusable_ =
-      head->keep_alive && input_.empty() && !out_of_step_ && !broken_ && stream_->pending() == 0;
+  reusable_ = head->keep_alive && input_.empty() && !out_of_step_ && !broken_ && !sending_ &&
+              stream_->pending() == 0;
   auto* listener = std::exchange(listener_, nullptr);
   listener->OnAnswer(head, std::exchange(body_, std::string()), true);
 }
--- a/src/loop/http_server_stream.cc
+++ b/src/loop/http_server_stream.cc
@@ -1,7 +1,6 @@
 #include "primroseweir/loop/http_server_stream.h"
 
 #include <algorithm>
-#include <cstdio>
 #include <string_view>
 #include <utility>
 
@@ -26,12 +25,6 @@
   return result;
 }
 
-std::string ChunkHead(std::size_t size) {
-  char buffer[24];
-  const int length = std::snprintf(buffer, sizeof buffer, "%zx\r\n", size);
-  return {buffer, static_cast<std::size_t>(length)};
-}
-
 }  // namespace
 
 HttpServerStream::HttpServerStream(HttpPort* port, std::unique_ptr<TcpStream> stream, Instant now)
@@ -40,7 +33,7 @@
       parser_(MessageParser::Kind::kRequest, ParserLimits(port->limits())),
       since_(now) {}
 
-HttpServerStream::~HttpServerStream() { Account(0); }
+HttpServerStream::~HttpServerStream() { port_->Account(-static_cast<std::int64_t>(accounted_)); }
 
 Instant HttpServerStream::Now() const { return EventLoop::Now(); }
 
@@ -48,32 +41,41 @@
 
 void HttpServerStream::OnData(const char* data, std::size_t size) {
   if (state_ == State::kLingering) {
+    since_ = Now();
     return;
   }
   input_.append(data, size);
-  Account(input_.size() + body_.size());
-  if (state_ == State::kServing) {
-    // The connection must stay readable, or a caller that leaves would go unnoticed.
-    if (input_.size() > kReadAhead) {
-      stream_->PauseReading();
-      paused_ = true;
-    }
-    return;
+  Account();
+  if (Reads()) {
+    Feed();
+  } else if (input_.size() > kReadAhead && !paused_) {
+    // Below that the connection stays readable, or a caller that leaves would go unnoticed.
+    stream_->PauseReading();
+    paused_ = true;
   }
-  Feed();
 }
 
-void HttpServerStream::Account(std::size_t bytes) {
+bool HttpServerStream::Reads() const {
+  return receiving_ ? !body_paused_ : state_ == State::kIdle || state_ == State::kReading;
+}
+
+void HttpServerStream::Account() {
+  const auto bytes = input_.size() + body_.size() + held_;
   port_->Account(static_cast<std::int64_t>(bytes) - static_cast<std::int64_t>(accounted_));
   accounted_ = bytes;
 }
 
+void HttpServerStream::AccountHeld(std::size_t bytes) {
+  held_ = bytes;
+  Account();
+}
+
 void HttpServerStream::Feed() {
   feeding_ = true;
-  while (state_ != State::kServing && state_ != State::kLingering && !input_.empty()) {
+  while (Reads() && !input_.empty()) {
     if (state_ == State::kIdle) {
       state_ = State::kReading;
-      since_ = Now();
+      began_ = since_ = Now();
     }
     const auto used = parser_.Feed(input_.data(), input_.size(), &body_);
     if (!used.ok()) {
@@ -84,28 +86,33 @@
     if (parser_.head_complete() && !CheckHead()) {
       break;
     }
-    if (parser_.message_complete()) {
+    if (receiving_) {
+      PassPiece();
+    } else if (parser_.message_complete() ||
+               (body_.size() > kStreamedFrom && port_->sink()->StreamsBody(*parser_.request()))) {
       Deliver();
     }
   }
   feeding_ = false;
   if (ended_) {
     Remove();
+    return;
   }
+  Account();
 }
 
 // Answers whether the request may go on.
 bool HttpServerStream::CheckHead() {
   const auto limits = port_->limits();
   const auto& body = parser_.request()->body;
-  if (body_.size() > limits.body_bytes ||
+  if (passed_ + body_.size() > limits.body_bytes ||
       (body.kind == BodyKind::kLength && body.length > limits.body_bytes)) {
     Fault(kBodyTooLarge);
     return false;
   }
   if (!parser_.message_complete()) {
     since_ = Now();
-    if (port_->OverMemory()) {
+    if (!receiving_ && port_->OverMemory()) {
       Fault(kUnavailable);
       return false;
     }
@@ -120,12 +127,39 @@
 void HttpServerStream::Deliver() {
   state_ = State::kServing;
   since_ = Now();
+  receiving_ = !parser_.message_complete();
   auto* head = parser_.request();
   close_after_ = !head->keep_alive || port_->closing();
-  port_->sink()->OnRequest(this, head, std::move(body_));
+  held_ = passed_ = body_.size();
+  port_->sink()->OnRequest(this, head, std::exchange(body_, std::string()));
+}
+
+void HttpServerStream::PassPiece() {
+  receiving_ = !parser_.message_complete();
+  passed_ += body_.size();
+  port_->sink()->OnBodyPiece(this, std::exchange(body_, std::string()), !receiving_);
+}
+
+void HttpServerStream::PauseBody() { body_paused_ = true; }
+
+void HttpServerStream::ResumeBody() {
+  if (!std::exchange(body_paused_, false)) {
+    return;
+  }
+  since_ = Now();
+  if (std::exchange(paused_, false)) {
+    stream_->ResumeReading();
+  }
+  if (!feeding_ && Reads()) {
+    Feed();
+  }
 }
 
 void HttpServerStream::Fault(int status) {
+  if (receiving_) {
+    port_->sink()->OnBodyBroken(this, status);
+    return;
+  }
   state_ = State::kServing;
   close_after_ = true;
   ResponseHead head;
@@ -137,7 +171,7 @@
 
 void HttpServerStream::Answer(ResponseHead head, const std::string& body) {
   head.body = {body.empty() ? BodyKind::kNone : BodyKind::kLength, body.size()};
-  close_after_ = close_after_ || port_->closing();
+  close_after_ = close_after_ || receiving_ || port_->closing();
   head.keep_alive = !close_after_;
   const bool bodiless = parser_.head_complete() && parser_.request()->method == "HEAD";
   auto bytes = SerializeHead(head, bodiless);
@@ -149,7 +183,7 @@
 }
 
 void HttpServerStream::BeginAnswer(ResponseHead head) {
-  close_after_ = close_after_ || port_->closing();
+  close_after_ = close_after_ || receiving_ || port_->closing();
   chunked_ = head.body.kind == BodyKind::kChunked || head.body.kind == BodyKind::kUntilClose;
   if (chunked_ && parser_.request()->minor_version == 0) {
     chunked_ = false;
@@ -166,12 +200,12 @@
   if (piece.empty()) {
     return;
   }
-  stream_->Write(chunked_ ? ChunkHead(piece.size()) + piece + "\r\n" : piece);
+  stream_->Write(chunked_ ? SerializeChunk(piece) : piece);
 }
 
 void HttpServerStream::EndAnswer() {
   if (chunked_) {
-    stream_->Write("0\r\n\r\n");
+    stream_->Write(kLastChunk);
     chunked_ = false;
   }
   Finish();
@@ -180,16 +214,21 @@
 void HttpServerStream::Abort() {
   stream_->Reset();
   state_ = State::kLingering;
+  receiving_ = false;
   Remove();
 }
 
 std::size_t HttpServerStream::pending() const { return stream_->pending(); }
 
 void HttpServerStream::Finish() {
-  since_ = Now();
+  began_ = since_ = Now();
+  receiving_ = body_paused_ = false;
+  held_ = passed_ = 0;
   if (close_after_) {
     state_ = State::kLingering;
     input_.clear();
+    body_.clear();
+    Account();
     stream_->ShutdownWrite();
     if (std::exchange(paused_, false)) {
       stream_->ResumeReading();
@@ -199,7 +238,7 @@
   state_ = State::kIdle;
   parser_.Reset();
   body_.clear();
-  Account(input_.size());
+  Account();
   head_checked_ = false;
   if (std::exchange(paused_, false)) {
     stream_->ResumeReading();
@@ -234,16 +273,20 @@
       }
       break;
     case State::kReading:
-      if (now - since_ > (head_checked_ ? Duration(kBodyPause) : limits.head_time)) {
+      if (now - since_ > (head_checked_ ? Duration(kBodyPause) : limits.head_time) ||
+          now - began_ > std::max(Duration(kLongestBody), limits.head_time)) {
         Fault(kRequestTimeout);
       }
       break;
     case State::kLingering:
-      if (now - since_ > kLinger) {
+      if (now - since_ > kLinger || now - began_ > kLongestLinger) {
         Remove();
       }
       break;
     case State::kServing:
+      if (receiving_ && !body_paused_ && now - since_ > kStreamedBodyPause) {
+        Fault(kRequestTimeout);
+      }
       break;
   }
 }
--- /dev/null
+++ b/tests/gateway/gateway_fixture.h
@@ -0,0 +1,135 @@
+#ifndef PRIMROSEWEIR_TESTS_GATEWAY_GATEWAY_FIXTURE_H_
+#define PRIMROSEWEIR_TESTS_GATEWAY_GATEWAY_FIXTURE_H_
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <catch2/catch.hpp>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "primroseweir/base/line_log.h"
+#include "primroseweir/gateway/gateway.h"
+#include "primroseweir/gateway/gateway_metrics.h"
+#include "primroseweir/gateway/serving_state.h"
+#include "primroseweir/routes/route_table.h"
+#include "support/loop_server.h"
+
+namespace primroseweir::testing {
+
+using Reply = LoopServer::Reply;
+using Request = LoopServer::Request;
+using Then = LoopServer::Then;
+
+inline CallFields FieldNames() {
+  CallFields fields;
+  fields.request_id = "X-Id";
+  fields.deadline = "X-Deadline";
+  fields.expected_upstream = "X-Expected";
+  fields.load = "X-Load";
+  fields.not_run = "X-Not-Run";
+  fields.signature = "X-Signature";
+  fields.upstream_id = "X-Upstream";
+  fields.warm_up_left = "X-Warm-Up";
+  return fields;
+}
+
+// An answer as upstreams send it.
+inline std::string Answer(const Request& request, int status, const std::string& body,
+                          const std::string& fields = "X-Signature: s\r\n") {
+  return "HTTP/1.1 " + std::to_string(status) +
+         " Status\r\nX-Id: " + request.head.fields.Get("X-Id") + "\r\n" + fields +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+// A gateway with upstreams that follow scripts, on one event loop.
+class GatewayFixture {
+ public:
+  GatewayFixture() : log_("test", open("/dev/null", O_WRONLY | O_CLOEXEC)) {
+    Gateway::Options options;
+    options.callers = RandomLoopback();
+    options.fields = FieldNames();
+    options.book.data_centre = DataCentre("here");
+    options.retries = {0.2, 1000, std::chrono::seconds(10)};
+    gateway_ = std::make_unique<Gateway>(&loop_, options, &log_, &metrics_);
+    REQUIRE(gateway_->Listen().ok());
+  }
+
+  LoopServer& AddUpstream(LoopServer::Script script, const std::string& data_centre = "here",
+                          std::uint32_t slots = 4, LoopServer::Script early = nullptr) {
+    servers_.push_back(std::make_unique<LoopServer>(&loop_, std::move(script), std::move(early)));
+    UpstreamRecord record;
+    record.id = UpstreamId("u" + std::to_string(servers_.size()));
+    record.service = ServiceName("s");
+    record.data_centre = DataCentre(data_centre);
+    record.address = servers_.back()->address();
+    record.slots = slots;
+    upstreams_.push_back(record);
+    return *servers_.back();
+  }
+
+  void Apply(CallKind kind) {
+    Route route;
+    route.host = "h";
+    route.prefix = "/x/";
+    route.targets = {{ServiceName("s"), 1}};
+    route.kind = kind;
+    route.timeout = timeout;
+    route.objective = std::chrono::milliseconds(400);
+    route.max_attempts = 2;
+    auto state = std::make_shared<ServingState>();
+    state->routes = std::make_shared<RouteTable>(
+        1, std::vector<Route>{route},
+        std::map<ServiceName, ServiceTerms>{{ServiceName("s"), ServiceTerms()}}, limits);
+    state->upstreams = upstreams_;
+    gateway_->Apply(state, EventLoop::Now());
+  }
+
+  std::unique_ptr<LoopCaller> Start(const std::string& target = "/x/1") {
+    auto caller = std::make_unique<LoopCaller>(&loop_, gateway_->address());
+    caller->Send("POST " + target +
+                 " HTTP/1.1\r\nHost: h\r\nX-Id: q1\r\nX-Deadline: 2000\r\nContent-Length: "
+                 "2\r\n\r\nhi");
+    return caller;
+  }
+
+  // Runs one call to its answer.
+  std::unique_ptr<LoopCaller> Call(const std::string& target = "/x/1") {
+    auto caller = Start(target);
+    RunUntil(&loop_, [&] { return caller->status() != 0 || caller->ended(); });
+    return caller;
+  }
+
+  std::size_t arrivals() const {
+    std::size_t count = 0;
+    for (const auto& server : servers_) {
+      count += server->requests().size();
+    }
+    return count;
+  }
+
+  EventLoop& loop() { return loop_; }
+  Gateway& gateway() { return *gateway_; }
+
+  Duration timeout = std::chrono::seconds(2);
+  CallerLimits limits;
+
+ private:
+  EventLoop loop_;
+  LineLog log_;
+  GatewayMetrics metrics_;
+  std::vector<std::unique_ptr<LoopServer>> servers_;
+  std::vector<UpstreamRecord> upstreams_;
+  std::unique_ptr<Gateway> gateway_;
+};
+
+inline bool Contains(const std::string& text, const std::string& part) {
+  return text.find(part) != std::string::npos;
+}
+
+}  // namespace primroseweir::testing
+
+#endif  // PRIMROSEWEIR_TESTS_GATEWAY_GATEWAY_FIXTURE_H_
