--- a/include/primroseweir/gateway/fleet_service.h
+++ b/include/primroseweir/gateway/fleet_service.h
@@ -79,6 +79,9 @@
   static constexpr Duration kReaderGrace = std::chrono::milliseconds(300);
   // Longest pause of a peer that is asked for its copy.
   static constexpr Duration kCopyTimeout = std::chrono::milliseconds(500);
+  // Longest time of a copy, whatever its pauses: a large configuration takes seconds when a data
+  // centre copies it over one link of 10 Mbit/s.
+  static constexpr Duration kLongestCopy = std::chrono::seconds(15);
   static constexpr Duration kLoadInterval = std::chrono::milliseconds(50);
   // Seeds hear the own state this often even when peers are known, so that parts of a split fleet
   // meet: a seed greets whom it did not know.
--- a/include/primroseweir/gateway/gateway.h
+++ b/include/primroseweir/gateway/gateway.h
@@ -45,6 +45,8 @@
     CallFields fields;
     UpstreamBook::Options book;
     RetryLedger::Budget retries;
+    // Longest time of a streamed answer: an upstream may send without end.
+    Duration longest_stream = std::chrono::minutes(10);
     std::uint64_t seed = 0;
   };
 
@@ -103,6 +105,7 @@
 
   EventLoop* loop() const { return loop_; }
   const CallFields& fields() const { return options_.fields; }
+  Duration longest_stream() const { return options_.longest_stream; }
   const ServingState& state() const { return *state_; }
   Instant state_heard() const { return state_heard_; }
   UpstreamBook& book() { return book_; }
--- a/include/primroseweir/gateway/routed_call.h
+++ b/include/primroseweir/gateway/routed_call.h
@@ -71,10 +71,8 @@
   static constexpr Duration kLongestDeadline = std::chrono::hours(1);
   // A streamed answer waits for the caller above this size.
   static constexpr std::size_t kMaxPending = std::size_t{256} * 1024;
-  // Longest pause in the middle of a streamed answer, and longest time for all of it: an upstream
-  // may send without end.
+  // Longest pause in the middle of a streamed answer.
   static constexpr Duration kStreamPause = std::chrono::seconds(10);
-  static constexpr Duration kLongestStream = std::chrono::minutes(10);
   // A streamed body waits for the upstream above this size.
   static constexpr std::size_t kMaxUnsent = std::size_t{128} * 1024;
   // What was sent of a body is kept up to this size, for another upstream.
@@ -175,8 +173,11 @@
   // The last upstream that said that it did not run the call had room by its own report.
   bool refused_by_upstream_ = false;
   bool streaming_ = false;
+  // When a streamed answer has taken too long.
   Instant stream_end_;
   bool probing_ = false;
+  // When the call goes on with what is known; set by its first probe.
+  Instant probe_end_;
   // The last choice's inputs, for the log.
   double occupancy_ = 0;
   std::vector<std::unique_ptr<UpstreamAttempt>> attempts_;
--- a/include/primroseweir/loop/http_client_stream.h
+++ b/include/primroseweir/loop/http_client_stream.h
@@ -25,8 +25,8 @@
 // the bounds below.
 class HttpClientStream : public StreamHandler {
  public:
-  // A field of the request that the server repeats in its answer; empty for none. With an empty
-  // value the request does not carry the field, and no answer that carries it belongs to it.
+  // A field of the request that the server repeats in its answer; empty for none. An empty value
+  // says that the request lacks the field: no answer that carries it belongs to this request.
   struct Echo {
     std::string field;
     std::string value;
--- a/include/primroseweir/published/published_copy.h
+++ b/include/primroseweir/published/published_copy.h
@@ -3,6 +3,7 @@
 
 #include <absl/status/statusor.h>
 
+#include <cstddef>
 #include <string>
 #include <vector>
 
@@ -29,6 +30,10 @@
   std::vector<Withdrawn> withdrawn;
 };
 
+// Bounds the memory that a peer can claim, on the wire and inflated: far above a configuration and
+// entries of 1 MB each.
+constexpr std::size_t kLargestPublishedCopy = std::size_t{32} * 1024 * 1024;
+
 // JSON: {"after":N,"at":N,"items":[[key,value,revision],...],"withdrawn":[[key,revision,ms],...]},
 // deflated when it is large: a whole data centre may copy a configuration over one slow link.
 std::string EncodePublishedCopy(const PublishedCopy& copy);
--- a/src/gateway/fleet_service.cc
+++ b/src/gateway/fleet_service.cc
@@ -40,11 +40,17 @@
 
   // Whether it ended, or has brought nothing for a while: many may copy over one slow link.
   bool over(Instant now) const {
-    return done_ || now - std::max(started_, stream_.heard_at()) > kCopyTimeout;
+    return done_ || now - started_ > kLongestCopy ||
+           now - std::max(started_, stream_.heard_at()) > kCopyTimeout;
   }
 
   void OnAnswer(ResponseHead* head, std::string piece, bool whole) override {
     text_ += piece;
+    if (text_.size() > kLargestPublishedCopy) {
+      stream_.Abandon();
+      OnFailure(Failure::kOversized);
+      return;
+    }
     if (!whole) {
       return;
     }
@@ -61,10 +67,13 @@
     service_->on_copy_(changed);
   }
 
-  void OnFailure(Failure /*failure*/) override {
+  void OnFailure(Failure failure) override {
     done_ = true;
-    service_->log_->Write("peer_copy", {{"peer", stream_.address().ip}, {"outcome", "failed"}},
-                          EventLoop::Now());
+    text_.clear();
+    service_->log_->Write(
+        "peer_copy",
+        {{"peer", stream_.address().ip}, {"outcome", "failed"}, {"reason", NameOf(failure)}},
+        EventLoop::Now());
   }
 
  private:
--- a/src/gateway/routed_call.cc
+++ b/src/gateway/routed_call.cc
@@ -154,7 +154,8 @@
       probing_ = gateway_->prober().Check(upstream, now) || probing_;
     }
     if (probing_) {
-      probe_timer_.Start(kProbeWait);
+      probe_end_ = probe_end_ == Instant() ? now + kProbeWait : probe_end_;
+      probe_timer_.Start(std::max(Duration::zero(), probe_end_ - now));
       return Placement::kProbing;
     }
   }
@@ -484,7 +485,7 @@
     return;
   }
   if (!std::exchange(streaming_, true)) {
-    stream_end_ = now + kLongestStream;
+    stream_end_ = now + gateway_->longest_stream();
     hedge_timer_.Cancel();
     // The other attempt of a hedged call is no longer needed.
     attempts_.erase(std::remove_if(attempts_.begin(), attempts_.end(),
--- a/src/gateway/upstream_prober.cc
+++ b/src/gateway/upstream_prober.cc
@@ -43,7 +43,8 @@
     head.target = target;
     head.fields.Add("Host", upstream_->record().address.ToString());
     gateway_->metrics().Count("probe");
-    stream_->Send(head, std::string(), {}, this);
+    // A late answer to an earlier call on this connection is not the probe's.
+    stream_->Send(head, std::string(), {gateway_->fields().request_id, std::string()}, this);
   }
 
   // The upstream did not answer in time.
--- a/src/published/published_copy.cc
+++ b/src/published/published_copy.cc
@@ -17,8 +17,6 @@
 // Shorter copies fit into a few packets as they are.
 constexpr std::size_t kDeflatedFrom = 4096;
 constexpr std::size_t kInflatePiece = std::size_t{64} * 1024;
-// Bounds the memory that a peer can claim: far above a configuration and entries of 1 MB each.
-constexpr std::size_t kLargestCopy = std::size_t{32} * 1024 * 1024;
 
 std::string Deflate(const std::string& text) {
   auto size = compressBound(text.size());
@@ -43,7 +41,7 @@
   std::string text;
   std::string piece(kInflatePiece, '\0');
   int status = Z_OK;
-  while (status == Z_OK && text.size() <= kLargestCopy) {
+  while (status == Z_OK && text.size() <= kLargestPublishedCopy) {
     stream.next_out = reinterpret_cast<Bytef*>(piece.data());
     stream.avail_out = static_cast<uInt>(piece.size());
     status = inflate(&stream, Z_NO_FLUSH);
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -48,8 +48,8 @@
 // A gateway with upstreams that follow scripts, on one event loop.
 class GatewayFixture {
  public:
-  GatewayFixture() : log_("test", open("/dev/null", O_WRONLY | O_CLOEXEC)) {
-    Gateway::Options options;
+  explicit GatewayFixture(Gateway::Options options = Gateway::Options())
+      : log_("test", open("/dev/null", O_WRONLY | O_CLOEXEC)) {
     options.callers = RandomLoopback();
     options.fields = FieldNames();
     options.book.data_centre = DataCentre("here");
@@ -61,14 +61,20 @@
   LoopServer& AddUpstream(LoopServer::Script script, const std::string& data_centre = "here",
                           std::uint32_t slots = 4, LoopServer::Script early = nullptr) {
     servers_.push_back(std::make_unique<LoopServer>(&loop_, std::move(script), std::move(early)));
+    List(servers_.back()->address(), data_centre, slots);
+    return *servers_.back();
+  }
+
+  // Lists an upstream at that address.
+  void List(const SocketAddress& address, const std::string& data_centre = "here",
+            std::uint32_t slots = 4) {
     UpstreamRecord record;
-    record.id = UpstreamId("u" + std::to_string(servers_.size()));
+    record.id = UpstreamId("u" + std::to_string(upstreams_.size() + 1));
     record.service = ServiceName("s");
     record.data_centre = DataCentre(data_centre);
-    record.address = servers_.back()->address();
+    record.address = address;
     record.slots = slots;
     upstreams_.push_back(record);
-    return *servers_.back();
   }
 
   void Apply(CallKind kind) {
@@ -83,7 +89,7 @@
     auto state = std::make_shared<ServingState>();
     state->routes = std::make_shared<RouteTable>(
         1, std::vector<Route>{route},
-        std::map<ServiceName, ServiceTerms>{{ServiceName("s"), ServiceTerms()}}, limits);
+        std::map<ServiceName, ServiceTerms>{{ServiceName("s"), terms}}, limits);
     state->upstreams = upstreams_;
     gateway_->Apply(state, EventLoop::Now());
   }
@@ -116,6 +122,7 @@
 
   Duration timeout = std::chrono::seconds(2);
   CallerLimits limits;
+  ServiceTerms terms;
 
  private:
   EventLoop loop_;
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -150,6 +150,31 @@
   CHECK(fixture.Call()->status() == 200);
 }
 
+// Guards against a call that probes until its deadline: each answer without the load that the
+// upstream used to state asked for the next probe, and began the time for probes anew.
+TEST_CASE("a call waits a bounded time for probes", "[gateway][probe-budget]") {
+  GatewayFixture fixture;
+  fixture.terms.probe = "/health";
+  int probes = 0;
+  fixture.AddUpstream([&probes](const Request& r) {
+    if (r.head.target != "/health") {
+      return Reply{Answer(r, 200, "ok"), {}, {}};
+    }
+    const std::string load = ++probes == 1 ? "X-Load: 0,0,4,100\r\n" : "";
+    return Reply{"HTTP/1.1 200 OK\r\n" + load + "Content-Length: 0\r\n\r\n",
+                 {},
+                 std::chrono::milliseconds(1)};
+  });
+  fixture.Apply(CallKind::kOnce);
+  CHECK(fixture.Call()->status() == 200);
+  RunUntil(
+      &fixture.loop(), [] { return false; }, std::chrono::milliseconds(40));
+  const auto begin = MonotonicNow();
+  CHECK(fixture.Call()->status() == 200);
+  CHECK(MonotonicNow() - begin < std::chrono::milliseconds(200));
+  CHECK(probes < 20);
+}
+
 // Guards against downloads that are refused while another data centre has room (incident inc-9f18).
 TEST_CASE("a download leaves its data centre when that has no room in time", "[gateway]") {
   GatewayFixture fixture;
--- /dev/null
+++ b/tests/loop/endless_input_test.cc
@@ -0,0 +1,215 @@
+// Bytes without end, from a server or a caller, at each stage of reading: docs/decisions/bounds.md
+// has the table, in the order of these tests.
+#include <catch2/catch.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "port_fixture.h"
+#include "primroseweir/http/request_head.h"
+#include "primroseweir/http/response_head.h"
+#include "primroseweir/loop/http_client_stream.h"
+#include "support/flood_server.h"
+
+namespace primroseweir::testing {
+namespace {
+
+using Failure = HttpClientListener::Failure;
+
+constexpr std::size_t kMegabyte = std::size_t{1024} * 1024;
+// What one connection may add to the process, with the buffers of the test's own server.
+constexpr std::size_t kMemory = 8 * kMegabyte;
+
+std::string Repeat(const std::string& text, std::size_t size) {
+  std::string result;
+  while (result.size() < size) {
+    result += text;
+  }
+  return result;
+}
+
+// Sends one request to a server that never ends its answer.
+class EndlessAnswer : public HttpClientListener {
+ public:
+  EndlessAnswer(std::string first, std::string piece)
+      : server_(&loop_, std::move(first), std::move(piece)), stream_(&loop_, server_.address()) {
+    const auto before = ResidentBytes();
+    RequestHead head;
+    head.fields.Add("Host", "test");
+    stream_.Send(head, "", {"X-Id", "mine"}, this);
+    // A flood of this size shows any buffer that grows with it.
+    RunUntil(&loop_, [this] { return failure || server_.sent() > 200 * kMegabyte; });
+    grown = ResidentBytes() > before ? ResidentBytes() - before : 0;
+  }
+
+  void OnAnswer(ResponseHead* /*head*/, std::string piece, bool /*whole*/) override {
+    taken += piece.size();
+  }
+  void OnFailure(Failure end) override { failure = end; }
+  std::size_t sent() const { return server_.sent(); }
+
+  std::optional<Failure> failure;
+  std::size_t taken = 0;
+  std::size_t grown = 0;
+
+ private:
+  EventLoop loop_;
+  FloodServer server_;
+  HttpClientStream stream_;
+};
+
+// ---- answers ----
+
+TEST_CASE("a head without end is a failure", "[loop][endless]") {
+  EndlessAnswer fields("HTTP/1.1 200 OK\r\n", Repeat("A: b\r\n", 400'000));
+  CHECK(fields.failure == Failure::kOversized);
+  EndlessAnswer line("HTTP/1.1 200 ", Repeat("x", 400'000));
+  CHECK(line.failure == Failure::kOversized);
+  EndlessAnswer field("HTTP/1.1 200 OK\r\nA: ", Repeat("x", 400'000));
+  CHECK(field.failure == Failure::kOversized);
+  EndlessAnswer blank("\r\n", Repeat("\r\n", 400'000));
+  CHECK(blank.failure == Failure::kOversized);
+  for (const auto* answer : {&fields, &line, &field, &blank}) {
+    CHECK(answer->sent() < 4 * kMegabyte);
+    CHECK(answer->grown < kMemory);
+  }
+}
+
+TEST_CASE("interim answers without end are a failure", "[loop][endless]") {
+  EndlessAnswer answer("", Repeat("HTTP/1.1 100 Continue\r\n\r\n", 400'000));
+  CHECK(answer.failure == Failure::kOversized);
+  CHECK(answer.sent() < 4 * kMegabyte);
+}
+
+// A body without end is handed over in pieces: the one who takes it ends it.
+TEST_CASE("a body without end is held in a bounded buffer", "[loop][endless]") {
+  const std::string chunk = "61a80\r\n" + std::string(400'000, 'x') + "\r\n";
+  EndlessAnswer chunked("HTTP/1.1 200 OK\r\nX-Id: mine\r\nTransfer-Encoding: chunked\r\n\r\n",
+                        chunk);
+  EndlessAnswer until_close("HTTP/1.1 200 OK\r\nX-Id: mine\r\n\r\n", std::string(400'000, 'x'));
+  for (const auto* answer : {&chunked, &until_close}) {
+    CHECK_FALSE(answer->failure.has_value());
+    CHECK(answer->taken > 100 * kMegabyte);
+    CHECK(answer->grown < kMemory);
+  }
+}
+
+TEST_CASE("a chunk's size line and trailers without end are a failure", "[loop][endless]") {
+  const std::string head = "HTTP/1.1 200 OK\r\nX-Id: mine\r\nTransfer-Encoding: chunked\r\n\r\n";
+  EndlessAnswer extension(head + "1;a=", Repeat("b", 400'000));
+  CHECK(extension.failure == Failure::kMalformed);
+  EndlessAnswer trailers(head + "1\r\nx\r\n0\r\n", Repeat("A: b\r\n", 400'000));
+  CHECK(trailers.failure == Failure::kMalformed);
+  EndlessAnswer zeros(head, Repeat("0", 400'000));
+  CHECK(zeros.failure == Failure::kMalformed);
+}
+
+TEST_CASE("answers to other requests without end are a failure", "[loop][endless]") {
+  const std::string other = "HTTP/1.1 200 OK\r\nX-Id: old\r\n";
+  EndlessAnswer many("", Repeat(other + "Content-Length: 3\r\n\r\nold", 400'000));
+  CHECK(many.failure == Failure::kOversized);
+  EndlessAnswer one(other + "\r\n", Repeat("x", 400'000));
+  CHECK(one.failure == Failure::kOversized);
+  for (const auto* answer : {&many, &one}) {
+    CHECK(answer->taken == 0);
+    CHECK(answer->sent() < 2 * HttpClientStream::kMaxForeign + 4 * kMegabyte);
+    CHECK(answer->grown < kMemory);
+  }
+}
+
+// Guards against a flood that an idle connection reads and throws away for as long as it lasts.
+TEST_CASE("bytes without end on an idle connection are not read", "[loop][endless]") {
+  EventLoop loop;
+  FloodServer server(&loop, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+                     std::string(10'000, 'x'), std::chrono::milliseconds(1));
+  struct : HttpClientListener {
+    void OnAnswer(ResponseHead*, std::string, bool whole) override { done = whole; }
+    void OnFailure(Failure) override {}
+    bool done = false;
+  } listener;
+  HttpClientStream stream(&loop, server.address());
+  RequestHead head;
+  head.fields.Add("Host", "test");
+  stream.Send(head, "", {}, &listener);
+  REQUIRE(RunUntil(&loop, [&] { return listener.done; }));
+  REQUIRE(RunUntil(&loop, [&] { return stream.broken(); }));
+  RunUntil(
+      &loop, [] { return false; }, std::chrono::milliseconds(500));
+  // What the buffers of both systems hold.
+  CHECK(server.sent() < 12 * kMegabyte);
+}
+
+// ---- requests ----
+
+// A caller that sends `piece` until the port closes the connection.
+class EndlessCaller : public StreamHandler {
+ public:
+  EndlessCaller(EventLoop* loop, const SocketAddress& address, std::string first, std::string piece)
+      : first_(std::move(first)),
+        piece_(std::move(piece)),
+        stream_(TcpStream::Connect(loop, address, this)),
+        timer_(loop, [this] { Send(); }) {}
+
+  void OnConnected() override {
+    stream_->Write(first_);
+    timer_.Repeat(std::chrono::milliseconds(1));
+  }
+  void OnData(const char* data, std::size_t size) override { received.append(data, size); }
+  void OnEnd(bool /*clean*/) override { ended = true; }
+
+  std::string received;
+  bool ended = false;
+  std::size_t sent = 0;
+
+ private:
+  void Send() {
+    if (!ended && stream_->pending() == 0) {
+      stream_->Write(piece_);
+      sent += piece_.size();
+    }
+  }
+
+  const std::string first_;
+  const std::string piece_;
+  std::unique_ptr<TcpStream> stream_;
+  Timer timer_;
+};
+
+TEST_CASE("a request's head, size line and trailers without end are refused", "[loop][endless]") {
+  const std::string chunked = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::vector<std::pair<std::string, std::string>> floods = {
+      {"GET / HTTP/1.1\r\n", Repeat("A: b\r\n", 400'000)},
+      {"GET /", Repeat("x", 400'000)},
+      {"", Repeat("\r\n", 400'000)},
+      {chunked + "1;a=", Repeat("b", 400'000)},
+      {chunked + "1\r\nx\r\n0\r\n", Repeat("A: b\r\n", 400'000)},
+      {chunked, Repeat("1\r\nx\r\n", 600'000)},
+  };
+  for (const auto& [first, piece] : floods) {
+    PortFixture fixture;
+    EndlessCaller caller(&fixture.loop(), fixture.port().address(), first, piece);
+    CHECK(RunUntil(
+        &fixture.loop(), [&] { return caller.ended; },
+        HttpServerStream::kLongestLinger + std::chrono::seconds(2)));
+    CHECK(fixture.requests == 0);
+    CHECK(Contains(caller.received, "Connection: close"));
+    CHECK(RunUntil(&fixture.loop(), [&] { return fixture.port().connections() == 0; }));
+  }
+}
+
+// Guards against memory and time that a caller takes beside a request that is served.
+TEST_CASE("requests sent ahead without end wait in a bounded buffer", "[loop][endless]") {
+  PortFixture fixture;
+  fixture.hold = true;
+  EndlessCaller caller(&fixture.loop(), fixture.port().address(),
+                       "GET / HTTP/1.1\r\nHost: h\r\n\r\n",
+                       Repeat("GET / HTTP/1.1\r\nHost: h\r\n\r\n", 60'000));
+  RunUntil(
+      &fixture.loop(), [] { return false; }, std::chrono::seconds(1));
+  CHECK(fixture.requests == 1);
+  CHECK(fixture.port().buffered() < 4 * std::int64_t{HttpServerStream::kReadAhead});
+}
+
+}  // namespace
+}  // namespace primroseweir::testing
--- a/tests/loop/http_port_test.cc
+++ b/tests/loop/http_port_test.cc
@@ -6,59 +6,11 @@
 #include <string>
 #include <vector>
 
-#include "primroseweir/http/request_head.h"
-#include "primroseweir/loop/http_server_stream.h"
-#include "primroseweir/loop/request_sink.h"
-#include "support/loop_server.h"
+#include "port_fixture.h"
 
 namespace primroseweir::testing {
 namespace {
 
-// Answers each request with its method, target and body.
-class PortFixture : public RequestSink {
- public:
-  PortFixture() : port_(&loop_, this, [this] { return limits; }) {
-    REQUIRE(port_.Listen(RandomLoopback()).ok());
-  }
-
-  void OnRequest(HttpServerStream* stream, RequestHead* head, std::string body) override {
-    ++requests;
-    if (hold) {
-      held = stream;
-      return;
-    }
-    stream->Answer(ResponseHead(), head->method + " " + head->target + " " + body);
-  }
-  void OnCallerGone(HttpServerStream*) override { ++gone; }
-
-  // Sends bytes and waits for `expected` in what comes back, or for the end of the connection.
-  std::string Exchange(const std::string& bytes, const std::string& expected) {
-    LoopCaller caller(&loop_, port_.address());
-    caller.Send(bytes);
-    RunUntil(&loop_, [&] {
-      return caller.ended() || caller.received().find(expected) != std::string::npos;
-    });
-    return caller.received();
-  }
-
-  EventLoop& loop() { return loop_; }
-  HttpPort& port() { return port_; }
-
-  CallerLimits limits;
-  int requests = 0;
-  int gone = 0;
-  bool hold = false;
-  HttpServerStream* held = nullptr;
-
- private:
-  EventLoop loop_;
-  HttpPort port_;
-};
-
-bool Contains(const std::string& text, const std::string& part) {
-  return text.find(part) != std::string::npos;
-}
-
 TEST_CASE("bodies with a length and in chunks arrive whole", "[loop]") {
   PortFixture fixture;
   CHECK(Contains(fixture.Exchange("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc",
