Keep calls with the upstreams that an instance is connected to

Change: a new connection counts as a fifth of the usual time (8 ms at least); waiting calls probe over connections at hand first.

--- a/include/primroseweir/balance/upstream_book.h
+++ b/include/primroseweir/balance/upstream_book.h
@@ -127,8 +127,13 @@
   static constexpr std::size_t kProbedPerCall = 2;
   // A call to another data centre costs this much more, so that the nearer one wins between equals.
   static constexpr Duration kDistance = std::chrono::milliseconds(6);
-  // A new connection costs the upstream some work, and holds a slot there for a moment.
+  // A new connection costs the upstream some work, and holds a slot there for a moment: at least
+  // this much.
   static constexpr Duration kNewConnection = std::chrono::milliseconds(8);
+  // Part of the usual time that it costs, so that an instance stays with the upstreams to which it
+  // has connections while these do as well: hundreds of instances that call hundreds of upstreams
+  // evenly would need two new connections a call.
+  static constexpr double kNewConnectionPart = 0.2;
   // Large answers are expensive between data centres.
   static constexpr Duration kDownloadDistance = std::chrono::milliseconds(300);
   // A failed attempt costs a second one.
--- a/src/balance/upstream_book.cc
+++ b/src/balance/upstream_book.cc
@@ -165,7 +165,7 @@
     cost *= kColdFactor;
   }
   if (!upstream.connected()) {
-    cost += Seconds(kNewConnection);
+    cost += std::max(Seconds(kNewConnection), kNewConnectionPart * Seconds(service.load.usual()));
   }
   if (!Near(upstream)) {
     cost += Seconds(kind == CallKind::kDownload ? kDownloadDistance : kDistance);
@@ -188,8 +188,11 @@
       candidates.push_back(upstream);
     }
   }
-  std::sort(candidates.begin(), candidates.end(),
-            [](const auto& a, const auto& b) { return a->reported_at() < b->reported_at(); });
+  // A probe over a connection at hand costs the upstream less than a new connection.
+  std::sort(candidates.begin(), candidates.end(), [](const auto& a, const auto& b) {
+    return std::make_pair(!a->connected(), a->reported_at()) <
+           std::make_pair(!b->connected(), b->reported_at());
+  });
   candidates.resize(std::min(candidates.size(), kProbedWaiting));
   return candidates;
 }
--- a/tests/balance/upstream_book_test.cc
+++ b/tests/balance/upstream_book_test.cc
@@ -1,6 +1,9 @@
 #include "primroseweir/balance/upstream_book.h"
 
 #include <catch2/catch.hpp>
+#include <set>
+#include <string>
+#include <vector>
 
 #include "balance_fixture.h"
 
@@ -96,6 +99,38 @@
   CHECK(fixture.ChooseId() == "a");
 }
 
+// Load pattern: few calls of one instance to hundreds of upstreams. Guards against two new
+// connections a call: calls that are spread evenly find each connection closed again.
+TEST_CASE("an instance keeps to the upstreams it is connected to", "[balance]") {
+  BalanceFixture fixture;
+  constexpr int kUpstreams = 300;
+  for (int i = 0; i < kUpstreams; ++i) {
+    fixture.Add("u" + std::to_string(i));
+  }
+  fixture.Apply();
+  std::set<std::string> used;
+  std::vector<std::string> running;
+  // Twenty calls at a time, each for a second of which others are sent meanwhile.
+  for (int call = 0; call < 2000; ++call) {
+    const auto id = fixture.ChooseId();
+    REQUIRE(!id.empty());
+    used.insert(id);
+    fixture.At(id).SetConnected(false);
+    fixture.book.NoteStart(&fixture.At(id), fixture.now);
+    running.push_back(id);
+    fixture.now += milliseconds(50);
+    if (running.size() > 20) {
+      const auto ended = running.front();
+      running.erase(running.begin());
+      fixture.book.NoteEnd(&fixture.At(ended), AttemptResult::kAnswered,
+                           fixture.now - milliseconds(1000), 1, fixture.now);
+      fixture.At(ended).SetConnected(true);
+    }
+  }
+  // Half as many again as run at a time.
+  CHECK(used.size() <= 30);
+}
+
 // Guards against more calls at an upstream than it has slots: some never answer what they can't
 // queue.
 TEST_CASE("calls of other instances count against an upstream's slots", "[balance]") {
