Let the operators' text state uploads; end an upload whose caller stalls

Change: calls: uploads, shown by check and diff; a pause of 2 s in a body that is sent on ends the call with outcome unknown.

--- a/include/primroseweir/configuration/service.h
+++ b/include/primroseweir/configuration/service.h
@@ -7,12 +7,28 @@
 
 namespace primroseweir {
 
+// What the operators state of a service's calls other than GET and HEAD: whether they may run more
+// than once, and whether their bodies are large.
+enum class ServiceCalls { kRepeatable, kNotRepeatable, kUploads };
+
+// The word of the operators' text.
+inline const char* NameOf(ServiceCalls calls) {
+  switch (calls) {
+    case ServiceCalls::kRepeatable:
+      return "repeatable";
+    case ServiceCalls::kNotRepeatable:
+      return "not-repeatable";
+    case ServiceCalls::kUploads:
+      return "uploads";
+  }
+  return "unknown";
+}
+
 // One service of the operators' text.
 struct Service {
   ServiceName name;
   std::vector<ServiceName> depends_on;
-  // False when a call other than GET and HEAD must run at most once.
-  bool repeatable = true;
+  ServiceCalls calls = ServiceCalls::kRepeatable;
 };
 
 }  // namespace primroseweir
--- a/include/primroseweir/filters/call.h
+++ b/include/primroseweir/filters/call.h
@@ -6,6 +6,7 @@
 
 #include "primroseweir/base/ids.h"
 #include "primroseweir/base/time.h"
+#include "primroseweir/http/message_limits.h"
 #include "primroseweir/routing/call_request.h"
 
 namespace primroseweir {
@@ -34,6 +35,8 @@
   Priority priority = Priority::kNormal;
   // Whether the call may be executed more than once.
   bool repeatable = true;
+  // Longest pause of a body that is sent on while it arrives: it holds a slot of an upstream.
+  Duration body_progress = MessageLimits().body_progress;
 
   // ---- body ----
   // The body, or its first 64 KB when body_whole is false.
--- a/include/primroseweir/filters/route_filter.h
+++ b/include/primroseweir/filters/route_filter.h
@@ -1,7 +1,10 @@
 #ifndef PRIMROSEWEIR_FILTERS_ROUTE_FILTER_H_
 #define PRIMROSEWEIR_FILTERS_ROUTE_FILTER_H_
 
+#include <chrono>
+
 #include "primroseweir/base/rcu_cell.h"
+#include "primroseweir/base/time.h"
 #include "primroseweir/filters/filter.h"
 #include "primroseweir/filters/service_table.h"
 
@@ -16,6 +19,10 @@
 
   CallEnd Handle(Call* call, const Next& next) override;
 
+  // Longest pause of a caller in the body of an upload: the second repetition of a lost packet
+  // arrives within it.
+  static constexpr Duration kUploadProgress = std::chrono::seconds(2);
+
  private:
   CallEnd Route(Call* call) const;
 
--- a/src/configuration/check_report.cc
+++ b/src/configuration/check_report.cc
@@ -62,10 +62,6 @@
   return text.empty() ? "none" : text;
 }
 
-const char* CallsText(const Service& service) {
-  return service.repeatable ? "repeatable" : "not-repeatable";
-}
-
 Services ByName(std::vector<Service> services) {
   Services by_name;
   for (Service& service : services) by_name[service.name] = std::move(service);
@@ -87,7 +83,7 @@
   AddLine({{"change", change},
            {"service", service.name.value()},
            {"depends_on", DependenciesText(service)},
-           {"calls", CallsText(service)}},
+           {"calls", NameOf(service.calls)}},
           report);
 }
 
@@ -104,8 +100,8 @@
     } else {
       AddField(service, "depends_on", DependenciesText(old_service->second),
                DependenciesText(new_service->second), report);
-      AddField(service, "calls", CallsText(old_service->second), CallsText(new_service->second),
-               report);
+      AddField(service, "calls", NameOf(old_service->second.calls),
+               NameOf(new_service->second.calls), report);
     }
   }
 }
--- a/src/configuration/text_parser.cc
+++ b/src/configuration/text_parser.cc
@@ -1,6 +1,8 @@
 #include "primroseweir/configuration/text_parser.h"
 
+#include <algorithm>
 #include <cstdint>
+#include <iterator>
 #include <string_view>
 #include <unordered_map>
 #include <utility>
@@ -26,12 +28,14 @@
   std::size_t name_index = 0;
   std::vector<std::string> depends_on;
   std::vector<std::size_t> dependency_indexes;
-  bool repeatable = true;
+  ServiceCalls calls = ServiceCalls::kRepeatable;
 };
 
 using Sources = std::vector<ServiceSource>;
 
 constexpr std::size_t kLongestPathInMessage = 10;
+constexpr ServiceCalls kServiceCalls[] = {ServiceCalls::kRepeatable, ServiceCalls::kNotRepeatable,
+                                          ServiceCalls::kUploads};
 
 void ReadServiceName(ValueReader* reader, std::size_t index, const FieldPath& path,
                      ServiceSource* source) {
@@ -53,13 +57,16 @@
 
 void ReadCalls(ValueReader* reader, std::size_t index, const FieldPath& path,
                ServiceSource* source) {
-  constexpr char kExpected[] = "repeatable or not-repeatable";
+  constexpr char kExpected[] = "repeatable, not-repeatable or uploads";
   if (!reader->Expect(index, JsonKind::kString, path, kExpected)) return;
   const std::string_view value = reader->text(index);
-  if (value != "repeatable" && value != "not-repeatable") {
+  const auto known = std::find_if(
+      std::begin(kServiceCalls), std::end(kServiceCalls),
+      [value](ServiceCalls calls) { return value == std::string_view(NameOf(calls)); });
+  if (known == std::end(kServiceCalls)) {
     reader->Reject(index, path, "unknown value " + Quote(value), kExpected);
   }
-  source->repeatable = value != "not-repeatable";
+  source->calls = *known;
 }
 
 constexpr FieldRule<ServiceSource> kServiceRules[] = {
@@ -188,7 +195,7 @@
   for (ServiceSource& source : sources) {
     Service service;
     service.name = ServiceName(std::move(source.name));
-    service.repeatable = source.repeatable;
+    service.calls = source.calls;
     for (std::string& name : source.depends_on) service.depends_on.emplace_back(std::move(name));
     services.push_back(std::move(service));
   }
--- a/src/filters/detail/attempt.cc
+++ b/src/filters/detail/attempt.cc
@@ -78,14 +78,13 @@
 }
 
 absl::Status Attempt::StreamRest(Call* call) {
-  const auto progress = MessageLimits().body_progress;
   while (true) {
     const auto piece = call->caller->TryReadBody();
     if (!piece.ok()) {
       return absl::CancelledError("the caller's body ended early");
     }
     if (!piece->has_value()) {
-      const auto limit = std::min(call->deadline, MonotonicNow() + progress);
+      const auto limit = std::min(call->deadline, MonotonicNow() + call->body_progress);
       auto status = WaitForAny(
           {{descriptor(), POLLIN}, {call->caller->socket()->descriptor(), POLLIN}}, -1, limit);
       if (status.ok() && connection_->socket()->Readable()) {
--- a/src/filters/route_filter.cc
+++ b/src/filters/route_filter.cc
@@ -84,8 +84,12 @@
   if (service == table->services.end()) {
     return CallEnd::NotRun("route", "no such service");
   }
-  call->repeatable = (service->second.repeatable || IsRead(call->request->method)) &&
+  const auto calls = service->second.calls;
+  call->repeatable = (calls == ServiceCalls::kRepeatable || IsRead(call->request->method)) &&
                      fields.Find("Primroseweir-Call-Key") == nullptr;
+  if (calls == ServiceCalls::kUploads) {
+    call->body_progress = RouteFilter::kUploadProgress;
+  }
   call->priority = PriorityOf(*call);
   return CallEnd();
 }
--- a/tests/configuration/text_parser_test.cc
+++ b/tests/configuration/text_parser_test.cc
@@ -35,9 +35,12 @@
   REQUIRE(checked.ok());
   REQUIRE(checked.value.size() == 2);
   CHECK(checked.value[0].name.value() == "ice-board");
-  CHECK(checked.value[0].repeatable);
+  CHECK(checked.value[0].calls == ServiceCalls::kRepeatable);
   CHECK(checked.value[1].depends_on == std::vector<ServiceName>{ServiceName("ice-board")});
-  CHECK_FALSE(checked.value[1].repeatable);
+  CHECK(checked.value[1].calls == ServiceCalls::kNotRepeatable);
+  const auto uploads = ParseText(Services(R"({"name": "a", "calls": "uploads"})"));
+  REQUIRE(uploads.ok());
+  CHECK(uploads.value[0].calls == ServiceCalls::kUploads);
 }
 
 // Guards against operators who can't find the fault: each reason names its line and field.
@@ -72,7 +75,7 @@
         "expected=\"an object with this field\"");
   CHECK(FirstVerdict(Services("{\"name\": \"a\", \"calls\": \"never\"}")) ==
         "line=2 field=services[0].calls problem=\"unknown value \\\"never\\\"\" "
-        "expected=\"repeatable or not-repeatable\"");
+        "expected=\"repeatable, not-repeatable or uploads\"");
   CHECK(FirstVerdict(Services("{\"name\": 7\n}")) ==
         "line=2 field=services[0].name problem=\"the value is a number\" "
         "expected=\"1 to 63 characters of a-z, 0-9 and -\"");
--- a/tests/filters/at_most_once_test.cc
+++ b/tests/filters/at_most_once_test.cc
@@ -136,5 +136,40 @@
   CHECK(cancelled == 1);
 }
 
+// Guards against a slot that a caller holds by stalling in a large body, and against a second run
+// of an upload of which a part reached an upstream.
+TEST_CASE("[at-most-once] an upload whose caller stalls ends and is not sent again",
+          "[at-most-once]") {
+  std::atomic<int> begun{0};
+  const auto read = [&begun](ServerConnection* connection) {
+    ++begun;
+    auto piece = connection->ReadBody(Soon());
+    while (piece.ok() && !piece->empty()) {
+      piece = connection->ReadBody(Soon());
+    }
+    if (piece.ok()) {
+      connection->Answer(ResponseHead(), "stored").IgnoreError();
+    }
+  };
+  FakeUpstream first(read);
+  FakeUpstream second(read);
+  CallFixture entry;
+  entry.AddUpstream("footage", first.address());
+  entry.AddUpstream("footage", second.address());
+  entry.Start();
+  auto head = CallFixture::Request("POST", "/footage/hull");
+  head.body = {BodyKind::kLength, 200'000};
+  const auto connection = entry.Connect();
+  connection->Begin(head);
+  const auto start = MonotonicNow();
+  REQUIRE(connection->WriteBody(std::string(150'000, 'x'), Soon()).ok());
+  const auto answer = connection->ReadHead(MonotonicNow() + std::chrono::seconds(8));
+  REQUIRE(answer.ok());
+  CHECK((*answer)->status >= 500);
+  CHECK((*answer)->fields.Get("Primroseweir-Outcome") == "unknown");
+  CHECK(MonotonicNow() - start < RouteFilter::kUploadProgress + std::chrono::seconds(3));
+  CHECK(begun == 1);
+}
+
 }  // namespace
 }  // namespace primroseweir
--- a/tests/filters/call_fixture.h
+++ b/tests/filters/call_fixture.h
@@ -118,16 +118,17 @@
         services_(std::make_shared<const ServiceTable>()) {
     dispatch.router = &router_;
     dispatch.pool = &pool_;
-    AddService("board", true);
-    AddService("ledger", false);
+    AddService("board", ServiceCalls::kRepeatable);
+    AddService("ledger", ServiceCalls::kNotRepeatable);
+    AddService("footage", ServiceCalls::kUploads);
   }
 
   ~CallFixture() { Stop(); }
 
-  void AddService(const std::string& name, bool repeatable) {
+  void AddService(const std::string& name, ServiceCalls calls) {
     Service service;
     service.name = ServiceName(name);
-    service.repeatable = repeatable;
+    service.calls = calls;
     snapshot_.services.push_back(service);
   }
 
