Serve what was accepted before a planned stop closes the port

Cause: closing the port reset connections that the system had opened and the process had not accepted yet; connections whose first request was on its way, or lay unread, were closed as idle; the process ended while its last answers were still on their way to slow callers. Before and after: tests/loop (http_port), "a planned stop serves what was accepted before it" and "a port is busy until its answers were taken".

--- a/include/primroseweir/gateway/gateway.h
+++ b/include/primroseweir/gateway/gateway.h
@@ -68,10 +68,12 @@
   // ---- stop ----
 
   // Connections close after their present answer from now on.
-  void CloseKept() { port_.CloseKept(); }
+  void CloseKept(Instant now) { port_.CloseKept(now); }
   // Accepts no further connections.
   void StopAccepting() { port_.StopAccepting(); }
   std::size_t calls() const { return calls_.size(); }
+  // Whether a caller still waits for the rest of its answer or sends its request.
+  bool busy(Instant now) const { return !calls_.empty() || port_.busy(now); }
   // Bytes of requests that are held in memory.
   std::int64_t held_bytes() const { return port_.buffered(); }
   // `listener` hears of each call that arrives while none is under way.
--- a/include/primroseweir/loop/http_port.h
+++ b/include/primroseweir/loop/http_port.h
@@ -35,10 +35,13 @@
   absl::Status Listen(const SocketAddress& address);
   SocketAddress address() const;
 
-  // Answers from now on close their connection; idle connections close at once.
-  void CloseKept();
-  // Accepts no further connection.
+  // Answers from now on close their connection; connections on which no request is to be expected
+  // close at once.
+  void CloseKept(Instant now);
+  // Accepts the connections that are open already, and no further one.
   void StopAccepting();
+  // Whether a request or an answer is under way on any connection.
+  bool busy(Instant now) const;
 
   std::size_t connections() const { return streams_.size(); }
   bool closing() const { return closing_; }
--- a/include/primroseweir/loop/http_server_stream.h
+++ b/include/primroseweir/loop/http_server_stream.h
@@ -51,8 +51,11 @@
 
   // Closes the connection when it broke a time limit; called by the port.
   void CheckTime(Instant now);
-  // Closes the connection if it is idle.
-  void CloseIfIdle();
+  // Closes the connection if nothing of a request has arrived on it and none is to be expected: a
+  // new connection gets kFirstRequest for its first one.
+  void CloseIfIdle(Instant now);
+  // Whether a request or an answer is under way, or the first request is to be expected.
+  bool busy(Instant now) const;
 
   void OnData(const char* data, std::size_t size) override;
   void OnEnd(bool clean) override;
@@ -70,6 +73,8 @@
   static constexpr std::size_t kStreamedFrom = std::size_t{64} * 1024;
   // Requests sent ahead of their turn are read up to this size.
   static constexpr std::size_t kReadAhead = std::size_t{64} * 1024;
+  // A caller sends its request together with the end of its handshake or a round trip later.
+  static constexpr Duration kFirstRequest = std::chrono::milliseconds(500);
   // After an answer that ends the connection, input is discarded until it has paused for this long:
   // closing with unread input would reset the connection and could destroy the answer on its way.
   static constexpr Duration kLinger = std::chrono::seconds(1);
@@ -108,6 +113,7 @@
   std::size_t passed_ = 0;
   bool receiving_ = false;
   bool body_paused_ = false;
+  bool served_ = false;
   bool head_checked_ = false;
   bool close_after_ = false;
   bool chunked_ = false;
--- a/include/primroseweir/loop/tcp_listener.h
+++ b/include/primroseweir/loop/tcp_listener.h
@@ -28,6 +28,9 @@
   // Errors: Unavailable, the address can't be bound.
   absl::Status Listen(const SocketAddress& address, OnAccept on_accept);
   // The address with the port that was bound.
+  // Accepts the connections that the system has opened already: those that are still there when the
+  // listener is closed are reset, although their peers may have sent requests.
+  void AcceptWaiting();
   SocketAddress address() const;
 
   static constexpr int kBacklog = 512;
--- a/include/primroseweir/loop/tcp_stream.h
+++ b/include/primroseweir/loop/tcp_stream.h
@@ -32,6 +32,8 @@
   void Write(std::string data);
   // Bytes that the peer has not taken yet.
   std::size_t pending() const;
+  // Whether bytes have arrived that were not handed over yet.
+  bool has_input() const;
   // Sends the end of the stream after all bytes.
   void ShutdownWrite();
   // Closes with a reset, so that the peer can't take what it got for complete.
--- a/src/loop/http_port.cc
+++ b/src/loop/http_port.cc
@@ -1,5 +1,6 @@
 #include "primroseweir/loop/http_port.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -28,18 +29,28 @@
 
 SocketAddress HttpPort::address() const { return listener_->address(); }
 
-void HttpPort::CloseKept() {
+void HttpPort::CloseKept(Instant now) {
   closing_ = true;
   std::vector<HttpServerStream*> streams;
   for (const auto& [stream, owned] : streams_) {
     streams.push_back(stream);
   }
   for (auto* stream : streams) {
-    stream->CloseIfIdle();
+    stream->CloseIfIdle(now);
   }
 }
 
-void HttpPort::StopAccepting() { listener_.reset(); }
+void HttpPort::StopAccepting() {
+  if (listener_ != nullptr) {
+    listener_->AcceptWaiting();
+    listener_.reset();
+  }
+}
+
+bool HttpPort::busy(Instant now) const {
+  return std::any_of(streams_.begin(), streams_.end(),
+                     [now](const auto& entry) { return entry.second->busy(now); });
+}
 
 void HttpPort::Remove(HttpServerStream* stream) { streams_.erase(stream); }
 
--- a/src/loop/http_server_stream.cc
+++ b/src/loop/http_server_stream.cc
@@ -126,6 +126,7 @@
 
 void HttpServerStream::Deliver() {
   state_ = State::kServing;
+  served_ = true;
   since_ = Now();
   receiving_ = !parser_.message_complete();
   auto* head = parser_.request();
@@ -268,7 +269,9 @@
   const auto limits = port_->limits();
   switch (state_) {
     case State::kIdle:
-      if (now - since_ > limits.idle) {
+      if (port_->closing()) {
+        CloseIfIdle(now);
+      } else if (now - since_ > limits.idle) {
         Remove();
       }
       break;
@@ -291,12 +294,20 @@
   }
 }
 
-void HttpServerStream::CloseIfIdle() {
-  if (state_ == State::kIdle) {
+void HttpServerStream::CloseIfIdle(Instant now) {
+  if (!busy(now)) {
     Remove();
   }
 }
 
+bool HttpServerStream::busy(Instant now) const {
+  if (state_ == State::kIdle) {
+    const bool expects = !served_ && now - since_ < kFirstRequest;
+    return expects || stream_->pending() > 0 || stream_->has_input();
+  }
+  return state_ != State::kLingering || stream_->pending() > 0;
+}
+
 void HttpServerStream::Remove() {
   if (feeding_) {
     ended_ = true;
--- a/src/loop/tcp_listener.cc
+++ b/src/loop/tcp_listener.cc
@@ -2,6 +2,8 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
 #include <uv.h>
 
 #include <array>
@@ -60,6 +62,29 @@
   return absl::OkStatus();
 }
 
+void TcpListener::AcceptWaiting() {
+  uv_os_fd_t descriptor = -1;
+  if (uv_fileno(reinterpret_cast<uv_handle_t*>(&handle_->uv), &descriptor) != 0) {
+    return;
+  }
+  for (;;) {
+    const int accepted = accept4(descriptor, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (accepted < 0) {
+      // The usual end: no further connection waits.
+      return;
+    }
+    auto* handle = new TcpStream::Handle;
+    uv_tcp_init(handle_->uv.loop, &handle->uv);
+    handle->uv.data = handle;
+    std::unique_ptr<TcpStream> stream(new TcpStream(handle));
+    if (uv_tcp_open(&handle->uv, accepted) != 0) {
+      close(accepted);
+    } else if (handle_->on_accept) {
+      handle_->on_accept(std::move(stream));
+    }
+  }
+}
+
 SocketAddress TcpListener::address() const {
   sockaddr_in local{};
   int size = sizeof local;
--- a/src/loop/tcp_stream.cc
+++ b/src/loop/tcp_stream.cc
@@ -141,6 +141,13 @@
 
 std::size_t TcpStream::pending() const { return uv_stream_get_write_queue_size(handle_->stream()); }
 
+bool TcpStream::has_input() const {
+  uv_os_fd_t descriptor = -1;
+  char byte = 0;
+  return uv_fileno(handle_->handle(), &descriptor) == 0 &&
+         recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 void TcpStream::ShutdownWrite() {
   auto* request = new uv_shutdown_t;
   const auto done = [](uv_shutdown_t* finished, int /*status*/) { delete finished; };
--- a/tests/loop/http_port_test.cc
+++ b/tests/loop/http_port_test.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "port_fixture.h"
+#include "wire/socket.h"
 
 namespace primroseweir::testing {
 namespace {
@@ -113,7 +114,7 @@
   LoopCaller caller(&fixture.loop(), fixture.port().address());
   caller.Send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
   REQUIRE(RunUntil(&fixture.loop(), [&] { return fixture.held != nullptr; }));
-  fixture.port().CloseKept();
+  fixture.port().CloseKept(EventLoop::Now());
   fixture.port().StopAccepting();
   fixture.held->Answer(ResponseHead(), "done");
   CHECK(RunUntil(&fixture.loop(), [&] { return caller.ended(); }));
@@ -122,5 +123,69 @@
   CHECK(Contains(caller.received(), "Connection: close"));
 }
 
+// Guards against requests that a planned stop cuts although their connection was accepted: by the
+// system only, just now, or with the request still unread.
+TEST_CASE("a planned stop serves what was accepted before it", "[loop][graceful-stop]") {
+  PortFixture fixture;
+  const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+  // The system opens the connection while the loop does not run.
+  const auto open = [&] {
+    auto socket = standins::Socket::Connect(fixture.port().address(),
+                                            MonotonicNow() + std::chrono::seconds(1));
+    REQUIRE(socket.ok());
+    return std::make_unique<standins::Socket>(*std::move(socket));
+  };
+  const auto send = [&](standins::Socket* socket) {
+    REQUIRE(socket->WriteAll(request, MonotonicNow() + std::chrono::seconds(1)).ok());
+  };
+  LoopCaller kept(&fixture.loop(), fixture.port().address());
+  kept.Send(request);
+  LoopCaller silent(&fixture.loop(), fixture.port().address());
+  REQUIRE(RunUntil(&fixture.loop(),
+                   [&] { return fixture.requests == 1 && fixture.port().connections() == 2; }));
+  RunUntil(
+      &fixture.loop(), [] { return false; }, HttpServerStream::kFirstRequest);
+  auto just_accepted = open();
+  REQUIRE(RunUntil(&fixture.loop(), [&] { return fixture.port().connections() == 3; }));
+  auto waiting = open();
+  send(waiting.get());
+  auto late = open();
+
+  fixture.port().StopAccepting();
+  fixture.port().CloseKept(EventLoop::Now());
+  CHECK(fixture.port().busy(EventLoop::Now()));
+  REQUIRE(RunUntil(&fixture.loop(), [&] { return fixture.requests == 2; }));
+  send(just_accepted.get());
+  send(late.get());
+  CHECK(RunUntil(&fixture.loop(), [&] { return fixture.requests == 4; }));
+  // Nobody is expected to send on the others.
+  CHECK(RunUntil(&fixture.loop(), [&] { return kept.ended() && silent.ended(); }));
+  just_accepted.reset();
+  waiting.reset();
+  late.reset();
+  CHECK(RunUntil(&fixture.loop(), [&] { return !fixture.port().busy(EventLoop::Now()); }));
+}
+
+// Guards against a process that ends while its last answers are on their way to slow callers.
+TEST_CASE("a port is busy until its answers were taken", "[loop][graceful-stop]") {
+  PortFixture fixture;
+  fixture.hold = true;
+  auto socket =
+      standins::Socket::Connect(fixture.port().address(), MonotonicNow() + std::chrono::seconds(1));
+  REQUIRE(socket.ok());
+  REQUIRE(
+      socket
+          ->WriteAll("GET / HTTP/1.1\r\nHost: h\r\n\r\n", MonotonicNow() + std::chrono::seconds(1))
+          .ok());
+  REQUIRE(RunUntil(&fixture.loop(), [&] { return fixture.held != nullptr; }));
+  fixture.held->Answer(ResponseHead(), std::string(20'000'000, 'x'));
+  fixture.port().StopAccepting();
+  fixture.port().CloseKept(EventLoop::Now());
+  RunUntil(
+      &fixture.loop(), [] { return false; }, std::chrono::milliseconds(50));
+  CHECK(fixture.port().busy(EventLoop::Now()));
+  CHECK(fixture.port().connections() == 1);
+}
+
 }  // namespace
 }  // namespace primroseweir::testing
