--- a/include/primroseweir/fleet/fleet_message.h
+++ b/include/primroseweir/fleet/fleet_message.h
@@ -1,6 +1,7 @@
 #ifndef PRIMROSEWEIR_FLEET_FLEET_MESSAGE_H_
 #define PRIMROSEWEIR_FLEET_FLEET_MESSAGE_H_
 
+#include <string>
 #include <vector>
 
 #include "primroseweir/fleet/fleet_member.h"
@@ -12,6 +13,10 @@
 struct FleetMessage {
   std::vector<FleetMember> members;
   LoadDigest load;
+  // The sender has not heard of a reader of the store: it asks who reads.
+  bool asks = false;
+  // An encoded PublishedCopy of the newest change, when that is small; else empty.
+  std::string change;
 };
 
 }  // namespace primroseweir
--- a/include/primroseweir/fleet/fleet_table.h
+++ b/include/primroseweir/fleet/fleet_table.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -40,7 +41,8 @@
 
   // ---- exchange ----
 
-  // Takes what a peer tells of an instance; true when the instance was not live before. A statement
+  // Takes what a peer tells of an instance; true when that life of the instance was not known as
+  // live before. A statement
   // about this instance from an earlier life of it raises the own incarnation above that one, since
   // the time of day, from which incarnations start, may have stepped back in between.
   bool Merge(const FleetMember& member, Instant now);
@@ -49,6 +51,8 @@
   std::optional<FleetMember> EarlierLife(const FleetMember& sender) const;
   // Own state and all live members, for a message. Linear.
   std::vector<FleetMember> Statements(Instant now) const;
+  // Own state and that of the live instances that read the store. Linear.
+  std::vector<FleetMember> ReaderStatements(Instant now) const;
 
   // Instances that get a message after a beat, and what it holds.
   struct Targets {
@@ -66,19 +70,28 @@
   // Live instances other than this one.
   std::vector<FleetMember> LivePeers(Instant now) const;
   bool LivePeer(const std::string& ip, Instant now) const;
+  // Instances that hear of news from this one: all live ones of its data centre, and kRelays of
+  // each other one, which pass it on there. Linear.
+  std::vector<std::string> NewsTargets(Instant now) const;
+  // Live instances of the own data centre.
+  std::vector<std::string> NearPeers(Instant now) const;
   // The live peer that knows the most of the published state, one of the own data centre between
   // equals; nothing when none knows more than this instance.
   std::optional<FleetMember> MostAdvanced(Instant now) const;
   bool Near(const FleetMember& member) const { return member.data_centre == self_.data_centre; }
   // Whether this instance should read the platform's store: no live instance of its data centre
-  // that the store serves has a better rank, and its data centre is one of those that read. The
-  // store counts and prices each call, so that one instance of a data centre reads and the others
-  // follow it.
+  // that the store serves does as well, and its data centre is one of those that read. The store
+  // counts and prices each call, so that one instance of a data centre reads and the others follow
+  // it. A reader goes on until a better one reads.
   bool ShouldReadStore(Instant now) const;
-  // The same for an instance that asks again and again: while no instance of the data centre reads
-  // the store, one of them has its turn at a time on average, by chance, since all of them would
-  // flood a store that is down. A reader goes on.
-  bool TakesReadersTurn(Instant now);
+  // Time until this instance is to ask the store, zero for now. While no instance of the data
+  // centre reads, they ask one after the other in the order of their rank: the next one soon, since
+  // the store may turn away the one before, and all of them never at once, since the store may be
+  // down. Not above kAskAgain. Takes the turn that it grants.
+  Duration UntilRead(Instant now);
+  // Whether this instance is to pass on each change at once: the others that read the store are
+  // there for its loss.
+  bool FirstReader(Instant now) const { return ReadingBefore(now) == 0; }
   // Highest number of instances, this one included, that may be sending. Before any peer was heard
   // it is kUnknownFleet: an instance that is cut off from its start can't know the number.
   std::size_t PeakSize(Instant now) const;
@@ -100,10 +113,24 @@
   static constexpr std::uint64_t kBeatsPerFar = 4;
   // Instances of one data centre that send statements to others.
   static constexpr std::size_t kFarSpeakers = 4;
+  // Instances of another data centre that are told news: one of them may be down.
+  static constexpr std::size_t kRelays = 2;
   // Data centres in which an instance reads the store: two of them may be cut off from it at a
   // time.
   static constexpr std::size_t kReadingDataCentres = 3;
   static constexpr std::size_t kUnknownFleet = 64;
+  // Time between two instances that ask the store while nobody reads it: the first few, of which
+  // some may be turned away, and the others, which ask a store that is probably down.
+  static constexpr Duration kFirstTurns = std::chrono::milliseconds(100);
+  static constexpr Duration kLaterTurns = std::chrono::milliseconds(400);
+  static constexpr std::int64_t kSoon = 4;
+  // A data centre that is not among the first kReadingDataCentres asks this much later.
+  static constexpr Duration kSpareDelay = std::chrono::milliseconds(1000);
+  // Time from the first beat to that at which an instance with a better link takes the reading
+  // over: by then it knows the others of its data centre.
+  static constexpr Duration kSettled = std::chrono::seconds(5);
+  // Longest time after which an instance looks again whether it should read.
+  static constexpr Duration kAskAgain = std::chrono::milliseconds(200);
 
  private:
   struct Known {
@@ -113,8 +140,17 @@
 
   bool Live(const Known& known, Instant now) const;
   std::size_t Rank(Instant now) const;
-  // Other data centres that read the store and go before the own one.
+  // Other data centres that read the store, and those of them that go before the own one.
+  std::set<DataCentre> ReadingElsewhere(Instant now) const;
   std::size_t ReadingBefore(Instant now) const;
+  // Live instances of the own data centre, this one included, and how many of them go before it.
+  struct Place {
+    std::int64_t before = 0;
+    std::int64_t count = 1;
+  };
+  Place PlaceAsReader(Instant now) const;
+  // Whether the own data centre is one of those that should read when all can.
+  bool AmongReading(Instant now) const;
   std::string Pick(std::vector<std::string>* ips);
 
   FleetMember self_;
@@ -122,6 +158,10 @@
   std::map<std::string, Known> peers_;
   // Live instances of the own data centre, as of the last beat.
   std::size_t near_ = 0;
+  Instant first_beat_ = Instant::max();
+  // Since when this instance should read, and the last round of turns in which it did.
+  Instant turns_since_ = Instant::max();
+  std::int64_t turn_taken_ = -1;
 };
 
 }  // namespace primroseweir
--- a/include/primroseweir/gateway/fleet_service.h
+++ b/include/primroseweir/gateway/fleet_service.h
@@ -59,24 +59,40 @@
 
   void SetSeeds(std::vector<std::string> seeds) { seeds_ = std::move(seeds); }
   void SetLeaving(bool leaving);
+  // A planned stop began: takes no callers, and leaves the store to the others.
+  void SetStopping();
   // Whether the platform's store serves this instance.
   void SetReadsStore(bool reads);
-  // Whether this instance is to ask the store now.
-  bool ShouldReadStore(Instant now);
+  // Time until this instance is to ask the store, zero for now.
+  Duration UntilRead(Instant now);
+  // Whether this instance passes on the store's changes at once.
+  bool FirstReader(Instant now) const { return table_.FirstReader(now); }
   // Tells the peers at once, after a change of the own state.
   void Announce();
+  // Tells the peers at once what the store changed after `before`.
+  void AnnounceChange(Revision before);
+
+  // Whether a live peer knows more of the published state than this instance.
+  bool Behind(Instant now);
+  // Whether other instances ask this one first.
+  bool is_seed() const { return is_seed_; }
+  // Whether any peer was heard since the start.
+  bool heard() const { return heard_; }
 
   // IP addresses of the instances that a caller from that data centre should use.
   std::vector<std::string> AddressesFor(const DataCentre& caller) const;
 
   // A reader of the store asks a peer that was ahead this long: usually the store's own notice
-  // arrives within milliseconds. Others ask a peer of their data centre at once, and one elsewhere
-  // after a short time.
+  // arrives within milliseconds. Others ask a peer of their data centre when the change has not
+  // come by datagram, and one elsewhere when nobody near has it either.
   static constexpr Duration kReaderCopyDelay = std::chrono::milliseconds(300);
-  static constexpr Duration kFarCopyDelay = std::chrono::milliseconds(60);
-  // An instance that has just started leaves the store to the seeds for this long plus a part of
-  // the same again: by then it has heard who reads it.
-  static constexpr Duration kReaderGrace = std::chrono::milliseconds(300);
+  static constexpr Duration kNearCopyDelay = std::chrono::milliseconds(15);
+  static constexpr Duration kFarCopyDelay = std::chrono::milliseconds(150);
+  // An instance that has just started leaves the store to the seeds for this long: by then it has
+  // heard who reads it. While it has heard of no reader, as in a fleet whose seeds are down, it
+  // waits up to kUnheardGrace longer, at random.
+  static constexpr Duration kReaderGrace = std::chrono::milliseconds(500);
+  static constexpr Duration kUnheardGrace = std::chrono::milliseconds(3000);
   // Longest pause of a peer that is asked for its copy.
   static constexpr Duration kCopyTimeout = std::chrono::milliseconds(500);
   // Longest time of a copy, whatever its pauses: a large configuration takes seconds when a data
@@ -84,10 +100,15 @@
   static constexpr Duration kLongestCopy = std::chrono::seconds(15);
   static constexpr Duration kLoadInterval = std::chrono::milliseconds(50);
   // Seeds hear the own state this often even when peers are known, so that parts of a split fleet
-  // meet: a seed greets whom it did not know.
+  // meet: a seed greets whom it did not know. After a start they are asked with each beat until
+  // they tell who reads the store, but not for longer than kAskingBeats.
   static constexpr std::uint64_t kBeatsPerSeedRound = 16;
+  static constexpr std::uint64_t kAskingBeats = 12;
   // Time over which the callers' load is averaged.
   static constexpr Duration kLoadMemory = std::chrono::seconds(2);
+  // Changes up to this size travel with the notice of them, so that the others need not fetch them:
+  // it is sent to a whole data centre over one link.
+  static constexpr std::size_t kLargestChange = 4000;
   static constexpr char kCopyPath[] = "/published";
 
  private:
@@ -99,9 +120,12 @@
   void PlanLoad();
   void Receive(const std::string& ip, std::string_view data);
   void Send(const std::string& ip, const std::string& data);
-  // Tells an instance that was not live before of the fleet, in full within the data centre.
+  // Tells an instance that was not live before of the fleet, in full within the data centre, and of
+  // the readers of the store elsewhere.
   void Greet(const FleetMember& member, Instant now);
-  std::string OwnState() const;
+  // Takes a change that came with a datagram, and passes it on when it came from elsewhere.
+  void TakeChange(const FleetMember& sender, const std::string& change, Instant now);
+  std::string OwnState(bool asks = false) const;
   std::string AllStates(Instant now) const;
   void TakeLoad(const std::string& ip, const LoadDigest& load, Instant now);
   void FollowPeers(Instant now);
@@ -120,6 +144,8 @@
   PeerLoads loads_;
   UdpSocket socket_;
   std::set<std::string> live_;
+  bool heard_ = false;
+  bool stopping_ = false;
   std::uint64_t beats_ = 0;
   // Running averages of calls and bytes of answers a second, and the counts at the last beat.
   double calls_rate_ = 0;
@@ -129,8 +155,9 @@
   Instant measured_;
   bool had_load_ = false;
   bool load_planned_ = false;
-  // Until when only seeds are to read the store.
+  // Until when only seeds are to read the store, with and without a peer that was heard.
   Instant reader_grace_end_;
+  Instant unheard_grace_end_;
   bool is_seed_ = false;
   // Instances that callers of the own data centre use, as of the last beat.
   std::vector<std::string> callers_use_;
--- a/src/fleet/fleet_codec.cc
+++ b/src/fleet/fleet_codec.cc
@@ -16,19 +16,21 @@
 namespace {
 
 // First element of each message; changes with the layout.
-constexpr std::uint32_t kFormat = 3;
+constexpr std::uint32_t kFormat = 4;
 
 using MemberTuple = std::tuple<std::string, std::string, std::uint64_t, std::uint64_t, bool, bool,
                                std::uint64_t, std::array<std::uint32_t, 4>>;
 using UseTuple = std::tuple<std::uint64_t, std::uint32_t, std::uint32_t, std::uint32_t>;
 using StrikeTuple = std::tuple<std::uint64_t, std::string, std::int64_t, bool>;
 using MessageTuple = std::tuple<std::uint32_t, std::vector<MemberTuple>, std::vector<UseTuple>,
-                                std::vector<StrikeTuple>>;
+                                std::vector<StrikeTuple>, bool, std::string>;
 
 MessageTuple ToTuple(const FleetMessage& message) {
   MessageTuple result;
-  auto& [format, members, uses, strikes] = result;
+  auto& [format, members, uses, strikes, asks, change] = result;
   format = kFormat;
+  asks = message.asks;
+  change = message.change;
   for (const auto& member : message.members) {
     const auto& capacity = member.capacity;
     members.emplace_back(member.ip, member.data_centre.value(), member.incarnation.value(),
@@ -68,6 +70,8 @@
     message.load.strikes.push_back(
         {fingerprint, UpstreamId(upstream), std::chrono::milliseconds(age), succeeded});
   }
+  message.asks = std::get<4>(tuple);
+  message.change = std::get<5>(tuple);
   return message;
 }
 
--- a/src/fleet/fleet_table.cc
+++ b/src/fleet/fleet_table.cc
@@ -11,6 +11,17 @@
 namespace primroseweir {
 namespace {
 
+// Order in which instances read the store: those that follow copy from the reader over its link.
+std::pair<std::int64_t, std::uint64_t> ReaderRank(const FleetMember& member) {
+  return {-static_cast<std::int64_t>(member.capacity.link_kilobytes), StableHash(member.ip)};
+}
+
+// Time from the start of the turns to that of the instance with so many before it.
+Duration TurnAfter(std::int64_t before) {
+  const auto soon = std::min(before, FleetTable::kSoon);
+  return soon * FleetTable::kFirstTurns + (before - soon) * FleetTable::kLaterTurns;
+}
+
 bool Newer(const FleetMember& a, const FleetMember& b) {
   return std::make_pair(a.incarnation, a.beat) > std::make_pair(b.incarnation, b.beat);
 }
@@ -23,6 +34,7 @@
 
 void FleetTable::Beat(Instant now) {
   ++self_.beat;
+  first_beat_ = std::min(first_beat_, now);
   near_ = static_cast<std::size_t>(
       std::count_if(peers_.begin(), peers_.end(), [this, now](const auto& entry) {
         return Live(entry.second, now) && Near(entry.second.member);
@@ -55,9 +67,10 @@
   if (!Newer(member, known.member)) {
     return false;
   }
-  const bool was_live = Live(known, now);
+  // A process that restarted within its silence knows nothing of what it was told before.
+  const bool same_life = Live(known, now) && known.member.incarnation == member.incarnation;
   known = {member, now};
-  return !was_live;
+  return !same_life;
 }
 
 std::optional<FleetMember> FleetTable::EarlierLife(const FleetMember& sender) const {
@@ -78,6 +91,16 @@
   return statements;
 }
 
+std::vector<FleetMember> FleetTable::ReaderStatements(Instant now) const {
+  std::vector<FleetMember> statements{self_};
+  for (const auto& [ip, known] : peers_) {
+    if (known.member.reads_store && Live(known, now)) {
+      statements.push_back(known.member);
+    }
+  }
+  return statements;
+}
+
 FleetTable::Targets FleetTable::TargetsOf(std::uint64_t beats, Instant now) {
   std::vector<std::string> near;
   std::vector<std::string> far;
@@ -144,6 +167,37 @@
   return found != peers_.end() && Live(found->second, now);
 }
 
+std::vector<std::string> FleetTable::NearPeers(Instant now) const {
+  std::vector<std::string> ips;
+  for (const auto& [ip, known] : peers_) {
+    if (Near(known.member) && Live(known, now)) {
+      ips.push_back(ip);
+    }
+  }
+  return ips;
+}
+
+std::vector<std::string> FleetTable::NewsTargets(Instant now) const {
+  auto ips = NearPeers(now);
+  std::map<DataCentre, std::vector<const FleetMember*>> far;
+  for (const auto& [ip, known] : peers_) {
+    if (!Near(known.member) && Live(known, now)) {
+      far[known.member.data_centre].push_back(&known.member);
+    }
+  }
+  for (auto& [data_centre, members] : far) {
+    const auto count = std::min(kRelays, members.size());
+    // Those with the best links: they pass the news on to all the others.
+    std::partial_sort(
+        members.begin(), members.begin() + static_cast<std::ptrdiff_t>(count), members.end(),
+        [](const FleetMember* a, const FleetMember* b) { return ReaderRank(*a) < ReaderRank(*b); });
+    for (std::size_t i = 0; i < count; ++i) {
+      ips.push_back(members[i]->ip);
+    }
+  }
+  return ips;
+}
+
 std::optional<FleetMember> FleetTable::MostAdvanced(Instant now) const {
   std::optional<FleetMember> best;
   for (const auto& [ip, known] : peers_) {
@@ -162,39 +216,91 @@
   return best;
 }
 
-std::size_t FleetTable::ReadingBefore(Instant now) const {
-  const auto own = StableHash(self_.data_centre.value());
+std::set<DataCentre> FleetTable::ReadingElsewhere(Instant now) const {
   std::set<DataCentre> reading;
   for (const auto& [ip, known] : peers_) {
     const auto& member = known.member;
-    if (member.reads_store && !member.leaving && Live(known, now) &&
-        StableHash(member.data_centre.value()) < own) {
+    if (member.reads_store && !Near(member) && Live(known, now)) {
       reading.insert(member.data_centre);
     }
   }
-  return reading.size();
+  return reading;
+}
+
+std::size_t FleetTable::ReadingBefore(Instant now) const {
+  const auto reading = ReadingElsewhere(now);
+  const auto own = StableHash(self_.data_centre.value());
+  return static_cast<std::size_t>(std::count_if(
+      reading.begin(), reading.end(),
+      [own](const DataCentre& data_centre) { return StableHash(data_centre.value()) < own; }));
+}
+
+bool FleetTable::AmongReading(Instant now) const {
+  const auto own = StableHash(self_.data_centre.value());
+  std::set<DataCentre> before;
+  for (const auto& [ip, known] : peers_) {
+    const auto& data_centre = known.member.data_centre;
+    if (Live(known, now) && StableHash(data_centre.value()) < own) {
+      before.insert(data_centre);
+    }
+  }
+  return before.size() < kReadingDataCentres;
 }
 
 bool FleetTable::ShouldReadStore(Instant now) const {
-  // Those that follow copy from the reader over its link.
-  const auto rank = [](const FleetMember& member) {
-    return std::make_pair(-static_cast<std::int64_t>(member.capacity.link_kilobytes),
-                          StableHash(member.ip));
-  };
-  if (ReadingBefore(now) >= kReadingDataCentres) {
+  const auto elsewhere = self_.reads_store ? ReadingBefore(now) : ReadingElsewhere(now).size();
+  if (elsewhere >= kReadingDataCentres) {
     return false;
   }
-  const auto own = rank(self_);
-  return std::none_of(peers_.begin(), peers_.end(), [this, &rank, &own, now](const auto& entry) {
+  const bool may_take_over =
+      self_.reads_store || (now - first_beat_ > kSettled && PlaceAsReader(now).before == 0);
+  return std::none_of(peers_.begin(), peers_.end(), [&](const auto& entry) {
     const auto& member = entry.second.member;
-    return Live(entry.second, now) && Near(member) && member.reads_store && !member.leaving &&
-           rank(member) < own;
+    if (!Live(entry.second, now) || !Near(member) || !member.reads_store) {
+      return false;
+    }
+    // Between two readers the rank decides; who does not read takes over from a slower link only.
+    const bool better = self_.reads_store
+                            ? ReaderRank(self_) < ReaderRank(member)
+                            : self_.capacity.link_kilobytes > member.capacity.link_kilobytes;
+    return !may_take_over || !better;
   });
 }
 
-bool FleetTable::TakesReadersTurn(Instant now) {
-  const auto instances = static_cast<double>(near_ + 1);
-  return ShouldReadStore(now) && (self_.reads_store || random_.Unit() * instances < 1);
+FleetTable::Place FleetTable::PlaceAsReader(Instant now) const {
+  Place place;
+  const auto own = ReaderRank(self_);
+  for (const auto& [ip, known] : peers_) {
+    if (Near(known.member) && Live(known, now)) {
+      ++place.count;
+      place.before += ReaderRank(known.member) < own ? 1 : 0;
+    }
+  }
+  return place;
+}
+
+Duration FleetTable::UntilRead(Instant now) {
+  if (!ShouldReadStore(now)) {
+    turns_since_ = Instant::max();
+    return kAskAgain;
+  }
+  if (self_.reads_store) {
+    return Duration::zero();
+  }
+  if (turns_since_ == Instant::max()) {
+    turns_since_ = now;
+    turn_taken_ = -1;
+  }
+  const auto place = PlaceAsReader(now);
+  const Duration delay = AmongReading(now) ? Duration::zero() : Duration(kSpareDelay);
+  const auto begin = turns_since_ + delay;
+  const auto round = (now - begin) / (place.count * kLaterTurns);
+  const auto turn = begin + round * place.count * kLaterTurns + TurnAfter(place.before);
+  if (now >= turn && now >= begin && round > turn_taken_) {
+    turn_taken_ = round;
+    return Duration::zero();
+  }
+  return std::clamp<Duration>(turn - now, std::chrono::milliseconds(1), kAskAgain);
 }
 
 std::size_t FleetTable::PeakSize(Instant now) const {
--- a/src/gateway/fleet_service.cc
+++ b/src/gateway/fleet_service.cc
@@ -5,6 +5,7 @@
 #include <cmath>
 #include <utility>
 
+#include "primroseweir/base/error.h"
 #include "primroseweir/base/line_log.h"
 #include "primroseweir/fleet/address_choice.h"
 #include "primroseweir/fleet/fleet_codec.h"
@@ -120,18 +121,25 @@
     return status;
   }
   is_seed_ = std::find(seeds_.begin(), seeds_.end(), table_.self().ip) != seeds_.end();
-  const auto grace = std::chrono::duration<double>(kReaderGrace) * (1 + gateway_->random().Unit());
-  reader_grace_end_ = now_() + std::chrono::duration_cast<Duration>(grace);
+  reader_grace_end_ = now_() + kReaderGrace;
+  const auto unheard = std::chrono::duration<double>(kUnheardGrace) * gateway_->random().Unit();
+  unheard_grace_end_ = reader_grace_end_ + std::chrono::duration_cast<Duration>(unheard);
   beat_timer_.Repeat(FleetTable::kBeatInterval);
   Beat();
   return absl::OkStatus();
 }
 
-bool FleetService::ShouldReadStore(Instant now) {
-  if (now < reader_grace_end_) {
-    return is_seed_ && table_.ShouldReadStore(now);
+Duration FleetService::UntilRead(Instant now) {
+  if (stopping_ && !live_.empty()) {
+    return FleetTable::kAskAgain;
   }
-  return table_.TakesReadersTurn(now);
+  const bool heard = table_.ReaderStatements(now).size() > 1;
+  const auto grace_end = heard ? reader_grace_end_ : unheard_grace_end_;
+  if (now >= grace_end) {
+    return table_.UntilRead(now);
+  }
+  return is_seed_ && table_.ShouldReadStore(now) ? Duration::zero()
+                                                 : Duration(FleetTable::kAskAgain);
 }
 
 void FleetService::SetReadsStore(bool reads) {
@@ -146,6 +154,12 @@
   }
 }
 
+void FleetService::SetStopping() {
+  stopping_ = true;
+  table_.SetLeaving(true);
+  Announce();
+}
+
 // ---- sending ----
 
 void FleetService::Beat() {
@@ -157,11 +171,12 @@
   gateway_->book().SetFleetSize(table_.PeakSize(now));
   const auto targets = table_.TargetsOf(beats_, now);
   std::set<std::string> brief(targets.brief.begin(), targets.brief.end());
-  if (live_.empty() || beats_ % kBeatsPerSeedRound == 0) {
+  const bool asks = beats_ < kAskingBeats && table_.ReaderStatements(now).size() <= 1;
+  if (live_.empty() || asks || beats_ % kBeatsPerSeedRound == 0) {
     brief.insert(seeds_.begin(), seeds_.end());
   }
   ++beats_;
-  const auto own_state = OwnState();
+  const auto own_state = OwnState(asks);
   for (const auto& ip : brief) {
     Send(ip, own_state);
   }
@@ -197,13 +212,63 @@
   table_.Beat(now);
   table_.SetPublished(cache_->at());
   const auto data = OwnState();
-  for (const auto& peer : table_.LivePeers(now)) {
-    Send(peer.ip, data);
+  for (const auto& ip : table_.NewsTargets(now)) {
+    Send(ip, data);
+  }
+}
+
+void FleetService::AnnounceChange(Revision before) {
+  const auto now = now_();
+  table_.Beat(now);
+  table_.SetPublished(cache_->at());
+  FleetMessage message;
+  message.members = {table_.self()};
+  message.change = EncodePublishedCopy(cache_->CopyAfter(before, now));
+  if (message.change.size() > kLargestChange) {
+    message.change.clear();
+  }
+  const auto data = EncodeFleetMessage(message);
+  for (const auto& ip : table_.NewsTargets(now)) {
+    Send(ip, data);
+  }
+}
+
+void FleetService::TakeChange(const FleetMember& sender, const std::string& change, Instant now) {
+  if (sender.published <= cache_->at()) {
+    return;
+  }
+  const auto copy = DecodePublishedCopy(change);
+  if (!copy.ok()) {
+    log_->Write("peer_change", {{"peer", sender.ip}, {"outcome", MessageOf(copy.status())}}, now);
+    return;
+  }
+  if (copy->after > cache_->at()) {
+    // Something before it was missed: it is fetched with what was missed.
+    return;
+  }
+  const bool changed = cache_->Take(*copy, now);
+  log_->Write("peer_change",
+              {{"peer", sender.ip},
+               {"revision", std::to_string(copy->at.value())},
+               {"outcome", changed ? "taken" : "unchanged"}},
+              now);
+  on_copy_(changed);
+  if (table_.Near(sender)) {
+    return;
+  }
+  table_.SetPublished(cache_->at());
+  FleetMessage message;
+  message.members = {table_.self()};
+  message.change = change;
+  const auto data = EncodeFleetMessage(message);
+  for (const auto& ip : table_.NearPeers(now)) {
+    Send(ip, data);
   }
 }
 
-std::string FleetService::OwnState() const {
+std::string FleetService::OwnState(bool asks) const {
   FleetMessage message;
+  message.asks = asks;
   message.members = {table_.self()};
   return EncodeFleetMessage(message);
 }
@@ -215,7 +280,9 @@
 }
 
 void FleetService::Greet(const FleetMember& member, Instant now) {
-  Send(member.ip, table_.Near(member) ? AllStates(now) : OwnState());
+  FleetMessage message;
+  message.members = table_.Near(member) ? table_.Statements(now) : table_.ReaderStatements(now);
+  Send(member.ip, EncodeFleetMessage(message));
 }
 
 // Calls in flight go to the instances of the data centre that callers use: those share its
@@ -291,6 +358,12 @@
     reply.members = {table_.self(), *earlier};
     Send(ip, EncodeFleetMessage(reply));
   }
+  heard_ = true;
+  if (message->asks) {
+    FleetMessage reply;
+    reply.members = table_.ReaderStatements(now);
+    Send(ip, EncodeFleetMessage(reply));
+  }
   for (const auto& member : message->members) {
     if (table_.Merge(member, now)) {
       if (member.ip == ip) {
@@ -307,6 +380,9 @@
     }
   }
   TakeLoad(ip, message->load, now);
+  if (!message->change.empty()) {
+    TakeChange(message->members.front(), message->change, now);
+  }
   FollowPeers(now);
 }
 
@@ -345,7 +421,7 @@
   }
   behind_since_ = std::min(behind_since_, now);
   const Duration delay = table_.self().reads_store ? kReaderCopyDelay
-                         : table_.Near(*peer)      ? Duration::zero()
+                         : table_.Near(*peer)      ? Duration(kNearCopyDelay)
                                                    : Duration(kFarCopyDelay);
   if (now - behind_since_ < delay) {
     follow_timer_.Start(delay - (now - behind_since_));
@@ -369,6 +445,11 @@
 
 // ---- view ----
 
+bool FleetService::Behind(Instant now) {
+  table_.SetPublished(cache_->at());
+  return table_.MostAdvanced(now).has_value();
+}
+
 std::vector<std::string> FleetService::AddressesFor(const DataCentre& caller) const {
   auto fleet = table_.LivePeers(now_());
   fleet.push_back(table_.self());
--- a/standins/platform/main.cc
+++ b/standins/platform/main.cc
@@ -43,6 +43,10 @@
       store_->SetDown(Value(query, "for") != "no");
       return Done();
     });
+    port_.Add("/stale", [this](const Query& query) {
+      store_->SetStale(Value(query, "reads") != "no");
+      return Done();
+    });
     port_.Add("/upstream", [this](const Query& query) { return AddUpstream(query); });
     port_.Add("/mode", [this](const Query& query) {
       return OnUpstream(
@@ -150,6 +154,7 @@
   TCLAP::ValueArg<std::string> control(
       "", "control",
       "control port: /put?key=&value=, /erase?key=, /compact, /down?for=no|all, "
+      "/stale?reads=no|yes, "
       "/upstream?id=&service=&zone=&address=&listed=&work_ms=, /mode?id=&mode=, "
       "/state?id=&state=, /runs, /ledger",
       true, "", "IP:PORT", command);
--- a/standins/platform/platform_store.h
+++ b/standins/platform/platform_store.h
@@ -7,6 +7,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -29,6 +30,8 @@
   void Erase(const std::string& key);
   // Forgets the history: watches from an older revision answer 410.
   void Compact();
+  // Stale reads return what is stored now, until this is called again with false.
+  void SetStale(bool stale);
   // While down, calls and waiting watches answer 503.
   void SetDown(bool down);
   std::uint64_t calls() const { return calls_; }
@@ -57,7 +60,12 @@
     std::unique_ptr<Timer> timer;
   };
 
-  void Range(HttpServerStream* stream, const std::string& prefix, const std::string& after);
+  struct Items {
+    std::map<std::string, Item> items;
+    std::uint64_t revision = 0;
+  };
+  void Range(HttpServerStream* stream, const Items& items, const std::string& prefix,
+             const std::string& after);
   void StartWatch(HttpServerStream* stream, const std::string& prefix, std::uint64_t after,
                   Duration wait);
   // Answers the watch if there is something to tell or `over`; answers whether it did.
@@ -67,6 +75,8 @@
   EventLoop* const loop_;
   HttpPort port_;
   std::map<std::string, Item> items_;
+  // What stale reads return.
+  std::optional<Items> stale_;
   std::vector<Event> history_;
   std::list<Watch> watches_;
   std::uint64_t revision_ = 1;
--- a/tests/platform/platform_site.h
+++ b/tests/platform/platform_site.h
@@ -59,6 +59,8 @@
   SocketAddress Readiness(int instance) const { return network_.Host(10 + instance, 8001); }
   SocketAddress Directory(int instance) const { return network_.Host(10 + instance, 8003); }
   SocketAddress Metrics(int instance) const { return network_.Host(10 + instance, 7541); }
+  SocketAddress Peers(int instance) const { return network_.Host(10 + instance, 8002); }
+  SocketAddress Datagrams(int instance) const { return network_.Host(10 + instance, 7540); }
 
   // ---- what happens ----
 
