Probe few upstreams of a returned data centre; claim near windows with a delay

Change: (1) as many as a quarter of the calls under way, and all to which a connection failed; (2) the share is used 400 ms after the claim, two gossip periods; (3) the field keeps its default.

--- a/include/primroseweir/balance/balanced_upstream.h
+++ b/include/primroseweir/balance/balanced_upstream.h
@@ -59,10 +59,17 @@
 
   // ---- doubt ----
 
-  // A connection failed, or the data centre returned: the process may have restarted cold, so that
-  // only probes are sent until one is answered.
-  void Doubt(Instant now);
+  // Why an upstream is doubted.
+  enum class Cause {
+    // A connection to it failed.
+    kLoss,
+    // Its data centre was out of service.
+    kReturn,
+  };
+  // The process may have restarted cold, so that only probes are sent until one is answered.
+  void Doubt(Cause cause, Instant now);
   bool doubted() const { return doubted_; }
+  bool lost() const { return doubted_ && lost_; }
   // A probe was answered: `warm_up_left` as stated there.
   void Trust(Duration warm_up_left, std::size_t instances, Instant now, Random* random);
   // The upstream itself answered a probe with a failure. After kIgnoredProbes of them in a row the
@@ -142,6 +149,7 @@
   bool out_ = false;
   bool misdirected_ = false;
   bool doubted_ = false;
+  bool lost_ = false;
   Instant next_probe_;
   int unhealthy_probes_ = 0;
   Instant cold_until_;
--- a/include/primroseweir/balance/upstream_book.h
+++ b/include/primroseweir/balance/upstream_book.h
@@ -109,7 +109,11 @@
   // ---- upkeep ----
 
   // Doubted upstreams whose probe is due now, of services that had calls lately: an instance
-  // without callers need not know.
+  // without callers need not know. Of those of a data centre that returned, as many as the calls
+  // under way warrant.
+  //
+  // Load pattern: a data centre with a hundred upstreams returns to hundreds of instances, of which
+  // a few carry the calls and the others get one now and then.
   std::vector<std::shared_ptr<BalancedUpstream>> DueProbes(Instant now);
   void Trust(BalancedUpstream* upstream, Duration warm_up_left, Instant now);
 
@@ -117,6 +121,8 @@
   std::shared_ptr<BalancedUpstream> Find(const UpstreamId& id) const;
   const std::map<UpstreamId, std::shared_ptr<BalancedUpstream>>& all() const { return upstreams_; }
 
+  // Calls under way for each returned upstream that is probed at a time.
+  static constexpr std::size_t kCallsPerProbe = 4;
   // A service without calls for this long gets no probes.
   static constexpr Duration kProbedAfterCall = std::chrono::seconds(5);
   // A report of this age still tells whether neighbours slow the upstream down.
@@ -150,6 +156,8 @@
   // Doubted upstreams whose probe is due, those of the own data centre first; takes the probes.
   std::vector<std::shared_ptr<BalancedUpstream>> DoubtedToAsk(const ServiceEntry& service,
                                                               Instant now) const;
+  // Upstreams of a returned data centre that may be probed now.
+  static std::size_t ReturnedToProbe(const ServiceEntry& service);
   ColdPacer::Bound ColdBoundOf(const UpstreamRecord& record, const RouteTable& terms) const;
   void AddOrUpdate(const UpstreamRecord& record, const RouteTable& terms, Instant now);
   bool Near(const BalancedUpstream& upstream) const {
--- a/include/primroseweir/routing/detail/placement.h
+++ b/include/primroseweir/routing/detail/placement.h
@@ -42,15 +42,15 @@
   Found Collect(const CallRequest& request, bool suspect, Scratch* scratch, Instant now) const;
   void KeepAssigned(const CallRequest& request, Scratch* scratch, Instant now) const;
   Candidate View(const ServiceEntry::Use& use, std::uint32_t limit, Instant now) const;
-  std::uint32_t LimitOf(const UpstreamState& state) const;
+  std::uint32_t LimitOf(const UpstreamState& state, Instant now) const;
   std::shared_ptr<UpstreamState> Choose(const CallRequest& request, bool suspect, Scratch* scratch,
                                         Instant now);
   bool Start(const CallRequest& request, bool suspect, const ServiceEntry::Use& use, Instant now);
   // Whether the window of a state without a share may be claimed: no owner is heard to send there.
   bool Silent(const CallRequest& request, const UpstreamState& state, Instant now) const;
-  bool Claim(UpstreamState* state, Instant now);
+  bool Claim(UpstreamState* state, Duration settle, Instant now);
   bool ClaimOne(const CallRequest& request, Instant now);
-  bool ClaimNear(const CallRequest& request, Instant now);
+  void ClaimNear(const CallRequest& request, Instant now);
 
   const ServiceEntry& entry_;
   RouterShared* shared_;
--- a/include/primroseweir/upstream/warm_up_window.h
+++ b/include/primroseweir/upstream/warm_up_window.h
@@ -62,14 +62,21 @@
   void Restart(Instant now);
 
   // Makes this seat an owner of window 1 by the lowest higher epoch that ranks it first. For a seat
-  // with a waiting call when no owner was heard for kSilence.
-  bool Claim(Instant now);
+  // with a waiting call when no owner was heard for kSilence. The owner before may have started a
+  // call that was not heard of yet: the share is not to be used before `settle` has passed.
+  bool Claim(Instant now, Duration settle = Duration::zero());
+  // Whether the share may be used, as far as claims are concerned.
+  bool settled(Instant now) const {
+    return now.time_since_epoch().count() >= usable_from_.load(std::memory_order_acquire);
+  }
 
   static constexpr Duration kGrowthInterval = std::chrono::milliseconds(100);
   static constexpr Duration kLongestGrowthInterval = std::chrono::milliseconds(1600);
   // Collapses that follow each other faster than this lengthen the growth interval.
   static constexpr Duration kCollapseMemory = std::chrono::seconds(10);
   static constexpr Duration kSilence = std::chrono::seconds(1);
+  // Two gossip periods: a claim and the calls of the owner before are known by then.
+  static constexpr Duration kClaimSettle = std::chrono::milliseconds(400);
 
  private:
   void Set(std::uint64_t epoch, std::uint32_t window, Instant now);
@@ -90,6 +97,7 @@
   std::atomic<bool> open_{false};
   std::atomic<Duration::rep> changed_;
   std::atomic<Duration::rep> growth_interval_;
+  std::atomic<Duration::rep> usable_from_{0};
 };
 
 // Calls at a time of the seat with `rank` among `live` seats while the window is `window`. The sum
--- a/src/balance/balanced_upstream.cc
+++ b/src/balance/balanced_upstream.cc
@@ -67,7 +67,8 @@
 
 // ---- doubt ----
 
-void BalancedUpstream::Doubt(Instant now) {
+void BalancedUpstream::Doubt(Cause cause, Instant now) {
+  lost_ = cause == Cause::kLoss || (doubted_ && lost_);
   if (!doubted_) {
     doubted_ = true;
     unhealthy_probes_ = 0;
--- a/src/balance/upstream_book.cc
+++ b/src/balance/upstream_book.cc
@@ -48,7 +48,7 @@
     const bool is_out = out.count(upstream->record().data_centre) != 0;
     if (is_out) {
       // Its upstreams may turn cold while they get no calls.
-      upstream->Doubt(now);
+      upstream->Doubt(BalancedUpstream::Cause::kReturn, now);
     }
     upstream->SetOut(is_out);
     services_[upstream->record().service].upstreams.push_back(upstream);
@@ -216,10 +216,20 @@
   }
   upstream->NoteEnd(result, started, load.usual(), now);
   if (result == AttemptResult::kLost) {
-    upstream->Doubt(now);
+    upstream->Doubt(BalancedUpstream::Cause::kLoss, now);
   }
 }
 
+std::size_t UpstreamBook::ReturnedToProbe(const ServiceEntry& service) {
+  std::size_t calls = 0;
+  bool any_trusted = false;
+  for (const auto& upstream : service.upstreams) {
+    calls += upstream->in_flight();
+    any_trusted = any_trusted || (upstream->usable() && !upstream->doubted());
+  }
+  return std::max(calls / kCallsPerProbe, any_trusted ? 0 : kProbedPerCall);
+}
+
 Duration UpstreamBook::ExpectedWait(const ServiceName& service, std::size_t waiting,
                                     Instant now) const {
   const auto found = services_.find(service);
@@ -249,10 +259,14 @@
     if (service.wanted == Instant() || now - service.wanted > kProbedAfterCall) {
       continue;
     }
+    auto returned = ReturnedToProbe(service);
     for (const auto& upstream : service.upstreams) {
-      if (upstream->usable() && upstream->TakeProbe(now)) {
-        due.push_back(upstream);
+      if (!upstream->usable() || (!upstream->lost() && returned == 0) ||
+          !upstream->TakeProbe(now)) {
+        continue;
       }
+      returned -= upstream->lost() ? 0 : 1;
+      due.push_back(upstream);
     }
   }
   return due;
--- a/src/configuration/text_parser.cc
+++ b/src/configuration/text_parser.cc
@@ -1,8 +1,6 @@
 #include "primroseweir/configuration/text_parser.h"
 
-#include <algorithm>
 #include <cstdint>
-#include <iterator>
 #include <string_view>
 #include <unordered_map>
 #include <utility>
@@ -60,13 +58,13 @@
   constexpr char kExpected[] = "repeatable, not-repeatable or uploads";
   if (!reader->Expect(index, JsonKind::kString, path, kExpected)) return;
   const std::string_view value = reader->text(index);
-  const auto known = std::find_if(
-      std::begin(kServiceCalls), std::end(kServiceCalls),
-      [value](ServiceCalls calls) { return value == std::string_view(NameOf(calls)); });
-  if (known == std::end(kServiceCalls)) {
-    reader->Reject(index, path, "unknown value " + Quote(value), kExpected);
+  for (const ServiceCalls calls : kServiceCalls) {
+    if (value == NameOf(calls)) {
+      source->calls = calls;
+      return;
+    }
   }
-  source->calls = *known;
+  reader->Reject(index, path, "unknown value " + Quote(value), kExpected);
 }
 
 constexpr FieldRule<ServiceSource> kServiceRules[] = {
--- a/src/gateway/upstream_prober.cc
+++ b/src/gateway/upstream_prober.cc
@@ -53,7 +53,7 @@
     stream_.reset();
     // A kept connection may have gone silent; a new one that is silent too tells of the upstream.
     if (fresh_stream_) {
-      upstream_->Doubt(now);
+      upstream_->Doubt(BalancedUpstream::Cause::kLoss, now);
     }
   }
 
@@ -89,7 +89,7 @@
     const auto now = EventLoop::Now();
     // A kept connection may have been closed meanwhile, which tells nothing.
     if (fresh_stream_) {
-      upstream_->Doubt(now);
+      upstream_->Doubt(BalancedUpstream::Cause::kLoss, now);
     }
     if (failure == Failure::kConnect) {
       gateway_->ConfirmCrash(upstream_->record().id, now);
--- a/src/routing/detail/placement.cc
+++ b/src/routing/detail/placement.cc
@@ -35,11 +35,10 @@
   const bool suspect = verdict == CrashGuard::Verdict::kSuspect;
   const auto scratch = pool_->Borrow();
   Found found = Collect(request, suspect, &*scratch, now);
-  const bool may_prefer_near = found == Found::kSome && !suspect && !request.hedge;
-  const bool claimed = rules_.may_claim && ((found == Found::kAllBusy && ClaimOne(request, now)) ||
-                                            (may_prefer_near && ClaimNear(request, now)));
-  if (claimed) {
+  if (found == Found::kAllBusy && rules_.may_claim && ClaimOne(request, now)) {
     found = Collect(request, suspect, &*scratch, now);
+  } else if (found == Found::kSome && rules_.may_claim && !suspect && !request.hedge) {
+    ClaimNear(request, now);
   }
   if (found == Found::kNone) {
     return NotRun(absl::StatusCode::kUnavailable, "no upstream in service");
@@ -66,7 +65,7 @@
     if (state.leaving()) continue;
     if (!request.excluded.empty() && request.excluded.count(state.record().id) != 0) continue;
     any = true;
-    const std::uint32_t limit = LimitOf(state);
+    const std::uint32_t limit = LimitOf(state, now);
     if (!suspect && state.in_flight() >= limit) continue;
     if (request.hedge && state.in_flight() >= state.owned_slots()) continue;
     scratch->candidates.push_back(View(use, limit, now));
@@ -92,12 +91,13 @@
   const Candidate candidate = scratch->candidates[static_cast<std::size_t>(place)];
   scratch->uses.clear();
   scratch->candidates.clear();
-  if (candidate.local_in_flight >= LimitOf(*use->state)) return;
+  if (candidate.local_in_flight >= LimitOf(*use->state, now)) return;
   scratch->uses.push_back(use);
   scratch->candidates.push_back(candidate);
 }
 
-std::uint32_t Placement::LimitOf(const UpstreamState& state) const {
+std::uint32_t Placement::LimitOf(const UpstreamState& state, Instant now) const {
+  if (!state.window().settled(now)) return 0;
   const std::uint32_t limit = state.window().limit();
   return rules_.cautious ? std::min(limit, 1U) : limit;
 }
@@ -142,7 +142,7 @@
 bool Placement::Start(const CallRequest& request, bool suspect, const ServiceEntry::Use& use,
                       Instant now) {
   UpstreamState& state = *use.state;
-  if (!state.TryStart(LimitOf(state), now)) return false;
+  if (!state.TryStart(LimitOf(state, now), now)) return false;
   if (!suspect || shared_->guard->TryStart(request.fingerprint, state.record().id)) return true;
   state.Undo();
   return false;
@@ -160,8 +160,8 @@
   return !fresh || report->in_flight == 0;
 }
 
-bool Placement::Claim(UpstreamState* state, Instant now) {
-  if (!state->window().Claim(now)) return false;
+bool Placement::Claim(UpstreamState* state, Duration settle, Instant now) {
+  if (!state->window().Claim(now, settle)) return false;
   shared_->Send(*state, now);
   entry_.runtime->Refresh();
   return true;
@@ -177,16 +177,17 @@
     }
   }
   return std::any_of(entry_.in_use.begin(), entry_.in_use.end(), [&](const ServiceEntry::Use& use) {
-    return Silent(request, *use.state, now) && Claim(use.state.get(), now);
+    return Silent(request, *use.state, now) && Claim(use.state.get(), Duration::zero(), now);
   });
 }
 
 // Claims the window of an upstream of the own data centre whose owner is elsewhere and has no need
-// of it: calls of a data centre that returned went to the others for as long as those had room.
-bool Placement::ClaimNear(const CallRequest& request, Instant now) {
-  return std::any_of(entry_.in_use.begin(), entry_.in_use.end(), [&](const ServiceEntry::Use& use) {
+// of it: calls of a data centre that returned went to the others for as long as those had room. The
+// call goes elsewhere meanwhile, so that there is time for the owner's last call to be heard of.
+void Placement::ClaimNear(const CallRequest& request, Instant now) {
+  (void)std::any_of(entry_.in_use.begin(), entry_.in_use.end(), [&](const ServiceEntry::Use& use) {
     return use.distance == Duration::zero() && Silent(request, *use.state, now) &&
-           Claim(use.state.get(), now);
+           Claim(use.state.get(), WarmUpWindow::kClaimSettle, now);
   });
 }
 
--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -98,7 +98,7 @@
         table->out.count(state->record().data_centre) != 0) {
       return MakeError(absl::StatusCode::kUnavailable, {"probe", id.value()}, "not in use");
     }
-    if (!state->TryStart(state->window().limit(), now)) {
+    if (!state->window().settled(now) || !state->TryStart(state->window().limit(), now)) {
       return MakeError(absl::StatusCode::kUnavailable, {"probe", id.value()}, "at its limit");
     }
     return UpstreamLease(LeaseTerms{state, now, 0, false, true}, service->second.runtime);
--- a/src/upstream/warm_up_window.cc
+++ b/src/upstream/warm_up_window.cc
@@ -99,12 +99,13 @@
   Set(epoch_ + 1, 1, now);
 }
 
-bool WarmUpWindow::Claim(Instant now) {
+bool WarmUpWindow::Claim(Instant now, Duration settle) {
   const std::lock_guard<std::mutex> lock(mutex_);
   if (limit() > 0 || now - changed_at() < kSilence) return false;
   const std::uint64_t first = epoch_ + 1;
   for (std::uint64_t epoch = first; epoch < first + kClaimedEpochs; ++epoch) {
     if (RankIn(epoch) != 0) continue;
+    usable_from_.store((now + settle).time_since_epoch().count(), std::memory_order_release);
     Set(epoch, 1, now);
     return true;
   }
--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -11,6 +11,7 @@
 #include "primroseweir/base/line_log.h"
 #include "primroseweir/gateway/gateway_metrics.h"
 #include "primroseweir/published/published_cache.h"
+#include "support/flood_server.h"
 #include "support/loop_server.h"
 
 namespace primroseweir::platform {
@@ -183,5 +184,27 @@
   CHECK(MonotonicNow() - begin >= std::chrono::milliseconds(600));
 }
 
+// Guards against memory and time that an answer without end takes: the store is asked again.
+TEST_CASE("an answer of the store without end is given up", "[platform][endless]") {
+  EventLoop loop;
+  const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  testing::FloodServer server(&loop, head, "61a80\r\n" + std::string(400'000, ' ') + "\r\n");
+  LineLog log("test", open("/dev/null", O_WRONLY | O_CLOEXEC));
+  GatewayMetrics metrics;
+  PublishedCache cache("servers/");
+  StoreClient::Options options;
+  options.address = server.address();
+  StoreClient::Hooks hooks;
+  hooks.until_read = [](Instant) { return Duration::zero(); };
+  hooks.first_reader = [](Instant) { return true; };
+  hooks.on_answer = [](Revision, bool) {};
+  hooks.on_served = [](bool) {};
+  StoreClient client(&loop, options, &cache, &log, &metrics, std::move(hooks));
+  const auto before = testing::ResidentBytes();
+  client.Start();
+  CHECK(RunUntil(&loop, [&] { return server.ended() >= 1; }));
+  CHECK(testing::ResidentBytes() < before + 3 * StoreClient::kLargestAnswer);
+}
+
 }  // namespace
 }  // namespace primroseweir::platform
