--- a/include/primroseweir/balance/upstream_book.h
+++ b/include/primroseweir/balance/upstream_book.h
@@ -140,8 +140,8 @@
   // has connections while these do as well: hundreds of instances that call hundreds of upstreams
   // evenly would need two new connections a call.
   static constexpr double kNewConnectionPart = 0.2;
-  // Large answers are expensive between data centres.
-  static constexpr Duration kDownloadDistance = std::chrono::milliseconds(300);
+  // Large answers and bodies are expensive between data centres.
+  static constexpr Duration kLargeDistance = std::chrono::milliseconds(300);
   // A failed attempt costs a second one.
   static constexpr Duration kFailureCost = std::chrono::milliseconds(400);
 
--- a/include/primroseweir/gateway/routed_call.h
+++ b/include/primroseweir/gateway/routed_call.h
@@ -91,9 +91,9 @@
   enum class Effort {
     // Probes upstreams with old reports first.
     kProbe,
-    // Upstreams that answer in time; downloads stay in their data centre.
+    // Upstreams that answer in time; downloads and uploads stay in their data centre.
     kUsual,
-    // Downloads go to other data centres too.
+    // Downloads and uploads go to other data centres too.
     kAnywhere,
     // Slow upstreams too.
     kAnySpeed,
@@ -111,8 +111,8 @@
   void Place(CallPolicy::Step without, Instant now);
   bool Wait(Instant now);
   void OnWaitEnd();
-  // Tries what is left when no upstream answers in time: other data centres for a download, then a
-  // slow upstream unless the fast ones are full.
+  // Tries what is left when no upstream answers in time: other data centres for a download or
+  // upload, then a slow upstream unless the fast ones are full.
   bool TryLast(Instant now);
   // Expected time to answer beyond which an upstream does not help this call.
   Duration Acceptable(Instant now) const;
--- a/include/primroseweir/routes/route.h
+++ b/include/primroseweir/routes/route.h
@@ -14,6 +14,11 @@
 // calls.
 enum class CallKind { kRepeatable, kOnce, kDownload, kUpload };
 
+// Whether calls of that kind move many bytes, which are expensive between data centres.
+constexpr bool MovesMuch(CallKind kind) {
+  return kind == CallKind::kDownload || kind == CallKind::kUpload;
+}
+
 // Whether a call of that kind may run more than once.
 constexpr bool MayRepeat(CallKind kind) {
   return kind == CallKind::kRepeatable || kind == CallKind::kDownload;
--- a/src/balance/upstream_book.cc
+++ b/src/balance/upstream_book.cc
@@ -168,7 +168,7 @@
     cost += std::max(Seconds(kNewConnection), kNewConnectionPart * Seconds(service.load.usual()));
   }
   if (!Near(upstream)) {
-    cost += Seconds(kind == CallKind::kDownload ? kDownloadDistance : kDistance);
+    cost += Seconds(MovesMuch(kind) ? kLargeDistance : kDistance);
   }
   return cost;
 }
--- a/src/gateway/routed_call.cc
+++ b/src/gateway/routed_call.cc
@@ -145,7 +145,7 @@
   query.service = service_;
   query.kind = route_->kind;
   query.excluded = tried_;
-  query.near_only = route_->kind == CallKind::kDownload && effort <= Effort::kUsual;
+  query.near_only = MovesMuch(route_->kind) && effort <= Effort::kUsual;
   query.acceptable = effort == Effort::kAnySpeed ? Duration::max() : Acceptable(now);
   query.may_probe = effort == Effort::kProbe;
   auto choice = gateway_->book().Choose(query, now);
--- a/tests/balance/upstream_book_test.cc
+++ b/tests/balance/upstream_book_test.cc
@@ -145,16 +145,25 @@
   CHECK(fixture.ChooseId() == "a");
 }
 
-// Guards against large answers between data centres, which are expensive.
-TEST_CASE("downloads stay in their data centre while it has an upstream", "[balance]") {
+// Guards against large answers and bodies between data centres, which are expensive.
+TEST_CASE("downloads and uploads stay in their data centre while it has an upstream", "[balance]") {
+  const auto kind = GENERATE(CallKind::kDownload, CallKind::kUpload);
   BalanceFixture fixture;
   fixture.Add("near");
   fixture.Add("far", "there");
   fixture.Apply();
+  for (int i = 0; i < 20; ++i) {
+    CHECK(fixture.ChooseId(kind) == "near");
+  }
+  // A fast upstream elsewhere does not outweigh the bytes, unlike for other calls.
+  fixture.Report("near", 0, 3);
+  fixture.Report("far", 0, 1);
+  CHECK(fixture.ChooseId(kind) == "near");
+  CHECK(fixture.ChooseId(CallKind::kOnce) == "far");
   fixture.At("near").SetPeerInFlight(4);
   UpstreamBook::Query query;
   query.service = ServiceName("s");
-  query.kind = CallKind::kDownload;
+  query.kind = kind;
   query.near_only = true;
   CHECK(fixture.book.Choose(query, fixture.now).obstacle == UpstreamBook::Obstacle::kFull);
   query.near_only = false;
