Let a peer pause in the middle of a large message

Cause: TCP_USER_TIMEOUT, three seconds here, also ends connections whose peer acknowledges but does not read. A caller that paused for longer in a large answer lost it, although ten seconds are allowed; an upstream that held an upload until it had a slot was cut, and the upload ended as one that may have run. Change: a stream with more than 16 KiB unacknowledged gets 15 s, and three seconds again once they are acknowledged. A kept connection is not idle while its caller takes the rest of an answer.

--- a/include/primroseweir/loop/http_server_stream.h
+++ b/include/primroseweir/loop/http_server_stream.h
@@ -75,6 +75,9 @@
   static constexpr std::size_t kReadAhead = std::size_t{64} * 1024;
   // A caller sends its request together with the end of its handshake or a round trip later.
   static constexpr Duration kFirstRequest = std::chrono::milliseconds(500);
+  // Longest time that a caller takes for the rest of an answer; one that takes nothing meanwhile is
+  // cut by the limits of TcpStream.
+  static constexpr Duration kLongestTaking = std::chrono::minutes(1);
   // After an answer that ends the connection, input is discarded until it has paused for this long:
   // closing with unread input would reset the connection and could destroy the answer on its way.
   static constexpr Duration kLinger = std::chrono::seconds(1);
--- a/include/primroseweir/loop/tcp_stream.h
+++ b/include/primroseweir/loop/tcp_stream.h
@@ -14,8 +14,12 @@
 class StreamHandler;
 class TcpListener;
 
-// A TCP connection on an event loop. Dead peers show within kDeadPeer through keep-alive probes and
-// the limit on unacknowledged bytes. Destruction closes the connection.
+// A TCP connection on an event loop. Dead peers show within kDeadPeerMilliseconds through
+// keep-alive probes and the limit on unacknowledged bytes. Destruction closes the connection.
+//
+// The kernel applies that limit also to a live peer that does not read: an upload that waits for a
+// slot, or a download whose caller pauses. A stream with more bytes under way than a peer surely
+// takes unread therefore gets kStalledPeerMilliseconds.
 class TcpStream {
  public:
   // Starts to connect; the handler hears OnConnected or OnEnd(false), never before this returns.
@@ -44,6 +48,12 @@
 
   // Limits how long sent bytes may stay unacknowledged, and silence between keep-alive probes.
   static constexpr unsigned kDeadPeerMilliseconds = 3000;
+  // Above the pauses of streamed messages that the callers of this class allow, ten seconds at
+  // most.
+  static constexpr unsigned kStalledPeerMilliseconds = 15000;
+  // Bytes that a peer's kernel accepts although the peer does not read: well below the receive
+  // buffers that systems start with, 64 KiB and more.
+  static constexpr std::size_t kTakenUnread = std::size_t{16} * 1024;
 
  private:
   friend class TcpListener;
@@ -52,8 +62,14 @@
   explicit TcpStream(Handle* handle) : handle_(handle) {}
   static void StartReading(Handle* handle);
   void SetOptions();
+  void SetOption(int name, unsigned value);
+  // Sets the limit on unacknowledged bytes before so many more are written.
+  void SetPatience(std::size_t size);
 
   Handle* handle_;
+  // Bytes that may be unacknowledged: exact when it was last above kTakenUnread.
+  std::size_t unconfirmed_ = 0;
+  bool patient_ = false;
 };
 
 }  // namespace primroseweir
--- a/src/loop/http_server_stream.cc
+++ b/src/loop/http_server_stream.cc
@@ -271,7 +271,8 @@
     case State::kIdle:
       if (port_->closing()) {
         CloseIfIdle(now);
-      } else if (now - since_ > limits.idle) {
+      } else if (now - since_ >
+                 (stream_->pending() > 0 ? std::max(kLongestTaking, limits.idle) : limits.idle)) {
         Remove();
       }
       break;
--- a/src/loop/tcp_stream.cc
+++ b/src/loop/tcp_stream.cc
@@ -1,7 +1,9 @@
 #include "primroseweir/loop/tcp_stream.h"
 
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <uv.h>
 
@@ -112,6 +114,7 @@
   if (data.empty() || handle_->handler == nullptr) {
     return;
   }
+  SetPatience(data.size());
   auto buffer = uv_buf_init(data.data(), static_cast<unsigned>(data.size()));
   const int sent = uv_try_write(handle_->stream(), &buffer, 1);
   if (sent == static_cast<int>(data.size())) {
@@ -169,16 +172,35 @@
 void TcpStream::SetOptions() {
   uv_tcp_nodelay(&handle_->uv, 1);
   uv_tcp_keepalive(&handle_->uv, 1, kKeepaliveSeconds);
+  SetOption(TCP_KEEPINTVL, kKeepaliveSeconds);
+  SetOption(TCP_KEEPCNT, kKeepaliveProbes);
+  SetOption(TCP_USER_TIMEOUT, kDeadPeerMilliseconds);
+}
+
+void TcpStream::SetOption(int name, unsigned value) {
   uv_os_fd_t descriptor = -1;
-  if (uv_fileno(handle_->handle(), &descriptor) != 0) {
+  if (uv_fileno(handle_->handle(), &descriptor) == 0) {
+    setsockopt(descriptor, IPPROTO_TCP, name, &value, sizeof value);
+  }
+}
+
+void TcpStream::SetPatience(std::size_t size) {
+  unconfirmed_ += size;
+  if (!patient_ && unconfirmed_ <= kTakenUnread) {
     return;
   }
-  const auto set = [descriptor](int name, unsigned value) {
-    setsockopt(descriptor, IPPROTO_TCP, name, &value, sizeof value);
-  };
-  set(TCP_KEEPINTVL, kKeepaliveSeconds);
-  set(TCP_KEEPCNT, kKeepaliveProbes);
-  set(TCP_USER_TIMEOUT, kDeadPeerMilliseconds);
+  uv_os_fd_t descriptor = -1;
+  int in_kernel = 0;
+  if (uv_fileno(handle_->handle(), &descriptor) != 0 ||
+      ioctl(descriptor, SIOCOUTQ, &in_kernel) != 0) {
+    // Not connected yet, or the system does not tell: what was written counts as acknowledged.
+    in_kernel = 0;
+  }
+  unconfirmed_ = static_cast<std::size_t>(in_kernel) + pending() + size;
+  const bool patient = unconfirmed_ > kTakenUnread;
+  if (std::exchange(patient_, patient) != patient) {
+    SetOption(TCP_USER_TIMEOUT, patient ? kStalledPeerMilliseconds : kDeadPeerMilliseconds);
+  }
 }
 
 }  // namespace primroseweir
--- a/tests/loop/http_port_test.cc
+++ b/tests/loop/http_port_test.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "port_fixture.h"
+#include "primroseweir/loop/tcp_stream.h"
 #include "wire/socket.h"
 
 namespace primroseweir::testing {
@@ -187,5 +188,25 @@
   CHECK(fixture.port().connections() == 1);
 }
 
+// Guards against a large answer that is cut because its caller pauses: the kernel ends a connection
+// whose peer does not read for as long as TCP_USER_TIMEOUT says, also when that peer lives.
+TEST_CASE("a caller may pause in the middle of a large answer", "[loop][whole-answers]") {
+  PortFixture fixture;
+  fixture.hold = true;
+  LoopCaller caller(&fixture.loop(), fixture.port().address());
+  caller.Send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  REQUIRE(RunUntil(&fixture.loop(), [&] { return fixture.held != nullptr; }));
+  caller.PauseReading();
+  constexpr std::size_t kLarge = std::size_t{20} * 1000 * 1000;
+  fixture.held->Answer(ResponseHead(), std::string(kLarge, 'a'));
+  const auto pause =
+      std::chrono::milliseconds(TcpStream::kDeadPeerMilliseconds) + std::chrono::seconds(2);
+  RunUntil(
+      &fixture.loop(), [] { return false; }, pause);
+  REQUIRE_FALSE(caller.ended());
+  caller.ResumeReading();
+  CHECK(RunUntil(&fixture.loop(), [&] { return caller.received().size() > kLarge; }));
+}
+
 }  // namespace
 }  // namespace primroseweir::testing
--- a/tests/support/loop_server.h
+++ b/tests/support/loop_server.h
@@ -173,6 +173,8 @@
     }
   }
   void Close() { stream_.reset(); }
+  void PauseReading() { stream_->PauseReading(); }
+  void ResumeReading() { stream_->ResumeReading(); }
 
   const std::string& received() const { return received_; }
   bool ended() const { return ended_; }
