--- a/include/primroseweir/gateway/gateway.h
+++ b/include/primroseweir/gateway/gateway.h
@@ -67,6 +67,9 @@
 
   // ---- stop ----
 
+  // Calls that arrive from now on are refused; those under way go on.
+  void StopTaking() { taking_ = false; }
+  bool taking() const { return taking_; }
   // Connections close after their present answer from now on.
   void CloseKept(Instant now) { port_.CloseKept(now); }
   // Accepts no further connections.
@@ -172,6 +175,7 @@
   Timer tick_;
   Timer seek_timer_;
   bool seeking_ = false;
+  bool taking_ = true;
   std::function<void()> on_wake_ = [] {};
   std::uint64_t overflows_logged_ = 0;
 };
--- a/include/primroseweir/gateway/routed_call.h
+++ b/include/primroseweir/gateway/routed_call.h
@@ -170,8 +170,9 @@
   std::uint32_t hedge_tries_ = 0;
   // Attempts that were sent and ended without a word that the call did not run.
   bool may_have_run_ = false;
-  // The last upstream that said that it did not run the call had room by its own report.
-  bool refused_by_upstream_ = false;
+  // Another try is as likely to succeed at once as later: the last upstream that said that it did
+  // not run the call had room by its own report, or this instance stops and others do not.
+  bool elsewhere_has_room_ = false;
   bool streaming_ = false;
   // When a streamed answer has taken too long.
   Instant stream_end_;
--- a/src/gateway/routed_call.cc
+++ b/src/gateway/routed_call.cc
@@ -83,6 +83,11 @@
     return;
   }
   SetDeadline(now);
+  if (!gateway_->taking()) {
+    elsewhere_has_room_ = true;
+    Refuse("stopping", now);
+    return;
+  }
   fingerprint_ = StableHash(head_.method + " " + head_.target + "\n" +
                             body_.held().substr(0, CallBody::kIdentifying));
   if (gateway_->crash_guard().Check(fingerprint_, now) == CrashGuard::Verdict::kQuarantined) {
@@ -397,7 +402,7 @@
     EndAttempt(attempt, Ending::kNotRun, AttemptResult::kRefused, nullptr, {}, now);
   } else if (head->fields.Find(fields.not_run) != nullptr) {
     // One that is full says nothing about the others, but there is little room.
-    refused_by_upstream_ = upstream.reports_room();
+    elsewhere_has_room_ = upstream.reports_room();
     EndAttempt(attempt, Ending::kNotRun, AttemptResult::kRefused, nullptr, {}, now);
   } else if (head->status >= kFirstServerError || CallPolicy::StatesNotRun(head->status)) {
     EndAttempt(attempt, Ending::kFailed, AttemptResult::kFailed, head, piece, now);
--- a/src/gateway/routed_call_answers.cc
+++ b/src/gateway/routed_call_answers.cc
@@ -100,7 +100,7 @@
 void RoutedCall::Refuse(std::string_view reason, Instant now) {
   const auto wait = gateway_->book().ExpectedWait(service_, gateway_->queue(service_).size(), now);
   const auto refusal =
-      refused_by_upstream_ ? CallPolicy::Refusal::kByUpstream : CallPolicy::Refusal::kNoRoom;
+      elsewhere_has_room_ ? CallPolicy::Refusal::kByUpstream : CallPolicy::Refusal::kNoRoom;
   const auto retry_after =
       CallPolicy::RetryAfter(refusal, wait, deadline_ - now, gateway_->random().Unit());
   AnswerOwn(kUnavailable, "refused", reason, retry_after, now);
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -112,6 +112,26 @@
   CHECK(Contains(caller->received(), "X-Signature: s"));
 }
 
+// Guards against calls that are taken late in a planned stop and cut at its end (hunt of
+// donaueis-gw-large, trouble-2, seed 1066777908613: LOST).
+TEST_CASE("an instance that stops refuses new calls and ends those under way",
+          "[gateway][graceful-stop][not-run]") {
+  GatewayFixture fixture;
+  auto& upstream = fixture.AddUpstream([](const Request& r) {
+    return Reply{Answer(r, 200, "ok"), {}, std::chrono::milliseconds(100)};
+  });
+  fixture.Apply(CallKind::kOnce);
+  const auto under_way = fixture.Start();
+  REQUIRE(RunUntil(&fixture.loop(), [&] { return upstream.requests().size() == 1; }));
+  fixture.gateway().StopTaking();
+  const auto late = fixture.Call();
+  CHECK(late->status() == 503);
+  // Other instances have room now.
+  CHECK(Contains(late->received(), "Retry-After: 0.0"));
+  CHECK(RunUntil(&fixture.loop(), [&] { return under_way->status() == 200; }));
+  CHECK(upstream.requests().size() == 1);
+}
+
 // Guards against calls that are kept beyond the operators' time.
 TEST_CASE("a call ends at its route's timeout", "[gateway]") {
   GatewayFixture fixture;
