Tell heartbeats in eight bytes, and statements only to those who lack them

Change: an instance's heartbeat is its address, a digest of its statement and a count. Heartbeats of a data centre go to three of its instances every 500 ms; four instances speak for it to one instance of each other data centre, which passes them on. Unknown statements are asked for. The load is stated anew when it changed by a quarter. Messages go to instances that were heard of lately, so that the loss of most of a data centre shows in time; in large data centres silence counts after 3 s, not 4.

--- a/include/primroseweir/fleet/fleet_table.h
+++ b/include/primroseweir/fleet/fleet_table.h
@@ -6,10 +6,12 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "primroseweir/base/random.h"
 #include "primroseweir/base/time.h"
+#include "primroseweir/fleet/fleet_beat.h"
 #include "primroseweir/fleet/fleet_member.h"
 
 namespace primroseweir {
@@ -17,10 +19,14 @@
 // The instances of the fleet, by heartbeats that spread from instance to instance. There are no
 // fixed positions and no fixed size: instances are added, replaced and lost at any moment.
 //
-// An instance counts as live while its heartbeat advances. Within a data centre heartbeats go to
-// all instances, or to some when there are many, and one instance gets all that is known; between
-// data centres, where bytes are expensive, they spread slowly. For sums over the fleet the table
-// also gives the highest number of instances that may be sending, which forgets slowly.
+// An instance counts as live while its heartbeat advances. Heartbeats travel as FleetBeats, a few
+// bytes each: those of a data centre from instance to instance, and from a few that speak for it to
+// one instance of each other data centre, which passes them on to all there. Whole statements
+// travel only to those who lack them. For sums over the fleet the table also gives the highest
+// number of instances that may be sending, which forgets slowly.
+//
+// Load pattern: hundreds of small instances, where whole statements of all to some of them took
+// more of the links and of the processors than the calls.
 class FleetTable {
  public:
   FleetTable(const FleetMember& self, std::uint64_t seed);
@@ -31,11 +37,9 @@
   void Beat(Instant now);
   void SetLeaving(bool leaving) { self_.leaving = leaving; }
   void SetReadsStore(bool reads) { self_.reads_store = reads; }
-  // Callers' load of this instance: calls and kilobytes of answers a second.
-  void SetLoad(std::uint32_t calls, std::uint32_t kilobytes) {
-    self_.capacity.calls = calls;
-    self_.capacity.kilobytes = kilobytes;
-  }
+  // Callers' load of this instance: calls and kilobytes of answers a second. A small change is not
+  // stated, since each other instance fetches a new statement.
+  void SetLoad(std::uint32_t calls, std::uint32_t kilobytes);
   void SetPublished(Revision revision) { self_.published = revision; }
   const FleetMember& self() const { return self_; }
 
@@ -49,8 +53,32 @@
   // What is known of an earlier life of the sender that looks newer than its own statement; it must
   // be told, or it would be ignored for as long as its clock is behind.
   std::optional<FleetMember> EarlierLife(const FleetMember& sender) const;
-  // Own state and all live members, for a message. Linear.
-  std::vector<FleetMember> Statements(Instant now) const;
+  // The own statement, and that of the live peer that knows the most of the published state when it
+  // knows more than this instance. Begins each message with heartbeats. Linear.
+  std::vector<FleetMember> OwnStatements(Instant now) const;
+  // Heartbeats of the live peers of the own data centre and of that of the receiver, whose
+  // instances may have heard of each other only here, and of kIntroduced of each other one. Linear.
+  std::vector<FleetBeat> BeatsFor(const DataCentre& receiver, Instant now) const;
+  // Heartbeats of all live peers, for an instance that knows nobody. Linear.
+  std::vector<FleetBeat> AllBeats(Instant now) const;
+  // What heartbeats of a peer changed here.
+  struct Heard {
+    // Instances that were silent and are live again.
+    std::vector<std::string> revived;
+    // Instances whose statement the peer knows and this one does not, at most kMostWanted.
+    std::vector<std::string> wanted;
+  };
+  // Takes the heartbeats that a peer knows. O(n log n).
+  Heard TakeBeats(const std::vector<FleetBeat>& beats, Instant now);
+  // Whether heartbeats of another data centre that came from there are to be passed on in the own
+  // one, where others may have passed some on just now; takes the turn.
+  bool TakePassOn(const DataCentre& from, Instant now);
+  // An instance of the own data centre passed on heartbeats of that one.
+  void NotePassedOn(const DataCentre& from, Instant now) { passed_on_[from] = now; }
+  // Those of `beats` that are to be passed on in the own data centre: not those of itself. Linear.
+  std::vector<FleetBeat> BeatsToPassOn(const std::vector<FleetBeat>& beats) const;
+  // Own state and the statements of those of `ips` that are live.
+  std::vector<FleetMember> StatementsOf(const std::vector<std::string>& ips, Instant now) const;
   // Own state and that of the live instances that read the store. Linear.
   std::vector<FleetMember> ReaderStatements(Instant now) const;
 
@@ -58,11 +86,12 @@
   struct Targets {
     // Only the own state.
     std::vector<std::string> brief;
-    // All statements.
-    std::vector<std::string> full;
+    // Heartbeats, with the data centre of the receiver.
+    std::vector<std::pair<std::string, DataCentre>> beats;
   };
-  // `beats` counts the beats. Includes an instance that fell silent now and then, so that two
-  // halves of a healed partition find each other. Linear.
+  // `beats` counts the beats. Includes instances of other data centres, each of which passes the
+  // heartbeats on in its own, and an instance that fell silent now and then, so that two halves of
+  // a healed partition find each other. Linear.
   Targets TargetsOf(std::uint64_t beats, Instant now);
 
   // ---- view ----
@@ -99,7 +128,11 @@
   static constexpr Duration kBeatInterval = std::chrono::milliseconds(250);
   // Six heartbeats, for instances that hear each other directly.
   static constexpr Duration kNearSilence = std::chrono::milliseconds(1500);
-  // For instances that hear of each other through others.
+  // For instances of one data centre that hear of each other through others, six rounds of them:
+  // the last heartbeats of one that died go around for two seconds more, and address answers must
+  // not name it for six.
+  static constexpr Duration kToldSilence = std::chrono::milliseconds(3000);
+  // For instances of other data centres.
   static constexpr Duration kFarSilence = std::chrono::milliseconds(4000);
   // Instances that are cut off go on sending; they count this long after they fell silent.
   static constexpr Duration kPeakMemory = std::chrono::seconds(60);
@@ -107,12 +140,31 @@
   static constexpr Duration kForget = std::chrono::minutes(10);
   // Instances of one data centre that all send to each other.
   static constexpr std::size_t kDirect = 8;
-  // Full statements after every second beat, in a data centre with more instances than that.
-  static constexpr std::size_t kFullNear = 3;
-  // Full statements go to another data centre after every so many beats.
-  static constexpr std::uint64_t kBeatsPerFar = 4;
-  // Instances of one data centre that send statements to others.
+  // Instances of the own data centre that get heartbeats after every second beat, in a data centre
+  // with more than kDirect of them.
+  static constexpr std::size_t kTold = 3;
+  // Instances that were heard of within this time get heartbeats rather than others.
+  static constexpr Duration kRecent = std::chrono::milliseconds(1500);
+  // The instances of one data centre that speak for it send heartbeats to one instance of each
+  // other one after every so many beats, in turns. Two turns may fail within kFarSilence.
+  static constexpr std::uint64_t kBeatsPerFar = 8;
   static constexpr std::size_t kFarSpeakers = 4;
+  // Heartbeats of a data centre that arrive within this time of others are not passed on: usually
+  // half of them, while any of the speakers may fail.
+  static constexpr Duration kPassOnPause = std::chrono::milliseconds(700);
+  // Instances of a data centre that others tell of it, until those meet it themselves.
+  static constexpr std::size_t kIntroduced = 2;
+  // Statements that one message asks for: those of a whole data centre fill a few packets.
+  static constexpr std::size_t kMostWanted = 64;
+  // A statement is asked for again after this time: the question or the answer may be lost.
+  static constexpr Duration kWantAgain = std::chrono::milliseconds(400);
+  // A heartbeat that lies so far back is of a later life with the same tag: instances exchange
+  // heartbeats that are a few seconds old at most.
+  static constexpr std::int16_t kEarlierLife = -120;
+  // Part by which the load changes before it is stated anew, and the load below which it counts as
+  // none: an instance that carries a call now and then does not matter to the choice of instances.
+  static constexpr double kLoadStep = 0.25;
+  static constexpr std::uint32_t kSmallLoad = 10;
   // Instances of another data centre that are told news: one of them may be down.
   static constexpr std::size_t kRelays = 2;
   // Data centres in which an instance reads the store: two of them may be cut off from it at a
@@ -136,9 +188,16 @@
   struct Known {
     FleetMember member;
     Instant heard;
+    // Of `member`, kept since they are told many times a second.
+    std::uint32_t address = 0;
+    std::uint16_t tag = 0;
   };
 
   bool Live(const Known& known, Instant now) const;
+  static Known KnownOf(const FleetMember& member, Instant now);
+  static FleetBeat BeatOf(const Known& known);
+  // Whether to ask for the statement of that instance now; takes the question.
+  bool TakeQuestion(const std::string& ip, Instant now);
   std::size_t Rank(Instant now) const;
   // Other data centres that read the store, and those of them that go before the own one.
   std::set<DataCentre> ReadingElsewhere(Instant now) const;
@@ -152,10 +211,15 @@
   // Whether the own data centre is one of those that should read when all can.
   bool AmongReading(Instant now) const;
   std::string Pick(std::vector<std::string>* ips);
+  void KeepRecent(std::vector<std::string>* ips, Instant now) const;
 
   FleetMember self_;
   Random random_;
   std::map<std::string, Known> peers_;
+  // When heartbeats of another data centre were last passed on in the own one.
+  std::map<DataCentre, Instant> passed_on_;
+  // When the statement of an instance was last asked for.
+  std::map<std::string, Instant> asked_;
   // Live instances of the own data centre, as of the last beat.
   std::size_t near_ = 0;
   Instant first_beat_ = Instant::max();
--- a/include/primroseweir/gateway/fleet_service.h
+++ b/include/primroseweir/gateway/fleet_service.h
@@ -24,6 +24,7 @@
 namespace primroseweir {
 
 class EventLoop;
+struct FleetMessage;
 class Gateway;
 class HttpClientStream;
 class LineLog;
@@ -120,13 +121,18 @@
   void PlanLoad();
   void Receive(const std::string& ip, std::string_view data);
   void Send(const std::string& ip, const std::string& data);
-  // Tells an instance that was not live before of the fleet, in full within the data centre, and of
-  // the readers of the store elsewhere.
+  // Tells an instance that was not live before of the readers of the store, of the fleet when it is
+  // of the own data centre, and else of that instance's and the own data centre.
   void Greet(const FleetMember& member, Instant now);
   // Takes a change that came with a datagram, and passes it on when it came from elsewhere.
   void TakeChange(const FleetMember& sender, const std::string& change, Instant now);
   std::string OwnState(bool asks = false) const;
-  std::string AllStates(Instant now) const;
+  void SendBeats(const std::string& ip, std::vector<FleetBeat> beats, Instant now);
+  // Takes the heartbeats of a message and asks its sender for the statements that are not known
+  // here. Passes heartbeats of another data centre on to the own one.
+  void TakeBeats(const FleetMessage& message, Instant now);
+  // An instance was heard of that did not count as live.
+  void NoteLive(const std::string& ip, const std::string& told_by, Instant now);
   void TakeLoad(const std::string& ip, const LoadDigest& load, Instant now);
   void FollowPeers(Instant now);
   void NoteLost(Instant now);
--- a/src/fleet/fleet_codec.cc
+++ b/src/fleet/fleet_codec.cc
@@ -16,21 +16,38 @@
 namespace {
 
 // First element of each message; changes with the layout.
-constexpr std::uint32_t kFormat = 4;
+constexpr std::uint32_t kFormat = 5;
 
 using MemberTuple = std::tuple<std::string, std::string, std::uint64_t, std::uint64_t, bool, bool,
                                std::uint64_t, std::array<std::uint32_t, 4>>;
 using UseTuple = std::tuple<std::uint64_t, std::uint32_t, std::uint32_t, std::uint32_t>;
 using StrikeTuple = std::tuple<std::uint64_t, std::string, std::int64_t, bool>;
+// Heartbeats are packed into one number each, and wanted addresses are their bits: hundreds of them
+// go around many times a second.
 using MessageTuple = std::tuple<std::uint32_t, std::vector<MemberTuple>, std::vector<UseTuple>,
-                                std::vector<StrikeTuple>, bool, std::string>;
+                                std::vector<StrikeTuple>, bool, std::string,
+                                std::vector<std::uint64_t>, bool, std::vector<std::uint32_t>>;
+
+constexpr unsigned kAddressShift = 32;
+constexpr unsigned kTagShift = 16;
+
+std::uint64_t Pack(const FleetBeat& beat) {
+  return static_cast<std::uint64_t>(beat.address) << kAddressShift |
+         static_cast<std::uint64_t>(beat.tag) << kTagShift | beat.beat;
+}
+
+FleetBeat Unpack(std::uint64_t packed) {
+  return {static_cast<std::uint32_t>(packed >> kAddressShift),
+          static_cast<std::uint16_t>(packed >> kTagShift), static_cast<std::uint16_t>(packed)};
+}
 
 MessageTuple ToTuple(const FleetMessage& message) {
   MessageTuple result;
-  auto& [format, members, uses, strikes, asks, change] = result;
+  auto& [format, members, uses, strikes, asks, change, beats, passed_on, wanted] = result;
   format = kFormat;
   asks = message.asks;
   change = message.change;
+  passed_on = message.passed_on;
   for (const auto& member : message.members) {
     const auto& capacity = member.capacity;
     members.emplace_back(member.ip, member.data_centre.value(), member.incarnation.value(),
@@ -38,6 +55,12 @@
                          std::array<std::uint32_t, 4>{capacity.millicores, capacity.link_kilobytes,
                                                       capacity.calls, capacity.kilobytes});
   }
+  for (const auto& beat : message.beats) {
+    beats.push_back(Pack(beat));
+  }
+  for (const auto& ip : message.wanted) {
+    wanted.push_back(AddressBits(ip));
+  }
   for (const auto& use : message.load.uses) {
     uses.emplace_back(use.upstream, use.in_flight, use.slowdown_percent, use.age_ms);
   }
@@ -72,6 +95,13 @@
   }
   message.asks = std::get<4>(tuple);
   message.change = std::get<5>(tuple);
+  for (const auto packed : std::get<6>(tuple)) {
+    message.beats.push_back(Unpack(packed));
+  }
+  message.passed_on = std::get<7>(tuple);
+  for (const auto bits : std::get<8>(tuple)) {
+    message.wanted.push_back(AddressText(bits));
+  }
   return message;
 }
 
--- a/src/gateway/fleet_service.cc
+++ b/src/gateway/fleet_service.cc
@@ -180,11 +180,8 @@
   for (const auto& ip : brief) {
     Send(ip, own_state);
   }
-  if (!targets.full.empty()) {
-    const auto all_states = AllStates(now);
-    for (const auto& ip : targets.full) {
-      Send(ip, all_states);
-    }
+  for (const auto& [ip, data_centre] : targets.beats) {
+    SendBeats(ip, table_.BeatsFor(data_centre, now), now);
   }
   callers_use_.clear();
   FollowPeers(now);
@@ -273,15 +270,18 @@
   return EncodeFleetMessage(message);
 }
 
-std::string FleetService::AllStates(Instant now) const {
+void FleetService::SendBeats(const std::string& ip, std::vector<FleetBeat> beats, Instant now) {
   FleetMessage message;
-  message.members = table_.Statements(now);
-  return EncodeFleetMessage(message);
+  message.members = table_.OwnStatements(now);
+  message.beats = std::move(beats);
+  Send(ip, EncodeFleetMessage(message));
 }
 
 void FleetService::Greet(const FleetMember& member, Instant now) {
   FleetMessage message;
-  message.members = table_.Near(member) ? table_.Statements(now) : table_.ReaderStatements(now);
+  message.members = table_.ReaderStatements(now);
+  message.beats =
+      table_.Near(member) ? table_.AllBeats(now) : table_.BeatsFor(member.data_centre, now);
   Send(member.ip, EncodeFleetMessage(message));
 }
 
@@ -364,21 +364,22 @@
     reply.members = table_.ReaderStatements(now);
     Send(ip, EncodeFleetMessage(reply));
   }
+  if (!message->wanted.empty()) {
+    FleetMessage reply;
+    reply.members = table_.StatementsOf(message->wanted, now);
+    Send(ip, EncodeFleetMessage(reply));
+  }
   for (const auto& member : message->members) {
     if (table_.Merge(member, now)) {
       if (member.ip == ip) {
         Greet(member, now);
       }
-      live_.insert(member.ip);
-      log_->Write("peer_live",
-                  {{"peer", member.ip},
-                   {"data_centre", member.data_centre.value()},
-                   {"incarnation", std::to_string(member.incarnation.value())},
-                   {"told_by", ip}},
-                  now);
-      gateway_->book().SetFleetSize(table_.PeakSize(now));
+      NoteLive(member.ip, ip, now);
     }
   }
+  if (!message->beats.empty()) {
+    TakeBeats(*message, now);
+  }
   TakeLoad(ip, message->load, now);
   if (!message->change.empty()) {
     TakeChange(message->members.front(), message->change, now);
@@ -386,6 +387,41 @@
   FollowPeers(now);
 }
 
+void FleetService::TakeBeats(const FleetMessage& message, Instant now) {
+  const auto& sender = message.members.front();
+  const auto& ip = sender.ip;
+  const auto heard = table_.TakeBeats(message.beats, now);
+  for (const auto& revived : heard.revived) {
+    NoteLive(revived, ip, now);
+  }
+  if (!heard.wanted.empty()) {
+    FleetMessage question;
+    question.members = {table_.self()};
+    question.wanted = heard.wanted;
+    Send(ip, EncodeFleetMessage(question));
+  }
+  if (message.passed_on && message.members.size() > 1) {
+    table_.NotePassedOn(message.members[1].data_centre, now);
+  }
+  if (table_.Near(sender) || !table_.TakePassOn(sender.data_centre, now)) {
+    return;
+  }
+  FleetMessage passed;
+  passed.passed_on = true;
+  passed.members = {table_.self(), sender};
+  passed.beats = table_.BeatsToPassOn(message.beats);
+  const auto data = EncodeFleetMessage(passed);
+  for (const auto& near : table_.NearPeers(now)) {
+    Send(near, data);
+  }
+}
+
+void FleetService::NoteLive(const std::string& ip, const std::string& told_by, Instant now) {
+  live_.insert(ip);
+  log_->Write("peer_live", {{"peer", ip}, {"told_by", told_by}}, now);
+  gateway_->book().SetFleetSize(table_.PeakSize(now));
+}
+
 void FleetService::TakeLoad(const std::string& ip, const LoadDigest& load, Instant now) {
   if (load.uses.empty() && load.strikes.empty() && !had_load_) {
     return;
