Call back a shed call later when only the upstream that shed it had room

Cause: the word of an upstream that shed a call although it had free slots stayed with the call when the others turned out to be full; its caller was told to come back within 20 ms, to be shed again. Change: a call that finds no room elsewhere is refused as one for which there is no room.

--- a/src/gateway/routed_call.cc
+++ b/src/gateway/routed_call.cc
@@ -194,6 +194,10 @@
     return;
   }
   const bool may_wait = placement == Placement::kNoRoom || placement == Placement::kOnlySlow;
+  if (may_wait) {
+    // An upstream that shed the call had room, but the others have none.
+    elsewhere_has_room_ = false;
+  }
   if (may_wait && Wait(now)) {
     return;
   }
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -1,4 +1,5 @@
 #include "gateway_fixture.h"
+#include "primroseweir/balance/call_policy.h"
 
 namespace primroseweir::testing {
 namespace {
@@ -132,6 +133,33 @@
   CHECK(upstream.requests().size() == 1);
 }
 
+// Guards against callers that come back at once although only the upstream that shed their call had
+// room: they would be shed again.
+TEST_CASE("a call that was shed and finds no room elsewhere comes back later",
+          "[gateway][not-run]") {
+  GatewayFixture fixture;
+  fixture.AddUpstream([](const Request& r) {
+    return Reply{Answer(r, 503, "", "X-Not-Run: 1\r\nX-Load: 0,0,4,100\r\n"), {}, {}};
+  });
+  auto& slow = fixture.AddUpstream(
+      [](const Request& r) {
+        return Reply{Answer(r, 200, "ok"), {}, std::chrono::milliseconds(1500)};
+      },
+      "here", 1);
+  fixture.Apply(CallKind::kOnce);
+  std::vector<std::unique_ptr<LoopCaller>> callers;
+  while (slow.requests().empty()) {
+    callers.push_back(fixture.Start());
+    RunUntil(&fixture.loop(), [&] { return !slow.requests().empty() || callers.back()->status(); });
+  }
+  const auto late = fixture.Call();
+  REQUIRE(late->status() == 503);
+  const auto field = late->received().find("Retry-After: ");
+  REQUIRE(field != std::string::npos);
+  const std::chrono::duration<double> shortest = CallPolicy::kShortestRetryAfter;
+  CHECK(std::stod(late->received().substr(field + 13)) >= shortest.count());
+}
+
 // Guards against calls that are kept beyond the operators' time.
 TEST_CASE("a call ends at its route's timeout", "[gateway]") {
   GatewayFixture fixture;
