--- a/include/primroseweir/fleet/fleet_table.h
+++ b/include/primroseweir/fleet/fleet_table.h
@@ -198,6 +198,8 @@
   static FleetBeat BeatOf(const Known& known);
   // Whether to ask for the statement of that instance now; takes the question.
   bool TakeQuestion(const std::string& ip, Instant now);
+  // Order in which instances read the store: those that follow copy from the reader over its link.
+  static std::pair<std::int64_t, std::uint64_t> ReaderRank(const FleetMember& member);
   std::size_t Rank(Instant now) const;
   // Other data centres that read the store, and those of them that go before the own one.
   std::set<DataCentre> ReadingElsewhere(Instant now) const;
--- /dev/null
+++ b/tests/fleet/fake_fleet.h
@@ -0,0 +1,129 @@
+#ifndef TESTS_FLEET_FAKE_FLEET_H_
+#define TESTS_FLEET_FAKE_FLEET_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "primroseweir/fleet/fleet_table.h"
+
+namespace primroseweir {
+
+inline FleetMember MemberOf(const std::string& ip, const std::string& data_centre,
+                            std::uint64_t incarnation = 100) {
+  FleetMember member;
+  member.ip = ip;
+  member.data_centre = DataCentre(data_centre);
+  member.incarnation = Incarnation(incarnation);
+  return member;
+}
+
+// A fleet that exchanges its heartbeats without a network.
+class FakeFleet {
+ public:
+  void Add(const FleetMember& member) {
+    tables_[member.ip] = std::make_unique<FleetTable>(member, std::hash<std::string>()(member.ip));
+    beats_[member.ip] = 0;
+  }
+  void Kill(const std::string& ip) { tables_.erase(ip); }
+  FleetTable& At(const std::string& ip) { return *tables_.at(ip); }
+
+  void Run(Duration time) {
+    for (const auto end = now + time; now < end; now += FleetTable::kBeatInterval) {
+      for (auto& [ip, table] : tables_) {
+        table->Beat(now);
+        const auto targets = table->TargetsOf(beats_[ip]++, now);
+        for (const auto& target : targets.brief) {
+          Deliver(ip, target, {table->self()});
+        }
+        if (table->LivePeers(now).empty()) {
+          Deliver(ip, kSeed, {table->self()});
+        }
+        for (const auto& [target, data_centre] : targets.beats) {
+          Deliver(ip, target, table->OwnStatements(now), table->BeatsFor(data_centre, now));
+        }
+      }
+    }
+  }
+
+  // Whether messages between the two pass.
+  std::function<bool(const std::string&, const std::string&)> connected =
+      [](const auto&, const auto&) { return true; };
+  Instant now = Instant(std::chrono::seconds(5000));
+  // Bytes that an instance sent and got.
+  std::map<std::string, std::size_t> bytes;
+  static constexpr char kSeed[] = "10.0.0.1";
+
+ private:
+  // A message with what it holds; the receiver asks for the statements that it lacks.
+  void Deliver(const std::string& from, const std::string& to,
+               const std::vector<FleetMember>& members, const std::vector<FleetBeat>& beats = {},
+               bool passed_on = false) {
+    const auto target = tables_.find(to);
+    if (target == tables_.end() || !connected(from, to)) {
+      return;
+    }
+    Count(from, to, members.size(), beats.size(), 0);
+    if (const auto earlier = target->second->EarlierLife(members.front())) {
+      tables_.at(from)->Merge(*earlier, now);
+    }
+    for (const auto& member : members) {
+      if (target->second->Merge(member, now) && member.ip == from) {
+        Greet(to, member);
+      }
+    }
+    const auto heard = target->second->TakeBeats(beats, now);
+    if (!heard.wanted.empty() && connected(to, from)) {
+      Count(to, from, 1, 0, heard.wanted.size());
+      const auto statements = tables_.at(from)->StatementsOf(heard.wanted, now);
+      Deliver(from, to, statements);
+    }
+    auto& table = *target->second;
+    const auto& sender = members.front();
+    if (passed_on) {
+      table.NotePassedOn(members[1].data_centre, now);
+    } else if (!beats.empty() && !table.Near(sender) && table.TakePassOn(sender.data_centre, now)) {
+      for (const auto& near : table.NearPeers(now)) {
+        Deliver(to, near, {table.self(), sender}, table.BeatsToPassOn(beats), true);
+      }
+    }
+  }
+
+  // As FleetService: tells an instance that was not known whom it may meet.
+  void Greet(const std::string& from, const FleetMember& member) {
+    auto& table = *tables_.at(from);
+    Deliver(from, member.ip, table.ReaderStatements(now),
+            table.Near(member) ? table.AllBeats(now) : table.BeatsFor(member.data_centre, now));
+  }
+
+  // Bytes on the wire of a message with so many parts, to and from the two instances.
+  void Count(const std::string& from, const std::string& to, std::size_t members, std::size_t beats,
+             std::size_t wanted) {
+    constexpr std::size_t kHeaders = 28;
+    constexpr std::size_t kMember = 60;
+    constexpr std::size_t kBeat = 9;
+    constexpr std::size_t kAddress = 5;
+    const auto size = kHeaders + members * kMember + beats * kBeat + wanted * kAddress;
+    bytes[from] += size;
+    bytes[to] += size;
+  }
+
+  std::map<std::string, std::unique_ptr<FleetTable>> tables_;
+  std::map<std::string, std::uint64_t> beats_;
+};
+
+inline std::string Ip(int number) { return "10.0.0." + std::to_string(number); }
+
+inline FakeFleet FleetOf(int instances) {
+  FakeFleet fleet;
+  for (int i = 1; i <= instances; ++i) {
+    fleet.Add(MemberOf(Ip(i), "dc" + std::to_string(i % 3)));
+  }
+  return fleet;
+}
+
+}  // namespace primroseweir
+
+#endif  // TESTS_FLEET_FAKE_FLEET_H_
--- a/tests/fleet/fleet_table_test.cc
+++ b/tests/fleet/fleet_table_test.cc
@@ -2,13 +2,12 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
-#include <functional>
-#include <map>
 #include <memory>
 #include <set>
 #include <string>
 #include <vector>
 
+#include "fake_fleet.h"
 #include "primroseweir/base/rendezvous.h"
 #include "primroseweir/fleet/address_choice.h"
 #include "primroseweir/fleet/fleet_codec.h"
@@ -21,119 +20,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-FleetMember MemberOf(const std::string& ip, const std::string& data_centre,
-                     std::uint64_t incarnation = 100) {
-  FleetMember member;
-  member.ip = ip;
-  member.data_centre = DataCentre(data_centre);
-  member.incarnation = Incarnation(incarnation);
-  return member;
-}
-
-// A fleet that exchanges its heartbeats without a network.
-class FakeFleet {
- public:
-  void Add(const FleetMember& member) {
-    tables_[member.ip] = std::make_unique<FleetTable>(member, std::hash<std::string>()(member.ip));
-    beats_[member.ip] = 0;
-  }
-  void Kill(const std::string& ip) { tables_.erase(ip); }
-  FleetTable& At(const std::string& ip) { return *tables_.at(ip); }
-
-  void Run(Duration time) {
-    for (const auto end = now + time; now < end; now += FleetTable::kBeatInterval) {
-      for (auto& [ip, table] : tables_) {
-        table->Beat(now);
-        const auto targets = table->TargetsOf(beats_[ip]++, now);
-        for (const auto& target : targets.brief) {
-          Deliver(ip, target, {table->self()});
-        }
-        if (table->LivePeers(now).empty()) {
-          Deliver(ip, kSeed, {table->self()});
-        }
-        for (const auto& [target, data_centre] : targets.beats) {
-          Deliver(ip, target, table->OwnStatements(now), table->BeatsFor(data_centre, now));
-        }
-      }
-    }
-  }
-
-  // Whether messages between the two pass.
-  std::function<bool(const std::string&, const std::string&)> connected =
-      [](const auto&, const auto&) { return true; };
-  Instant now = Instant(seconds(5000));
-  // Bytes that an instance sent and got.
-  std::map<std::string, std::size_t> bytes;
-  static constexpr char kSeed[] = "10.0.0.1";
-
- private:
-  // A message with what it holds; the receiver asks for the statements that it lacks.
-  void Deliver(const std::string& from, const std::string& to,
-               const std::vector<FleetMember>& members, const std::vector<FleetBeat>& beats = {},
-               bool passed_on = false) {
-    const auto target = tables_.find(to);
-    if (target == tables_.end() || !connected(from, to)) {
-      return;
-    }
-    Count(from, to, members.size(), beats.size(), 0);
-    if (const auto earlier = target->second->EarlierLife(members.front())) {
-      tables_.at(from)->Merge(*earlier, now);
-    }
-    for (const auto& member : members) {
-      if (target->second->Merge(member, now) && member.ip == from) {
-        Greet(to, member);
-      }
-    }
-    const auto heard = target->second->TakeBeats(beats, now);
-    if (!heard.wanted.empty() && connected(to, from)) {
-      Count(to, from, 1, 0, heard.wanted.size());
-      const auto statements = tables_.at(from)->StatementsOf(heard.wanted, now);
-      Deliver(from, to, statements);
-    }
-    auto& table = *target->second;
-    const auto& sender = members.front();
-    if (passed_on) {
-      table.NotePassedOn(members[1].data_centre, now);
-    } else if (!beats.empty() && !table.Near(sender) && table.TakePassOn(sender.data_centre, now)) {
-      for (const auto& near : table.NearPeers(now)) {
-        Deliver(to, near, {table.self(), sender}, table.BeatsToPassOn(beats), true);
-      }
-    }
-  }
-
-  // As FleetService: tells an instance that was not known whom it may meet.
-  void Greet(const std::string& from, const FleetMember& member) {
-    auto& table = *tables_.at(from);
-    Deliver(from, member.ip, table.ReaderStatements(now),
-            table.Near(member) ? table.AllBeats(now) : table.BeatsFor(member.data_centre, now));
-  }
-
-  // Bytes on the wire of a message with so many parts, to and from the two instances.
-  void Count(const std::string& from, const std::string& to, std::size_t members, std::size_t beats,
-             std::size_t wanted) {
-    constexpr std::size_t kHeaders = 28;
-    constexpr std::size_t kMember = 60;
-    constexpr std::size_t kBeat = 9;
-    constexpr std::size_t kAddress = 5;
-    const auto size = kHeaders + members * kMember + beats * kBeat + wanted * kAddress;
-    bytes[from] += size;
-    bytes[to] += size;
-  }
-
-  std::map<std::string, std::unique_ptr<FleetTable>> tables_;
-  std::map<std::string, std::uint64_t> beats_;
-};
-
-std::string Ip(int number) { return "10.0.0." + std::to_string(number); }
-
-FakeFleet FleetOf(int instances) {
-  FakeFleet fleet;
-  for (int i = 1; i <= instances; ++i) {
-    fleet.Add(MemberOf(Ip(i), "dc" + std::to_string(i % 3)));
-  }
-  return fleet;
-}
-
 TEST_CASE("instances find each other through one seed and notice losses", "[fleet]") {
   for (const int instances : {2, 17, 60}) {
     auto fleet = FleetOf(instances);
@@ -426,133 +312,6 @@
   CHECK(2000.0 / static_cast<double>(used.size()) * AddressChoice::kHeadroom <= 1250);
 }
 
-// Guards against control traffic that grows with the square of the fleet: whole statements of 300
-// instances took 160 kB a second of each (the users' sweep).
-TEST_CASE("heartbeats of hundreds of instances stay small and complete", "[fleet]") {
-  constexpr int kInstances = 300;
-  constexpr int kDataCentres = 5;
-  const auto ip = [](int i) {
-    return "10.1." + std::to_string(i / 100) + "." + std::to_string(i % 100);
-  };
-  FakeFleet fleet;
-  fleet.Add(MemberOf(FakeFleet::kSeed, "dc0"));
-  for (int i = 1; i < kInstances; ++i) {
-    fleet.Add(MemberOf(ip(i), "dc" + std::to_string(i % kDataCentres)));
-  }
-  fleet.Run(seconds(15));
-  fleet.bytes.clear();
-  constexpr auto kObserved = seconds(20);
-  for (auto time = Duration::zero(); time < kObserved; time += FleetTable::kBeatInterval) {
-    fleet.Run(FleetTable::kBeatInterval);
-    for (int i = 1; i < kInstances; i += 37) {
-      REQUIRE(fleet.At(ip(i)).LivePeers(fleet.now).size() == kInstances - 1);
-    }
-  }
-  // The target of docs/CAPACITY.md for an instance, and five times that for the busiest one.
-  constexpr std::size_t kBytesPerSecond = 14000;
-  std::vector<std::size_t> rates;
-  for (const auto& [address, bytes] : fleet.bytes) {
-    rates.push_back(bytes / kObserved.count());
-  }
-  std::sort(rates.begin(), rates.end());
-  CHECK(rates[rates.size() / 2] <= kBytesPerSecond);
-  CHECK(rates.back() <= 5 * kBytesPerSecond);
-}
-
-// Guards against callers that are sent to instances that died with most of the fleet: address
-// answers name instances of the own data centre, and must not name one that is gone for six
-// seconds.
-TEST_CASE("the loss of most instances of a large fleet is noticed in time", "[fleet]") {
-  constexpr int kInstances = 180;
-  auto fleet = FleetOf(kInstances);
-  fleet.Run(seconds(12));
-  std::set<int> left;
-  for (int i = 1; i <= kInstances; ++i) {
-    if (i > 1 && i % 5 < 3) {
-      fleet.Kill(Ip(i));
-    } else {
-      left.insert(i);
-    }
-  }
-  fleet.Run(seconds(6));
-  for (const int own : {1, 4, 8, 13, 178}) {
-    int named = 0;
-    for (const auto& ip : fleet.At(Ip(own)).NearPeers(fleet.now)) {
-      named += left.count(std::stoi(ip.substr(7))) == 0 ? 1 : 0;
-    }
-    CHECK(named == 0);
-  }
-  fleet.Run(seconds(4));
-  for (const int own : {1, 4, 8, 13, 178}) {
-    CHECK(fleet.At(Ip(own)).LivePeers(fleet.now).size() == left.size() - 1);
-  }
-}
-
-// Guards against heartbeats that are taken for those of a statement that is not known here, and
-// against a question for each heartbeat while the answer is under way.
-TEST_CASE("an unknown statement is asked for, once at a time", "[fleet]") {
-  const Instant now(seconds(10));
-  FleetTable table(MemberOf(Ip(1), "a"), 1);
-  auto peer = MemberOf(Ip(2), "a");
-  peer.beat = 70000;
-  const auto beat_of = [](const FleetMember& member) {
-    return FleetBeat{AddressBits(member.ip), StateTag(member),
-                     static_cast<std::uint16_t>(member.beat)};
-  };
-  CHECK(table.TakeBeats({beat_of(peer)}, now).wanted == std::vector<std::string>{Ip(2)});
-  CHECK(table.TakeBeats({beat_of(peer)}, now + milliseconds(100)).wanted.empty());
-  CHECK(table.TakeBeats({beat_of(peer)}, now + FleetTable::kWantAgain).wanted.size() == 1);
-  CHECK_FALSE(table.LivePeer(Ip(2), now));
-  table.Merge(peer, now);
-  // The same statement, later: only the heartbeat counts, also when its lowest bits wrap.
-  const auto later = now + FleetTable::kNearSilence - milliseconds(1);
-  peer.beat += 5;
-  const auto heard = table.TakeBeats({beat_of(peer)}, later);
-  CHECK(heard.wanted.empty());
-  CHECK(heard.revived.empty());
-  CHECK(table.LivePeer(Ip(2), later + milliseconds(1)));
-  // Silent, then heard of again.
-  const auto back = later + FleetTable::kForget / 2;
-  CHECK_FALSE(table.LivePeer(Ip(2), back));
-  ++peer.beat;
-  CHECK(table.TakeBeats({beat_of(peer)}, back).revived == std::vector<std::string>{Ip(2)});
-  CHECK(table.LivePeer(Ip(2), back));
-  // An old heartbeat changes nothing.
-  peer.beat -= 3;
-  CHECK(table.TakeBeats({beat_of(peer)}, back).wanted.empty());
-  peer.leaving = true;
-  CHECK(table.TakeBeats({beat_of(peer)}, back).wanted.size() == 1);
-  // The own heartbeat as others know it.
-  CHECK(table.TakeBeats({{AddressBits(Ip(1)), 1, 1}}, back).wanted.empty());
-}
-
-// Guards against a restarted instance whose statement has the tag of its earlier life by chance.
-TEST_CASE("a heartbeat from far back belongs to a later life", "[fleet]") {
-  const Instant now(seconds(10));
-  FleetTable table(MemberOf(Ip(1), "a"), 1);
-  auto peer = MemberOf(Ip(2), "a");
-  peer.beat = 5000;
-  table.Merge(peer, now);
-  CHECK(table.TakeBeats({{AddressBits(Ip(2)), StateTag(peer), 1}}, now).wanted.size() == 1);
-}
-
-// Guards against a statement that all instances fetch anew with each call.
-TEST_CASE("a small change of the load is not stated", "[fleet]") {
-  FleetTable table(MemberOf(Ip(1), "a"), 1);
-  table.SetLoad(2, 1);
-  CHECK(table.self().capacity.calls == 0);
-  table.SetLoad(100, 1000);
-  CHECK(table.self().capacity.calls == 100);
-  table.SetLoad(120, 1240);
-  CHECK(table.self().capacity.calls == 100);
-  CHECK(table.self().capacity.kilobytes == 1000);
-  table.SetLoad(130, 700);
-  CHECK(table.self().capacity.calls == 130);
-  CHECK(table.self().capacity.kilobytes == 700);
-  table.SetLoad(0, 0);
-  CHECK(table.self().capacity.calls == 0);
-}
-
 TEST_CASE("loads of silent peers are forgotten", "[fleet]") {
   PeerLoads loads;
   const Instant now(seconds(10));
