Decode only what changed of a list; no timer of a port without connections

Cause: for each change of the published state an instance copied all items, built the list of decoded upstreams anew and copied each record into the balance, linear with allocations in the upstreams of the whole fleet; each of five ports woke the process twice a second to look after no connection. Change: items are lent, not copied; decoded upstreams are kept and those that are gone dropped; a record that did not change is not taken again.

--- a/include/primroseweir/balance/cold_pacer.h
+++ b/include/primroseweir/balance/cold_pacer.h
@@ -23,6 +23,10 @@
     double rate = 0;
     // Calls in any one second that must never be exceeded.
     double ceiling = 0;
+
+    friend bool operator==(const Bound& a, const Bound& b) {
+      return a.rate == b.rate && a.ceiling == b.ceiling;
+    }
   };
 
   // The upstream turned cold.
--- a/include/primroseweir/configuration/upstream_record.h
+++ b/include/primroseweir/configuration/upstream_record.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <string>
+#include <tuple>
 
 #include "primroseweir/base/ids.h"
 #include "primroseweir/base/socket_address.h"
@@ -33,6 +34,14 @@
   // Start of the upstream's process in milliseconds since 1970 by its own clock; 0 when unknown. A
   // change means that an upstream restarted under its old id.
   std::int64_t started_ms = 0;
+
+  friend bool operator==(const UpstreamRecord& a, const UpstreamRecord& b) {
+    const auto fields = [](const UpstreamRecord& r) {
+      return std::tie(r.id, r.service, r.data_centre, r.address, r.slots, r.connections, r.probe,
+                      r.probe_cost, r.state, r.warm_up_left, r.started_ms);
+    };
+    return fields(a) == fields(b);
+  }
 };
 
 }  // namespace primroseweir
--- a/include/primroseweir/published/published_cache.h
+++ b/include/primroseweir/published/published_cache.h
@@ -44,8 +44,8 @@
   // ---- view ----
 
   Revision at() const { return at_; }
-  // Items in the order of their keys, kept ones included. Linear.
-  std::vector<PublishedItem> Items() const;
+  // Items in the order of their keys, kept ones included; valid until the next change. Linear.
+  std::vector<const PublishedItem*> Items() const;
 
   // ---- exchange between instances ----
 
--- a/src/balance/upstream_book.cc
+++ b/src/balance/upstream_book.cc
@@ -75,7 +75,12 @@
   } else {
     restarted = known->record().started_ms != record.started_ms ||
                 known->record().warm_up_left != record.warm_up_left;
-    known->Update(record, bound);
+    // Most of a list stays as it was.
+    if (known->record() == record && known->cold_bound() == bound) {
+      known->SetListed(true);
+    } else {
+      known->Update(record, bound);
+    }
   }
   if (restarted && record.warm_up_left > Duration::zero()) {
     known->SetCold(now + record.warm_up_left, fleet_size_, now, &random_);
--- a/src/loop/http_port.cc
+++ b/src/loop/http_port.cc
@@ -19,12 +19,8 @@
 
 absl::Status HttpPort::Listen(const SocketAddress& address) {
   listener_ = std::make_unique<TcpListener>(loop_);
-  auto status = listener_->Listen(
-      address, [this](std::unique_ptr<TcpStream> stream) { Take(std::move(stream)); });
-  if (status.ok()) {
-    sweep_.Repeat(kSweepInterval);
-  }
-  return status;
+  return listener_->Listen(address,
+                           [this](std::unique_ptr<TcpStream> stream) { Take(std::move(stream)); });
 }
 
 SocketAddress HttpPort::address() const { return listener_->address(); }
@@ -59,6 +55,9 @@
     ++overflows_;
     return;
   }
+  if (streams_.empty()) {
+    sweep_.Start(kSweepInterval);
+  }
   auto* accepted = stream.get();
   auto server = std::make_unique<HttpServerStream>(this, std::move(stream), EventLoop::Now());
   auto* handler = server.get();
@@ -76,6 +75,9 @@
   for (auto* stream : streams) {
     stream->CheckTime(now);
   }
+  if (!streams_.empty()) {
+    sweep_.Start(kSweepInterval);
+  }
 }
 
 }  // namespace primroseweir
--- a/src/published/published_cache.cc
+++ b/src/published/published_cache.cc
@@ -98,11 +98,11 @@
 
 // ---- view ----
 
-std::vector<PublishedItem> PublishedCache::Items() const {
-  std::vector<PublishedItem> items;
+std::vector<const PublishedItem*> PublishedCache::Items() const {
+  std::vector<const PublishedItem*> items;
   items.reserve(entries_.size());
   for (const auto& [key, entry] : entries_) {
-    items.push_back(entry.item);
+    items.push_back(&entry.item);
   }
   return items;
 }
--- a/tests/platform/decoder_test.cc
+++ b/tests/platform/decoder_test.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 #include <set>
@@ -120,20 +121,31 @@
   CHECK_FALSE(DecodeConfiguration(ConfigurationJson().dump().substr(0, 200), &kinds).ok());
 }
 
+// Decodes items as of the newest of them.
+StoreDecoder::Result DecodeAll(StoreDecoder* decoder, const std::vector<PublishedItem>& items) {
+  std::vector<const PublishedItem*> pointers;
+  Revision at;
+  for (const auto& item : items) {
+    pointers.push_back(&item);
+    at = std::max(at, item.revision);
+  }
+  return decoder->Decode(pointers, at);
+}
+
 // Guards against a word of a later version that stops a whole fleet: retina-gw served nothing while
 // its configuration named a kind that was unknown.
 TEST_CASE("an unknown kind of route runs once and is named once", "[platform][at-most-once]") {
   auto json = NaivePlain(ConfigurationJson());
   json["routes"][0]["kind"] = "sometimes";
   StoreDecoder decoder;
-  auto result = decoder.Decode({{kConfigurationKey, json.dump(), Revision(5)}}, Revision(5));
+  auto result = DecodeAll(&decoder, {{kConfigurationKey, json.dump(), Revision(5)}});
   REQUIRE(result.state->routes != nullptr);
   CHECK(result.rejected.empty());
   CHECK(result.unknown_kinds == std::vector<std::string>{"sometimes"});
   CHECK(result.state->routes->Find("a.example", "/x/1")->kind == CallKind::kOnce);
   CHECK(result.state->routes->Find("a.example", "/y/1")->kind == CallKind::kOnce);
   json["version"] = "0000001d";
-  result = decoder.Decode({{kConfigurationKey, json.dump(), Revision(6)}}, Revision(6));
+  result = DecodeAll(&decoder, {{kConfigurationKey, json.dump(), Revision(6)}});
   CHECK(result.state->routes->version() == 0x1d);
   CHECK(result.unknown_kinds.empty());
 }
@@ -210,22 +222,21 @@
   const auto good = ConfigurationJson().dump();
   auto older = ConfigurationJson();
   older["version"] = "0000000a";
-  auto result = decoder.Decode({{kConfigurationKey, good, Revision(5)}}, Revision(5));
+  auto result = DecodeAll(&decoder, {{kConfigurationKey, good, Revision(5)}});
   REQUIRE(result.state->routes != nullptr);
-  result = decoder.Decode({{kConfigurationKey, "{", Revision(6)}}, Revision(6));
+  result = DecodeAll(&decoder, {{kConfigurationKey, "{", Revision(6)}});
   CHECK(result.rejected.size() == 1);
   CHECK(result.state->routes->version() == 0x1c);
-  result = decoder.Decode({{kConfigurationKey, older.dump(), Revision(7)}}, Revision(7));
+  result = DecodeAll(&decoder, {{kConfigurationKey, older.dump(), Revision(7)}});
   CHECK(result.rejected.size() == 1);
   CHECK(result.state->routes->version() == 0x1c);
 }
 
 TEST_CASE("declarations and upstreams make the state", "[platform]") {
   StoreDecoder decoder;
-  const auto result = decoder.Decode({{"op/evacuate/a", "1", Revision(2)},
-                                      {"servers/i-1", UpstreamJson().dump(), Revision(3)},
-                                      {"servers/i-2", "\xff", Revision(4)}},
-                                     Revision(4));
+  const auto result = DecodeAll(&decoder, {{"op/evacuate/a", "1", Revision(2)},
+                                           {"servers/i-1", UpstreamJson().dump(), Revision(3)},
+                                           {"servers/i-2", "\xff", Revision(4)}});
   CHECK(result.state->out.count(DataCentre("a")) == 1);
   REQUIRE(result.state->upstreams.size() == 1);
   CHECK(result.state->upstreams[0].id == UpstreamId("i-1"));
@@ -233,6 +244,26 @@
   CHECK(result.rejected[0].key == "servers/i-2");
 }
 
+// Guards against entries that outlive their upstream in what is kept between two states.
+TEST_CASE("what changed between two states is decoded, and what is gone is dropped", "[platform]") {
+  StoreDecoder decoder;
+  auto changed = UpstreamJson();
+  const PublishedItem first{"servers/i-1", changed.dump(), Revision(3)};
+  const PublishedItem second{"servers/i-2", changed.dump(), Revision(4)};
+  REQUIRE(DecodeAll(&decoder, {first, second}).state->upstreams.size() == 2);
+  changed["maxConcurrency"] = 77;
+  const PublishedItem later{"servers/i-2", changed.dump(), Revision(6)};
+  auto state = DecodeAll(&decoder, {first, later}).state;
+  REQUIRE(state->upstreams.size() == 2);
+  CHECK(state->upstreams[0].slots != 77);
+  CHECK(state->upstreams[1].slots == 77);
+  state = DecodeAll(&decoder, {later}).state;
+  REQUIRE(state->upstreams.size() == 1);
+  CHECK(state->upstreams[0].id == UpstreamId("i-2"));
+  // Listed anew at the revision that it had.
+  CHECK(DecodeAll(&decoder, {first, later}).state->upstreams.size() == 2);
+}
+
 TEST_CASE("settings name what is missing", "[platform]") {
   const auto settings = ParseNodeSettings(R"({"nodeName": "n", "ip": "10.0.0.1", "zone": "a"})");
   REQUIRE_FALSE(settings.ok());
--- a/tests/published/published_cache_test.cc
+++ b/tests/published/published_cache_test.cc
@@ -22,8 +22,8 @@
 
 std::string KeysOf(const PublishedCache& cache) {
   std::string keys;
-  for (const auto& item : cache.Items()) {
-    keys += (keys.empty() ? "" : " ") + item.value;
+  for (const auto* item : cache.Items()) {
+    keys += (keys.empty() ? "" : " ") + item->value;
   }
   return keys;
 }
