Let instances with slow links start from a peer's copy

Change: seeds and instances with fast links read at once; the others wait as long as their link would take for the list, and up to 500 ms once a peer that knows the state was heard; a peer's copy, a tenth of the size, takes the place of the read. Tests: gateway "instances with slow links leave the first read to others", platform "a peer's state takes the place of the first read".

--- a/include/primroseweir/gateway/fleet_service.h
+++ b/include/primroseweir/gateway/fleet_service.h
@@ -64,6 +64,13 @@
   void SetStopping();
   // Whether the platform's store serves this instance.
   void SetReadsStore(bool reads);
+  // Time until this instance, which knows nothing yet, is to read the whole state from the store,
+  // zero for now. Seeds and instances with fast links read at once; the others wait for a peer's
+  // copy, which is a tenth of the size.
+  //
+  // Load pattern: hundreds of instances that start at the same moment, after a loss of power. When
+  // all of them read, the answers filled the store's link for half a second.
+  Duration UntilFirstRead(Instant now);
   // Time until this instance is to ask the store, zero for now.
   Duration UntilRead(Instant now);
   // Whether this instance passes on the store's changes at once.
@@ -94,6 +101,13 @@
   // waits up to kUnheardGrace longer, at random.
   static constexpr Duration kReaderGrace = std::chrono::milliseconds(500);
   static constexpr Duration kUnheardGrace = std::chrono::milliseconds(3000);
+  // Size of the whole state on its way from the store, with some hundred upstreams: instances wait
+  // as long as their links would take for it.
+  static constexpr double kStateKilobytes = 256;
+  // Longest wait for the copy of a peer that knows the state.
+  static constexpr Duration kFirstCopyTime = std::chrono::milliseconds(500);
+  // Time after which an instance that waits looks again.
+  static constexpr Duration kFirstReadStep = std::chrono::milliseconds(5);
   // Longest pause of a peer that is asked for its copy.
   static constexpr Duration kCopyTimeout = std::chrono::milliseconds(500);
   // Longest time of a copy, whatever its pauses: a large configuration takes seconds when a data
@@ -161,6 +175,7 @@
   Instant measured_;
   bool had_load_ = false;
   bool load_planned_ = false;
+  Instant started_;
   // Until when only seeds are to read the store, with and without a peer that was heard.
   Instant reader_grace_end_;
   Instant unheard_grace_end_;
--- a/src/gateway/fleet_service.cc
+++ b/src/gateway/fleet_service.cc
@@ -121,7 +121,8 @@
     return status;
   }
   is_seed_ = std::find(seeds_.begin(), seeds_.end(), table_.self().ip) != seeds_.end();
-  reader_grace_end_ = now_() + kReaderGrace;
+  started_ = now_();
+  reader_grace_end_ = started_ + kReaderGrace;
   const auto unheard = std::chrono::duration<double>(kUnheardGrace) * gateway_->random().Unit();
   unheard_grace_end_ = reader_grace_end_ + std::chrono::duration_cast<Duration>(unheard);
   beat_timer_.Repeat(FleetTable::kBeatInterval);
@@ -129,6 +130,18 @@
   return absl::OkStatus();
 }
 
+Duration FleetService::UntilFirstRead(Instant now) {
+  if (is_seed_) {
+    return Duration::zero();
+  }
+  const double kilobytes_per_second = std::max(table_.self().capacity.link_kilobytes, 1U);
+  const auto link_time = std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(kStateKilobytes / kilobytes_per_second));
+  const auto wait = table_.MostAdvanced(now) ? kFirstCopyTime : std::min(link_time, kFirstCopyTime);
+  const auto left = started_ + wait - now;
+  return left <= Duration::zero() ? Duration::zero() : std::min(left, kFirstReadStep);
+}
+
 Duration FleetService::UntilRead(Instant now) {
   if (stopping_ && !live_.empty()) {
     return FleetTable::kAskAgain;
--- a/tests/gateway/fleet_service_test.cc
+++ b/tests/gateway/fleet_service_test.cc
@@ -69,6 +69,8 @@
     options.self = MemberOf(ip_, "here");
     options.datagram_port = kDatagramPort;
     options.copy_port = copy_port;
+    options.self.capacity.link_kilobytes = link_kilobytes;
+    options.seeds = seeds;
     service_ = std::make_unique<FleetService>(&gateway_.loop(), options, &gateway_.gateway(),
                                               &cache_, &log_, [](bool /*changed*/) {});
     REQUIRE(service_->Start().ok());
@@ -85,6 +87,10 @@
 
   EventLoop& loop() { return gateway_.loop(); }
   const std::string& ip() const { return ip_; }
+  FleetService& service() { return *service_; }
+
+  std::uint32_t link_kilobytes = 125000;
+  std::vector<std::string> seeds;
 
  private:
   GatewayFixture gateway_;
@@ -148,6 +154,38 @@
   }));
 }
 
+// Guards against hundreds of instances that all read the store when power is back: their answers
+// filled its link for half a second, and the instances that callers use waited among them (incident
+// inc-b6b9: in force 191 ms after the start at the middle instance).
+TEST_CASE("instances with slow links leave the first read to others", "[fleet]") {
+  const auto now = EventLoop::Now();
+  const auto wait = [](ServiceFixture* fixture, Instant at) {
+    return fixture->service().UntilFirstRead(at);
+  };
+  ServiceFixture fast;
+  fast.Start();
+  CHECK(wait(&fast, now + std::chrono::milliseconds(10)) == Duration::zero());
+  ServiceFixture slow;
+  slow.link_kilobytes = 2500;
+  slow.Start();
+  // Its link would take 102 ms.
+  CHECK(wait(&slow, now + std::chrono::milliseconds(95)) > Duration::zero());
+  CHECK(wait(&slow, now + std::chrono::milliseconds(200)) == Duration::zero());
+  // A peer that knows the state gives it, unless that fails.
+  auto& peer = slow.AddPeer("here");
+  peer.member().published = Revision(9);
+  peer.Send(slow.ip());
+  REQUIRE(slow.Until([&] { return slow.service().heard(); }));
+  CHECK(wait(&slow, now + std::chrono::milliseconds(300)) > Duration::zero());
+  CHECK(wait(&slow, now + FleetService::kFirstCopyTime * 3) == Duration::zero());
+  // Others ask a seed first: it must know.
+  ServiceFixture seed;
+  seed.link_kilobytes = 1250;
+  seed.seeds = {seed.ip()};
+  seed.Start();
+  CHECK(wait(&seed, now) == Duration::zero());
+}
+
 // Guards against a peer in trouble that sends its copy byte by byte: this instance would stay with
 // what it knows until the peer ends.
 TEST_CASE("a peer's copy that trickles in is given up after its time", "[fleet]") {
--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -26,14 +26,16 @@
 
 // A client of a scripted store.
 struct StoreFixture {
-  explicit StoreFixture(LoopServer::Script script)
+  explicit StoreFixture(LoopServer::Script script, Duration wait = Duration::zero())
       : server(&loop, std::move(script)),
         log("test", open("/dev/null", O_WRONLY | O_CLOEXEC)),
         cache("servers/") {
+    first_read_wait = wait;
     StoreClient::Options options;
     options.address = server.address();
     options.keep_lapsed = std::chrono::milliseconds(1700);
     StoreClient::Hooks hooks;
+    hooks.until_first_read = [this](Instant) { return first_read_wait; };
     hooks.until_read = [this](Instant) {
       return should_read ? Duration::zero() : Duration(std::chrono::milliseconds(50));
     };
@@ -50,6 +52,7 @@
   GatewayMetrics metrics;
   PublishedCache cache;
   std::unique_ptr<StoreClient> client;
+  Duration first_read_wait{};
   bool should_read = true;
   bool served = false;
   int answers = 0;
@@ -80,6 +83,38 @@
   CHECK(fixture.cache.Items().size() == 1);
 }
 
+// Guards against a whole read of the store by each instance of a fleet that starts at once.
+TEST_CASE("a peer's state takes the place of the first read", "[platform]") {
+  std::vector<std::string> targets;
+  StoreFixture fixture(
+      [&targets](const LoopServer::Request& request) {
+        targets.push_back(request.head.target);
+        return LoopServer::Reply{Json(R"({"events":[],"at":9})"), {}, {}};
+      },
+      std::chrono::milliseconds(5));
+  RunUntil(
+      &fixture.loop, [] { return false; }, std::chrono::milliseconds(100));
+  CHECK(targets.empty());
+  const auto now = EventLoop::Now();
+  fixture.cache.Replace({{"op/config", "x", Revision(9)}}, Revision(9), now, now);
+  REQUIRE(RunUntil(&fixture.loop, [&] { return !targets.empty(); }));
+  CHECK(targets[0].find("kv-watch") != std::string::npos);
+  CHECK(targets[0].find("after=9&") != std::string::npos);
+}
+
+TEST_CASE("the first read begins when its wait is over", "[platform]") {
+  std::vector<std::string> targets;
+  StoreFixture fixture(
+      [&targets](const LoopServer::Request& request) {
+        targets.push_back(request.head.target);
+        return LoopServer::Reply{Json(kEmptyRange), {}, {}};
+      },
+      std::chrono::milliseconds(5));
+  fixture.first_read_wait = Duration::zero();
+  REQUIRE(RunUntil(&fixture.loop, [&] { return !targets.empty(); }));
+  CHECK(targets[0].find("kv-range") != std::string::npos);
+}
+
 // Guards against changes that are missed between two pages, and against a lost history.
 TEST_CASE("pages are read from the first one's revision on", "[platform]") {
   int watches = 0;
