Give an upstream that joins its first call at once

Change: an upstream that is listed while others are, or that restarted, counts as connected until this instance has sent it a call. Test: "an upstream that joins gets a call from each instance that has calls" fails before.

--- a/include/primroseweir/balance/balanced_upstream.h
+++ b/include/primroseweir/balance/balanced_upstream.h
@@ -80,7 +80,10 @@
 
   // ---- load ----
 
-  void NoteStart() { ++in_flight_; }
+  void NoteStart() {
+    ++in_flight_;
+    joined_ = false;
+  }
   // An attempt that started at `started` ended. `usual` is the service's usual time to answer.
   void NoteEnd(AttemptResult result, Instant started, Duration usual, Instant now);
   // An attempt that started at `started` has no answer yet. Counts only when it is overdue, and
@@ -95,6 +98,11 @@
   // A peer's view of how long work takes there.
   void NotePeerSlowdown(double slowdown, Instant measured);
 
+  // The upstream was listed while others of the fleet were in use.
+  void NoteJoined() { joined_ = true; }
+  // Whether it joined and got no call from this instance yet.
+  bool joined() const { return joined_; }
+
   // Whether a connection to it is at hand.
   bool connected() const { return connected_; }
   void SetConnected(bool connected) { connected_ = connected; }
@@ -154,6 +162,7 @@
   int unhealthy_probes_ = 0;
   Instant cold_until_;
   ColdPacer pacer_;
+  bool joined_ = false;
   bool connected_ = false;
   std::uint32_t in_flight_ = 0;
   std::uint32_t peer_in_flight_ = 0;
--- a/src/balance/balanced_upstream.cc
+++ b/src/balance/balanced_upstream.cc
@@ -45,6 +45,7 @@
 void BalancedUpstream::Update(const UpstreamRecord& record, const ColdPacer::Bound& cold_bound) {
   if (!SameProcess(record, record_)) {
     misdirected_ = false;
+    joined_ = true;
     doubted_ = false;
     log_slowness_ = 0;
     failures_ = 0;
--- a/src/balance/upstream_book.cc
+++ b/src/balance/upstream_book.cc
@@ -31,9 +31,14 @@
 void UpstreamBook::Apply(const std::vector<UpstreamRecord>& list, const std::set<DataCentre>& out,
                          const RouteTable& terms, Instant now) {
   std::set<UpstreamId> listed;
+  const bool first = upstreams_.empty();
   for (const auto& record : list) {
     listed.insert(record.id);
+    const bool joins = !first && upstreams_.count(record.id) == 0;
     AddOrUpdate(record, terms, now);
+    if (joins) {
+      upstreams_.at(record.id)->NoteJoined();
+    }
   }
   for (auto& [name, service] : services_) {
     service.upstreams.clear();
@@ -169,7 +174,8 @@
   if (upstream.cold(now)) {
     cost *= kColdFactor;
   }
-  if (!upstream.connected()) {
+  // One that joined gets its first call at once, or it would idle until the others are full.
+  if (!upstream.connected() && !upstream.joined()) {
     cost += std::max(Seconds(kNewConnection), kNewConnectionPart * Seconds(service.load.usual()));
   }
   if (!Near(upstream)) {
--- a/tests/balance/upstream_book_test.cc
+++ b/tests/balance/upstream_book_test.cc
@@ -99,6 +99,35 @@
   CHECK(fixture.ChooseId() == "a");
 }
 
+// Guards against capacity that operators add and nobody uses: at a low load calls kept to the
+// upstreams that an instance was connected to (retina-gw quiet-1: some that joined got nothing).
+TEST_CASE("an upstream that joins gets a call from each instance that has calls", "[balance]") {
+  BalanceFixture f;
+  for (const char* id : {"a", "b", "c"}) {
+    f.Add(id);
+  }
+  f.Apply();
+  for (const char* id : {"a", "b", "c"}) {
+    f.At(id).SetConnected(true);
+    f.Report(id, 0, 1);
+  }
+  f.Add("new");
+  f.Apply();
+  int calls = 0;
+  while (f.At("new").joined() && calls < 100) {
+    const auto choice = f.Choose();
+    REQUIRE(choice.upstream != nullptr);
+    f.book.NoteStart(choice.upstream.get(), f.now);
+    f.book.NoteEnd(choice.upstream.get(), AttemptResult::kAnswered, f.now, 1, f.now);
+    ++calls;
+  }
+  CHECK(calls < 100);
+  // From then on it is one of those without a connection.
+  for (int i = 0; i < 100; ++i) {
+    CHECK(f.ChooseId() != "new");
+  }
+}
+
 // Load pattern: few calls of one instance to hundreds of upstreams. Guards against two new
 // connections a call: calls that are spread evenly find each connection closed again.
 TEST_CASE("an instance keeps to the upstreams it is connected to", "[balance]") {
