--- a/review/common/harness.h
+++ b/review/common/harness.h
@@ -199,6 +199,10 @@
   std::size_t body_bytes() const { return body_bytes_; }
   void SetPause(std::function<void(std::size_t)> pause) { pause_ = std::move(pause); }
   void SetReadBytes(std::size_t bytes) { read_bytes_ = bytes; }
+  // Sets a function that is called with each head before its body is read.
+  void SetHeadListener(std::function<void(const Message&)> listener) {
+    on_head_ = std::move(listener);
+  }
 
   End Read(Message* message, std::int64_t deadline, bool is_response) {
     *message = Message();
@@ -224,6 +228,9 @@
       value.erase(0, value.find_first_not_of(" \t"));
       message->fields.emplace_back(line.substr(0, colon), value);
     }
+    if (on_head_) {
+      on_head_(*message);
+    }
     if (message->Get("Transfer-Encoding") == "chunked") {
       return ReadChunks(message, deadline);
     }
@@ -315,6 +322,7 @@
   std::size_t body_bytes_ = 0;
   std::size_t read_bytes_ = 65536;
   std::function<void(std::size_t)> pause_;
+  std::function<void(const Message&)> on_head_;
 };
 
 inline const char* NameOf(Reader::End end) {
@@ -592,6 +600,8 @@
     std::size_t body_bytes = 20;
     // The handler gets health checks too.
     bool handles_health = false;
+    // Records the ids of requests whose head has arrived.
+    bool notes_heads = false;
   };
   // Replaces the default answer to a request that is neither a health check nor misdirected.
   // Returns false to end the connection.
@@ -644,6 +654,12 @@
     return runs_;
   }
 
+  // Whether the head of that request has arrived here; needs notes_heads.
+  bool HasHead(const std::string& request) const {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return heads_.count(request) != 0;
+  }
+
   // The default answer.
   bool RunAndAnswer(int socket, const Message& request) {
     RecordRun(request);
@@ -668,6 +684,16 @@
  private:
   void Serve(int socket) {
     Reader reader(socket);
+    if (options_.notes_heads) {
+      reader.SetHeadListener([this](const Message& head) {
+        const auto id = head.Get("X-Request-Id");
+        if (!id.empty()) {
+          Note("server %s has the head of %s", options_.id.c_str(), id.c_str());
+          const std::lock_guard<std::mutex> lock(mutex_);
+          heads_.insert(id);
+        }
+      });
+    }
     Message request;
     while (reader.Read(&request, NowMs() + 120000, false) == Reader::End::kMessage) {
       const auto expected = request.Get("X-Expected-Instance");
@@ -695,6 +721,7 @@
   std::atomic<int> running_{0};
   mutable std::mutex mutex_;
   std::vector<Run> runs_;
+  std::set<std::string> heads_;
   std::unique_ptr<Listener> listener_;
 };
 
@@ -903,6 +930,7 @@
   Reader& reader() { return *reader_; }
   bool is_connected() const { return is_connected_; }
 
+  bool SendBytes(const std::string& bytes) { return is_connected_ && WriteAll(socket_, bytes); }
   bool Send(const std::string& method, const std::string& target, const std::string& id,
             int deadline_ms, const std::string& body, const std::string& more_fields = "") {
     std::string bytes = method + " " + target + " HTTP/1.1\r\nHost: desk.example\r\n" +
