Send the end of a body in chunks that arrives without further bytes

Callers saw: an upload in chunks whose last chunk arrived alone was never answered before its deadline (504). If the instance was stopped by SIGTERM meanwhile, the connection ended without an answer (LOST).

Cause: RoutedCall::SendBody returned early when the caller's body was complete and all its bytes had been sent. The last chunk is not a byte of the body, so it was not written when it arrived alone, and the upstream waited for it.

Fix: the call records whether the end of the body was sent on the current attempt, and SendBody returns early only then. An attempt that starts with the whole body sends it with a length, which needs no end.

--- a/include/primroseweir/gateway/routed_call.h
+++ b/include/primroseweir/gateway/routed_call.h
@@ -129,8 +129,8 @@
   void StartAttempt(std::shared_ptr<BalancedUpstream> upstream, Instant now);
   void StartHedge();
   RequestHead MakeUpstreamHead(const UpstreamAttempt& attempt, Instant now) const;
-  // Sends the received part of a streamed body to the upstream, and pauses the caller while the
-  // upstream accepts it more slowly than the caller sends it.
+  // Sends the received part of a streamed body to the upstream, and its end once that was received.
+  // Pauses the caller while the upstream accepts the body more slowly than the caller sends it.
   void SendBody();
   // Whether the whole body is still available for another upstream.
   bool MayResend() const { return attempts_sent_ == 0 || body_.is_replayable(); }
@@ -166,8 +166,9 @@
   HttpServerStream* const caller_;
   const RequestHead head_;
   CallBody body_;
-  // Bytes of the body that were sent on the current attempt.
+  // Bytes of the body that were sent on the current attempt, and whether its end was.
   std::size_t body_sent_ = 0;
+  bool is_body_end_sent_ = false;
   const Instant received_at_;
   const std::string request_id_;
   // Keeps route_ valid.
--- a/src/gateway/routed_call_placement.cc
+++ b/src/gateway/routed_call_placement.cc
@@ -178,6 +178,7 @@
   occupancy_ = attempt->occupancy();
   const auto& echo_field = gateway_->fields().request_id;
   body_sent_ = body_.received_bytes();
+  is_body_end_sent_ = body_.is_complete();
   attempt->Send(MakeUpstreamHead(*attempt, now), body_.buffered(),
                 request_id_.empty() ? std::string() : echo_field, request_id_);
   SendBody();
@@ -218,13 +219,15 @@
 }
 
 void RoutedCall::SendBody() {
-  if (!caller_->is_receiving_body() && body_sent_ == body_.received_bytes()) {
+  if (body_.is_complete() && is_body_end_sent_) {
     return;
   }
   auto* attempt = attempts_.empty() ? nullptr : attempts_.front().get();
-  if (attempt != nullptr && body_sent_ < body_.received_bytes()) {
+  // The end of a body in chunks may arrive without further bytes.
+  if (attempt != nullptr && (body_sent_ < body_.received_bytes() || body_.is_complete())) {
     attempt->SendPiece(body_.BytesFrom(body_sent_), body_.is_complete());
     body_sent_ = body_.received_bytes();
+    is_body_end_sent_ = body_.is_complete();
   }
   const bool has_sent = attempt != nullptr && attempt->has_sent();
   if (has_sent && (body_.buffered().size() > kMaxReplayBytes || gateway_->IsOverMemoryLimit())) {
--- a/tests/gateway/upload_test.cc
+++ b/tests/gateway/upload_test.cc
@@ -1,4 +1,5 @@
 // Tests of uploads: large bodies that are forwarded while they arrive.
+#include <algorithm>
 #include <string>
 
 #include "gateway_fixture.h"
@@ -92,6 +93,62 @@
   CHECK(upstream.requests()[0].body == body);
 }
 
+// Guards against an upload that never ends at the upstream: the last chunk was not forwarded when
+// it arrived after all bytes of the body had been sent, and the call failed at its deadline.
+TEST_CASE("the end of a body in chunks reaches the upstream when it arrives alone", "[gateway]") {
+  // A last chunk with and without trailers, whole and in two parts.
+  const std::vector<std::vector<std::string>> ends = {
+      {"0\r\n\r\n"}, {"0\r\n", "\r\n"}, {"0\r\nX-Sum: 1\r\n", "\r\n"}};
+  for (const auto& end : ends) {
+    UploadFixture fixture;
+    auto& upstream = fixture.AddUpstream(&RespondStored);
+    fixture.Apply(CallKind::kUpload);
+    const auto body = MakeBody(100'000);
+    const auto caller =
+        fixture.Send(FormatHead("Transfer-Encoding: chunked") + "186a0\r\n" + body + "\r\n");
+    REQUIRE(fixture.WaitUntil([&] { return upstream.body_bytes() == body.size(); }));
+    for (const auto& part : end) {
+      caller->Send(part);
+      fixture.WaitUntil([] { return false; }, std::chrono::milliseconds(20));
+    }
+    REQUIRE(fixture.WaitUntil([&] { return caller->status() != 0; }, std::chrono::seconds(2)));
+    CHECK(caller->status() == 200);
+    REQUIRE(upstream.requests().size() == 1);
+    CHECK(upstream.requests()[0].body == body);
+    // Both connections are at a message boundary, so the next call reuses them.
+    caller->Send(FormatHeadForSize(3) + "abc");
+    REQUIRE(fixture.WaitUntil([&] { return upstream.requests().size() == 2; }));
+    CHECK(upstream.requests()[1].body == "abc");
+    CHECK(upstream.accepted() == 1);
+  }
+}
+
+// Guards against the same fault at the upstream of a retry.
+TEST_CASE("the end of a retried body in chunks reaches the second upstream when it arrives alone",
+          "[gateway][not-run]") {
+  UploadFixture fixture;
+  int request_number = 0;
+  const auto early = [&request_number](const Request& r) {
+    return ++request_number == 1 ? RespondNotExecuted(r) : Reply();
+  };
+  auto& first = fixture.AddUpstream(&RespondStored, "here", 4, early);
+  auto& second = fixture.AddUpstream(&RespondStored, "here", 4, early);
+  fixture.Apply(CallKind::kUpload);
+  const auto body = MakeBody(100'000);
+  const auto caller =
+      fixture.Send(FormatHead("Transfer-Encoding: chunked") + "186a0\r\n" + body + "\r\n");
+  REQUIRE(fixture.WaitUntil([&] {
+    return first.heads() + second.heads() == 2 &&
+           std::max(first.body_bytes(), second.body_bytes()) == body.size();
+  }));
+  fixture.WaitUntil([] { return false; }, std::chrono::milliseconds(20));
+  caller->Send("0\r\n\r\n");
+  REQUIRE(fixture.WaitUntil([&] { return caller->status() != 0; }, std::chrono::seconds(2)));
+  CHECK(caller->status() == 200);
+  REQUIRE(first.requests().size() + second.requests().size() == 1);
+  CHECK((first.requests().empty() ? second : first).requests()[0].body == body);
+}
+
 // Guards against memory that grows with the bodies when an upstream accepts them slowly.
 TEST_CASE("100 uploads to a slow upstream use bounded memory", "[gateway]") {
   UploadFixture fixture;
