Discard responses without an id instead of taking them for a call's response

Callers saw: 503, "not executed", for a booking that an upstream executed, or the booking was executed at two upstreams (REFUSED, TWICE). A faulty upstream had sent an earlier refusal once more where the response to the booking was expected.

Cause: HttpClientStream accepted each error response without an id as the response to the pending request, whatever the connection had carried before. The response to a probe has no id, and probes share connections with calls.

Fix: a response without an id is a stray response for a request with one. The request waits for its own; when the attempt is overdue without it, the attempt is lost and the call counts as possibly executed, since the refusal may have been its own. Only a 421 that is the first response on its connection and names another upstream is accepted. A call without an id uses a new connection, since no id tells its response from a copy of an earlier one.

--- a/include/primroseweir/gateway/routed_call.h
+++ b/include/primroseweir/gateway/routed_call.h
@@ -139,6 +139,9 @@
 
   // ---- outcomes of attempts ----
   RetryPolicy::State RetryState() const;
+  // Whether a 421 response proves that another upstream has the address: it echoes the id of the
+  // call, or names that upstream.
+  bool IsFromOtherUpstream(const UpstreamAttempt& attempt, const ResponseHead& head) const;
   // Ends an attempt that brought no usable response, and takes the next step of the retry policy.
   // `failure` and `body` are the upstream's error response, for Step::kForwardFailure.
   void FinishAttempt(UpstreamAttempt* attempt, RetryPolicy::AttemptEnd outcome,
--- a/include/primroseweir/gateway/upstream_attempt.h
+++ b/include/primroseweir/gateway/upstream_attempt.h
@@ -6,6 +6,7 @@
 
 #include "primroseweir/balance/balanced_upstream.h"
 #include "primroseweir/base/time.h"
+#include "primroseweir/gateway/connection_reuse.h"
 #include "primroseweir/loop/http_client_callbacks.h"
 #include "primroseweir/loop/timer.h"
 
@@ -30,13 +31,15 @@
   // Takes a connection from the pool and starts to connect if it is a new one. `call` outlives the
   // attempt.
   UpstreamAttempt(const Dependencies& dependencies, std::shared_ptr<BalancedUpstream> upstream,
-                  RoutedCall* call, bool at_most_once, Instant now);
+                  RoutedCall* call, ConnectionReuse reuse, Instant now);
   // Finishes an attempt that is still in progress as cancelled. The connection returns to the pool
   // if the response was complete and is closed otherwise.
   ~UpstreamAttempt() override;
 
   // Sends the request, or its head and the first part of its body. `echo_field` and `echo_value`
-  // are the field that the response must echo.
+  // are the field that the response must echo. If a refusal without it was discarded and no
+  // response has arrived when the attempt is overdue, the attempt fails: the refusal may have been
+  // its own.
   void Send(const RequestHead& head, const std::string& body, const std::string& echo_field,
             const std::string& echo_value);
   // Sends the next piece of the body; `last` marks its end.
--- a/include/primroseweir/gateway/upstream_connection_pool.h
+++ b/include/primroseweir/gateway/upstream_connection_pool.h
@@ -10,6 +10,7 @@
 
 #include "primroseweir/base/ids.h"
 #include "primroseweir/base/time.h"
+#include "primroseweir/gateway/connection_reuse.h"
 
 namespace primroseweir {
 
@@ -24,11 +25,9 @@
   explicit UpstreamConnectionPool(EventLoop* loop);
   ~UpstreamConnectionPool();
 
-  // Returns an idle connection, or a new one if there is none. With `at_most_once`, an idle
-  // connection must have been used within kMaxIdleTimeAtMostOnce: the call, which can't be retried,
-  // would be lost on a connection that the upstream closed or that became unresponsive meanwhile.
+  // Returns an idle connection that `reuse` allows, or a new one if there is none.
   std::unique_ptr<HttpClientStream> Acquire(const std::shared_ptr<BalancedUpstream>& upstream,
-                                            bool at_most_once, Instant now);
+                                            ConnectionReuse reuse, Instant now);
   // Returns a connection to the pool, or closes it if it is not reusable or the pool is full.
   void Return(const std::shared_ptr<BalancedUpstream>& upstream,
               std::unique_ptr<HttpClientStream> stream);
@@ -40,8 +39,8 @@
 
   // Maximum idle time of a connection for which the upstream stated no keep-alive time-out.
   static constexpr Duration kMaxIdleTime = std::chrono::seconds(8);
-  // Maximum idle time of a connection that carries a call that must be executed at most once.
-  static constexpr Duration kMaxIdleTimeAtMostOnce = std::chrono::milliseconds(1500);
+  // Maximum idle time of a connection for ConnectionReuse::kRecentlyUsed.
+  static constexpr Duration kMaxRecentIdleTime = std::chrono::milliseconds(1500);
   // Time by which the pool closes a connection before the upstream's keep-alive time-out.
   static constexpr Duration kCloseMargin = std::chrono::milliseconds(800);
   // Maximum number of idle connections to one upstream.
--- a/include/primroseweir/loop/http_client_callbacks.h
+++ b/include/primroseweir/loop/http_client_callbacks.h
@@ -22,6 +22,8 @@
     kMalformed,
     // The received bytes exceed a limit; such input may never end.
     kOversized,
+    // The only response that arrived in time does not show to which request it belongs.
+    kUnidentified,
   };
   // Returns the name of `failure` in logs.
   static const char* NameOf(Failure failure);
--- a/include/primroseweir/loop/http_client_stream.h
+++ b/include/primroseweir/loop/http_client_stream.h
@@ -22,12 +22,14 @@
 //
 // With an echo field, a response that echoes another value is a stray response: it belongs to
 // another request, since a server may send an extra or a late response. Stray responses are
-// discarded while the request waits for its own. The limits below cut off input that never ends.
+// discarded while the request waits for its own. So is a response without the field, which may be a
+// copy of the response to an earlier request without it, such as a probe; only a 421 is accepted if
+// it is the first response on its connection. The limits below cut off input that never ends.
 class HttpClientStream : public StreamHandler {
  public:
   // A header field that the server copies from the request to its response. An empty `field` turns
-  // the check off. An empty `value` means that the request lacks the field: a response that has it
-  // is then a stray response.
+  // the check off. An empty `value` means that the request lacks the field: a response with a value
+  // of it is then a stray response.
   struct Echo {
     std::string field;
     std::string value;
@@ -59,6 +61,9 @@
   bool is_connected() const { return is_connected_; }
   // Whether the connection ended, failed, was abandoned or received bytes while idle.
   bool is_broken() const { return is_broken_; }
+  // Whether the request waits for its response and an error response without the echo field has
+  // been discarded meanwhile, which may have been that response.
+  bool has_unidentified_error() const { return has_unidentified_error_; }
   // When the last response was complete.
   Instant idle_since() const { return idle_since_; }
   // How long the server keeps an idle connection open; zero if it did not state that.
@@ -86,6 +91,8 @@
   // returns false.
   bool DiscardStrayResponse(std::size_t used);
   bool IsExpectedResponse();
+  // Whether the current response is an error that lacks the value which the request sent.
+  bool IsUnidentifiedError();
   void Write(std::string bytes);
   void Complete();
   void Fail(HttpClientCallbacks::Failure failure);
@@ -109,6 +116,9 @@
   bool is_broken_ = false;
   // A stray response was discarded, so the next response may belong to another request too.
   bool may_be_desynchronized_ = false;
+  bool has_unidentified_error_ = false;
+  // The connection has carried a response, which the server may send again.
+  bool may_receive_copies_ = false;
   Instant idle_since_;
   Instant last_received_at_;
   Duration keep_alive_timeout_{};
--- a/src/gateway/routed_call.cc
+++ b/src/gateway/routed_call.cc
@@ -189,7 +189,9 @@
        {"took_ms", std::to_string(ToMilliseconds(now - attempt->started_at()))}},
       now);
   using AttemptEnd = RetryPolicy::AttemptEnd;
-  if (head->status == kMisdirected) {
+  if (head->status == kMisdirected && !IsFromOtherUpstream(*attempt, *head)) {
+    FinishAttempt(attempt, AttemptEnd::kNoResponse, UpstreamOutcome::kFailed, nullptr, {}, now);
+  } else if (head->status == kMisdirected) {
     upstream.SetMisdirected();
     gateway_->pool().CloseIdle(upstream.record().id);
     gateway_->log().WriteCall(
@@ -209,6 +211,16 @@
   }
 }
 
+bool RoutedCall::IsFromOtherUpstream(const UpstreamAttempt& attempt,
+                                     const ResponseHead& head) const {
+  const auto& fields = gateway_->fields();
+  if (head.fields.Find(fields.request_id) != nullptr) {
+    return true;
+  }
+  const auto responder = head.fields.Get(fields.upstream_id);
+  return !responder.empty() && responder != attempt.upstream().record().id.value();
+}
+
 void RoutedCall::OnAttemptFailure(UpstreamAttempt* attempt, HttpClientCallbacks::Failure failure) {
   const auto now = EventLoop::Now();
   auto& upstream = attempt->upstream();
@@ -227,7 +239,9 @@
     AbortResponse(HttpClientCallbacks::NameOf(failure), now);
     return;
   }
-  if (has_sent && failure != HttpClientCallbacks::Failure::kMalformed) {
+  using Failure = HttpClientCallbacks::Failure;
+  const bool has_responded = failure == Failure::kMalformed || failure == Failure::kUnidentified;
+  if (has_sent && !has_responded) {
     gateway_->RecordSuspectedCrash(upstream.record().id, fingerprint_, now);
   }
   const auto outcome =
--- a/src/gateway/routed_call_placement.cc
+++ b/src/gateway/routed_call_placement.cc
@@ -172,15 +172,17 @@
   tried_upstreams_.push_back(upstream->record().id);
   UpstreamAttempt::Dependencies dependencies{gateway_->loop(), &gateway_->balancer(),
                                              &gateway_->pool()};
-  attempts_.push_back(std::make_unique<UpstreamAttempt>(dependencies, std::move(upstream), this,
-                                                        at_most_once, now));
+  const auto reuse = request_id_.empty() ? ConnectionReuse::kNone
+                     : at_most_once      ? ConnectionReuse::kRecentlyUsed
+                                         : ConnectionReuse::kAny;
+  attempts_.push_back(
+      std::make_unique<UpstreamAttempt>(dependencies, std::move(upstream), this, reuse, now));
   auto* attempt = attempts_.back().get();
   occupancy_ = attempt->occupancy();
-  const auto& echo_field = gateway_->fields().request_id;
   body_sent_ = body_.received_bytes();
   is_body_end_sent_ = body_.is_complete();
-  attempt->Send(MakeUpstreamHead(*attempt, now), body_.buffered(),
-                request_id_.empty() ? std::string() : echo_field, request_id_);
+  attempt->Send(MakeUpstreamHead(*attempt, now), body_.buffered(), gateway_->fields().request_id,
+                request_id_);
   SendBody();
   if (!at_most_once && attempts_.size() == 1 && attempts_sent_ < route_->max_attempts) {
     hedge_timer_.Start(RetryPolicy::HedgeDelay(route_->latency_objective,
--- a/src/gateway/upstream_attempt.cc
+++ b/src/gateway/upstream_attempt.cc
@@ -13,7 +13,7 @@
 
 UpstreamAttempt::UpstreamAttempt(const Dependencies& dependencies,
                                  std::shared_ptr<BalancedUpstream> upstream, RoutedCall* call,
-                                 bool at_most_once, Instant now)
+                                 ConnectionReuse reuse, Instant now)
     : dependencies_(dependencies),
       upstream_(std::move(upstream)),
       call_(call),
@@ -23,7 +23,7 @@
       connect_timer_(dependencies.loop, [this] { OnFailure(Failure::kConnect); }),
       overdue_timer_(dependencies.loop, [this] { OnOverdue(); }) {
   dependencies_.balancer->RecordStart(upstream_.get(), now);
-  stream_ = dependencies_.pool->Acquire(upstream_, at_most_once, now);
+  stream_ = dependencies_.pool->Acquire(upstream_, reuse, now);
   if (!stream_->is_connected()) {
     connect_timer_.Start(kConnectTimeout);
   }
@@ -81,6 +81,10 @@
   const auto now = EventLoop::Now();
   dependencies_.balancer->RecordOverdue(upstream_.get(), started_at_, now);
   call_->OnAttemptOverdue(*this, now);
+  if (stream_->has_unidentified_error()) {
+    OnFailure(Failure::kUnidentified);
+    return;
+  }
   overdue_after_ *= kOverdueFactor;
   overdue_timer_.Start(overdue_after_);
 }
--- a/src/gateway/upstream_connection_pool.cc
+++ b/src/gateway/upstream_connection_pool.cc
@@ -27,17 +27,18 @@
 UpstreamConnectionPool::~UpstreamConnectionPool() = default;
 
 std::unique_ptr<HttpClientStream> UpstreamConnectionPool::Acquire(
-    const std::shared_ptr<BalancedUpstream>& upstream, bool at_most_once, Instant now) {
+    const std::shared_ptr<BalancedUpstream>& upstream, ConnectionReuse reuse, Instant now) {
   const auto& record = upstream->record();
   auto& streams = idle_[record.id].streams;
   std::unique_ptr<HttpClientStream> acquired;
-  while (!streams.empty() && acquired == nullptr) {
+  while (reuse != ConnectionReuse::kNone && !streams.empty() && acquired == nullptr) {
     auto stream = std::move(streams.back());
     streams.pop_back();
     if (!IsUsable(*stream, now) || stream->address() != record.address) {
       continue;
     }
-    if (at_most_once && now - stream->idle_since() >= kMaxIdleTimeAtMostOnce) {
+    if (reuse == ConnectionReuse::kRecentlyUsed &&
+        now - stream->idle_since() >= kMaxRecentIdleTime) {
       // The remaining connections have been idle for longer.
       streams.push_back(std::move(stream));
       break;
--- a/src/gateway/upstream_prober.cc
+++ b/src/gateway/upstream_prober.cc
@@ -37,7 +37,7 @@
   void Probe(const std::string& target, Instant now) {
     is_busy_ = true;
     started_at_ = now;
-    stream_ = gateway_->pool().Acquire(upstream_, false, now);
+    stream_ = gateway_->pool().Acquire(upstream_, ConnectionReuse::kAny, now);
     is_new_connection_ = !stream_->is_connected();
     RequestHead head;
     head.target = target;
--- a/src/loop/http_client_callbacks.cc
+++ b/src/loop/http_client_callbacks.cc
@@ -14,6 +14,8 @@
       return "malformed_answer";
     case Failure::kOversized:
       return "oversized_answer";
+    case Failure::kUnidentified:
+      return "response_without_id";
   }
   return "unknown";
 }
--- a/src/loop/http_client_stream.cc
+++ b/src/loop/http_client_stream.cc
@@ -16,6 +16,7 @@
 
 constexpr int kFirstFinalStatus = 200;
 constexpr int kFirstErrorStatus = 400;
+constexpr int kMisdirectedStatus = 421;
 
 // Returns the `timeout` parameter of the Keep-Alive field; zero if there is none.
 Duration KeepAliveTimeoutOf(const HeaderFields& fields) {
@@ -47,6 +48,7 @@
   body_.clear();
   interim_responses_ = 0;
   stray_bytes_ = 0;
+  has_unidentified_error_ = false;
   is_request_chunked_ = head.body.kind == BodyKind::kChunked;
   is_sending_body_ = is_request_chunked_ ||
                      (head.body.kind == BodyKind::kLength && body.size() < head.body.length);
@@ -142,6 +144,7 @@
   if (!IsExpectedResponse()) {
     return DiscardStrayResponse(*used);
   }
+  has_unidentified_error_ = false;
   if (parser_.is_message_complete()) {
     Complete();
     return false;
@@ -154,7 +157,8 @@
 }
 
 bool HttpClientStream::DiscardStrayResponse(std::size_t used) {
-  may_be_desynchronized_ = true;
+  may_be_desynchronized_ = may_receive_copies_ = true;
+  has_unidentified_error_ = has_unidentified_error_ || IsUnidentifiedError();
   stray_bytes_ += used;
   body_.clear();
   if (stray_bytes_ > kMaxStrayBytes) {
@@ -173,15 +177,24 @@
   }
   const auto* value = parser_.response()->fields.Find(echo_.field);
   if (echo_.value.empty()) {
-    return value == nullptr;
+    return value == nullptr || value->empty();
   }
-  // An error response may lack the field: a server that refuses a request before reading it cannot
-  // echo it.
-  return value == nullptr ? parser_.response()->status >= kFirstErrorStatus : *value == echo_.value;
+  if (value == nullptr) {
+    // A server that has taken over the address of another one may not read the request. On a
+    // connection that has carried a response, it may be a copy of that one.
+    return parser_.response()->status == kMisdirectedStatus && !may_receive_copies_;
+  }
+  return *value == echo_.value;
+}
+
+bool HttpClientStream::IsUnidentifiedError() {
+  return !echo_.value.empty() && parser_.response()->status >= kFirstErrorStatus &&
+         parser_.response()->fields.Find(echo_.field) == nullptr;
 }
 
 void HttpClientStream::Complete() {
   auto* head = parser_.response();
+  may_receive_copies_ = true;
   keep_alive_timeout_ = KeepAliveTimeoutOf(head->fields);
   idle_since_ = EventLoop::Now();
   // After a response that arrives before the whole request was written, the next response on the
--- a/tests/gateway/stray_response_test.cc
+++ b/tests/gateway/stray_response_test.cc
@@ -1,5 +1,8 @@
 // End-to-end tests of responses that belong to another request and of endless responses.
+#include <memory>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "gateway_fixture.h"
 #include "support/flood_server.h"
@@ -72,6 +75,120 @@
   CHECK(Contains(next->received(), "for b"));
 }
 
+// Guards against a refusal that an upstream sends once more on a kept connection, before the
+// response to the next call: it was taken for the response to that call, which the upstream
+// executed. The caller was told that the call had not run, or it was executed a second time
+// elsewhere.
+TEST_CASE("a repeated refusal without an id does not refuse another call",
+          "[gateway][at-most-once][not-run]") {
+  const std::string refusal =
+      "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nX-Upstream: u1\r\nX-Load: 1,0,4,100\r\n"
+      "Content-Length: 0\r\n\r\n";
+  // The copy follows the refusal of a probe on the same connection, or is the first response on a
+  // new connection.
+  for (const bool refuses_probe : {true, false}) {
+    GatewayFixture fixture;
+    fixture.service_settings.probe_target = refuses_probe ? "/health" : "";
+    std::vector<std::string> executed;
+    std::size_t copies = 0;
+    for (int i = 0; i < 2; ++i) {
+      fixture.AddUpstream(
+          [&, copy = refuses_probe ? std::string() : refusal](const Request& r) mutable {
+            if (r.head.target == "/health") {
+              copy = refusal;
+              return Reply{refusal, {}, {}};
+            }
+            const auto id = r.head.fields.Get("X-Id");
+            executed.push_back(id);
+            copies += copy.empty() ? 0 : 1;
+            return Reply{std::exchange(copy, "") + FormatResponse(r, 200, "for " + id), {}, {}};
+          });
+    }
+    fixture.Apply(CallKind::kNonIdempotent);
+    for (const char* id : {"a", "b", "c", "d"}) {
+      const auto caller = Call(&fixture, id);
+      CHECK(caller->status() == 200);
+      CHECK(Contains(caller->received(), std::string("for ") + id));
+    }
+    CHECK(executed.size() == 4);
+    CHECK(copies > 0);
+  }
+}
+
+// Guards against a 421 of unknown origin that counts as proof that a call was not executed.
+TEST_CASE("a 421 without an id and without another upstream's name does not refuse a call",
+          "[gateway][at-most-once][not-run]") {
+  for (const char* name : {"", "X-Upstream: u1\r\n", "X-Upstream: other\r\n"}) {
+    GatewayFixture fixture;
+    fixture.AddUpstream([&](const Request&) {
+      return Reply{
+          "HTTP/1.1 421 Misdirected\r\n" + std::string(name) + "Content-Length: 0\r\n\r\n", {}, {}};
+    });
+    fixture.Apply(CallKind::kNonIdempotent);
+    const bool is_other = Contains(name, "other");
+    CHECK(Call(&fixture, "a")->status() == (is_other ? 503 : 502));
+  }
+}
+
+// Guards against a call that waits until its deadline when the refusal without an id was its own,
+// and against a retry of a call that may have been executed.
+TEST_CASE("a call whose only response is a refusal without an id fails when it is overdue",
+          "[gateway][at-most-once][not-run]") {
+  for (const auto kind : {CallKind::kNonIdempotent, CallKind::kIdempotent}) {
+    GatewayFixture fixture;
+    fixture.timeout = std::chrono::seconds(20);
+    std::size_t refusals = 0;
+    const auto script = [&](const Request& r) {
+      if (r.head.fields.Get("X-Id") != "b" || ++refusals > 1) {
+        return Reply{FormatResponse(r, 200, "ok"), {}, std::chrono::milliseconds(20)};
+      }
+      return Reply{"HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", {}, {}};
+    };
+    const bool is_idempotent = kind == CallKind::kIdempotent;
+    std::vector<LoopServer*> upstreams{&fixture.AddUpstream(script, "here", 1)};
+    if (is_idempotent) {
+      upstreams.push_back(&fixture.AddUpstream(script, "here", 1));
+    }
+    fixture.Apply(kind);
+    // Concurrent calls, which leave a kept connection to each upstream.
+    std::vector<std::unique_ptr<LoopCaller>> callers;
+    for (std::size_t i = 0; i < upstreams.size(); ++i) {
+      callers.push_back(fixture.StartCall());
+    }
+    REQUIRE(RunUntil(&fixture.loop(), [&] {
+      return fixture.gateway().calls() == 0 && fixture.request_count() == upstreams.size();
+    }));
+    for (const auto* upstream : upstreams) {
+      REQUIRE(upstream->accepted() == 1);
+    }
+    const auto requests_before = fixture.request_count();
+    LoopCaller caller(&fixture.loop(), fixture.gateway().address());
+    caller.Send(
+        "POST /x/1 HTTP/1.1\r\nHost: h\r\nX-Id: b\r\nX-Deadline: 20000\r\nContent-Length: "
+        "2\r\n\r\nhi");
+    REQUIRE(RunUntil(&fixture.loop(), [&] { return caller.status() != 0; }));
+    CHECK(caller.status() == (is_idempotent ? 200 : 502));
+    CHECK(fixture.request_count() - requests_before == (is_idempotent ? 2 : 1));
+  }
+}
+
+// Guards against a response to an earlier call that reaches a caller who sends no id.
+TEST_CASE("a call without an id uses no connection that carried a response",
+          "[gateway][whole-answers]") {
+  GatewayFixture fixture;
+  auto& upstream = fixture.AddUpstream([](const Request&) {
+    return Reply{"HTTP/1.1 200 OK\r\nX-Signature: s\r\nContent-Length: 0\r\n\r\n", {}, {}};
+  });
+  fixture.Apply(CallKind::kNonIdempotent);
+  for (std::size_t i = 1; i <= 3; ++i) {
+    LoopCaller caller(&fixture.loop(), fixture.gateway().address());
+    caller.Send("POST /x/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi");
+    REQUIRE(RunUntil(&fixture.loop(), [&] { return caller.status() != 0; }));
+    CHECK(caller.status() == 200);
+    CHECK(upstream.accepted() == i);
+  }
+}
+
 // Guards against a call that an endless response keeps in progress, and against a reply that denies
 // that such a call may have been executed.
 TEST_CASE("an endless response counts as a lost response", "[gateway][endless][not-run]") {
--- a/tests/loop/http_client_stream_test.cc
+++ b/tests/loop/http_client_stream_test.cc
@@ -1,8 +1,12 @@
 #include "primroseweir/loop/http_client_stream.h"
 
 #include <catch2/catch.hpp>
+#include <chrono>
+#include <cstdlib>
 #include <memory>
 #include <optional>
+#include <string>
+#include <vector>
 
 #include "primroseweir/http/request_head.h"
 #include "primroseweir/http/response_head.h"
@@ -48,6 +52,49 @@
   HttpClientStream stream_;
 };
 
+// Sends several requests on one connection, one after the other.
+class KeptConnection {
+ public:
+  struct Result : HttpClientCallbacks {
+    void OnResponse(ResponseHead* head, std::string piece, bool last) override {
+      status = head->status;
+      body += piece;
+      is_complete = last;
+    }
+    void OnFailure(Failure /*reason*/) override { has_failed = true; }
+
+    int status = 0;
+    std::string body;
+    bool is_complete = false;
+    bool has_failed = false;
+  };
+
+  explicit KeptConnection(LoopServer::Script script)
+      : server_(&loop_, std::move(script)), stream_(&loop_, server_.address()) {}
+
+  // Sends a request that carries `id`, or no id if it is empty, and waits for its response for up
+  // to a second.
+  std::unique_ptr<Result> Send(const std::string& target, const std::string& id) {
+    auto result = std::make_unique<Result>();
+    RequestHead head;
+    head.target = target;
+    head.fields.Add("Host", "test");
+    stream_.Send(head, "", {"X-Id", id}, result.get());
+    const auto has_ended = [&] { return result->is_complete || result->has_failed; };
+    if (!RunUntil(&loop_, has_ended, std::chrono::seconds(1))) {
+      stream_.Abandon();
+    }
+    return result;
+  }
+
+  HttpClientStream& stream() { return stream_; }
+
+ private:
+  EventLoop loop_;
+  LoopServer server_;
+  HttpClientStream stream_;
+};
+
 Reply MakeReply(const std::string& bytes, Then then = Then::kKeep) { return {bytes, then, {}}; }
 
 TEST_CASE("a response with a length is complete and leaves the connection reusable", "[loop]") {
@@ -114,6 +161,76 @@
   CHECK(exchange.failure.has_value());
 }
 
+// Guards against a refusal that a server sends once more on a kept connection: without an id, the
+// copy was taken for the answer to the next request, which the server had executed.
+TEST_CASE("an error response without the echo field is no answer",
+          "[loop][whole-answers][not-run]") {
+  for (const char* status : {"400 Bad", "421 Misdirected", "429 Many", "503 Full", "504 Late"}) {
+    const auto refusal = "HTTP/1.1 " + std::string(status) + "\r\nContent-Length: 0\r\n\r\n";
+    const std::string answer = "HTTP/1.1 200 OK\r\nX-Id: mine\r\nContent-Length: 4\r\n\r\nmine";
+    KeptConnection connection([&](const auto& request) {
+      return MakeReply(request.head.target == "/probe" ? refusal : refusal + answer);
+    });
+    // A probe carries no id.
+    const auto probe = connection.Send("/probe", "");
+    REQUIRE(probe->is_complete);
+    CHECK(probe->status == std::atoi(status));
+    REQUIRE(connection.stream().is_reusable());
+    const auto result = connection.Send("/1", "mine");
+    REQUIRE(result->is_complete);
+    CHECK(result->status == 200);
+    CHECK(result->body == "mine");
+    CHECK_FALSE(connection.stream().is_reusable());
+  }
+}
+
+// Guards against a call that fails although it was not executed: a server that has taken over the
+// address of another one may not read the request. The first response on a connection is no copy.
+TEST_CASE("a 421 without the echo field is an answer only as the first on its connection",
+          "[loop][not-run]") {
+  const auto script = [](const auto& request) {
+    return MakeReply(request.head.target == "/1"
+                         ? "HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n"
+                         : "HTTP/1.1 200 OK\r\nX-Id: first\r\nContent-Length: 0\r\n\r\n");
+  };
+  KeptConnection fresh(script);
+  CHECK(fresh.Send("/1", "mine")->status == 421);
+  KeptConnection kept(script);
+  REQUIRE(kept.Send("/0", "first")->is_complete);
+  CHECK_FALSE(kept.Send("/1", "mine")->is_complete);
+}
+
+// Guards against a request that counts as refused, or waits without a sign of it, after such a
+// copy.
+TEST_CASE("an error response without the echo field is reported while the request waits",
+          "[loop][not-run]") {
+  KeptConnection connection([&](const auto& request) {
+    return MakeReply(request.head.target == "/1"
+                         ? "HTTP/1.1 200 OK\r\nX-Id: first\r\nContent-Length: 0\r\n\r\n"
+                         : "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n");
+  });
+  REQUIRE(connection.Send("/1", "first")->is_complete);
+  CHECK_FALSE(connection.stream().has_unidentified_error());
+  const auto second = connection.Send("/2", "second");
+  CHECK_FALSE(second->is_complete);
+  CHECK(connection.stream().has_unidentified_error());
+}
+
+// Guards against a second copy of the response to a probe that ends the next request.
+TEST_CASE("a copy of a successful response without the echo field is discarded",
+          "[loop][whole-answers]") {
+  const std::string healthy = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+  KeptConnection connection([&](const auto& request) {
+    return MakeReply(request.head.target == "/health"
+                         ? healthy
+                         : healthy +
+                               "HTTP/1.1 200 OK\r\nX-Id: mine\r\nContent-Length: 4\r\n\r\nmine");
+  });
+  CHECK(connection.Send("/health", "")->status == 200);
+  REQUIRE(connection.stream().is_reusable());
+  CHECK(connection.Send("/1", "mine")->body == "mine");
+}
+
 // Guards against extra bytes after a response that the next request would take for its response.
 TEST_CASE("a connection with extra bytes after the response is not used again",
           "[loop][whole-answers]") {
