--- a/standins/platform/main.cc
+++ b/standins/platform/main.cc
@@ -28,7 +28,13 @@
   ControlServer(EventLoop* loop, PlatformStore* store) : loop_(loop), store_(store), port_(loop) {
     using Query = PageServer::Query;
     port_.Add("/put", [this](const Query& query) {
-      store_->Put(QueryValue(query, "key"), QueryValue(query, "value"));
+      // A long value is `value` repeated, followed by `end`.
+      const auto part = QueryValue(query, "value");
+      std::string value;
+      for (int i = 0; i < std::max(1, std::atoi(QueryValue(query, "repeat").c_str())); ++i) {
+        value += part;
+      }
+      store_->Put(QueryValue(query, "key"), value + QueryValue(query, "end"));
       return DonePage();
     });
     port_.Add("/erase", [this](const Query& query) {
--- a/tests/platform/decoder_test.cc
+++ b/tests/platform/decoder_test.cc
@@ -1,3 +1,5 @@
+#include <sys/resource.h>
+
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
@@ -39,6 +41,13 @@
     "maxConcurrency": 6, "state": "ready", "coldMs": 1500, "sequence": 4, "born": 1700000000123})");
 }
 
+// Largest resident memory of this process so far.
+std::int64_t PeakResidentKilobytes() {
+  rusage usage{};
+  getrusage(RUSAGE_SELF, &usage);
+  return usage.ru_maxrss;
+}
+
 // Replaces tables of columns and rows by arrays of objects. Written independently of ParseRecords
 // to check its result.
 Json ExpandTables(const Json& json) {
@@ -201,6 +210,57 @@
   CHECK_FALSE(DecodeUpstream(UpstreamId("i"), json.dump()).ok());
 }
 
+// Guards against memory that grows with the depth of an entry: a nested value of 1 MB, the largest
+// that the store accepts, took 77 MB, half of the smallest machine's.
+TEST_CASE("long and deeply nested upstream entries are rejected in bounded memory", "[platform]") {
+  constexpr std::size_t kValueBytes = 1'000'000;
+  const auto repeat = [](const std::string& part, std::size_t count) {
+    std::string text;
+    for (std::size_t i = 0; i < count; ++i) {
+      text += part;
+    }
+    return text;
+  };
+  const auto with_member = [](const std::string& name, const std::string& value) {
+    auto entry = UpstreamJson().dump();
+    entry.pop_back();
+    return entry + ",\"" + name + "\":" + value + "}";
+  };
+  const auto peak_before = PeakResidentKilobytes();
+  for (const std::size_t bytes : {kMaxUpstreamEntryBytes - 1000, kValueBytes}) {
+    const auto arrays = std::string(bytes / 2, '[') + std::string(bytes / 2, ']');
+    const auto objects = repeat(R"({"a":)", bytes / 6) + "1" + std::string(bytes / 6, '}');
+    for (const char* field : {"service", "address", "zone", "maxConcurrency", "state", "born"}) {
+      CHECK_FALSE(DecodeUpstream(UpstreamId("i"), with_member(field, arrays)).ok());
+      CHECK_FALSE(DecodeUpstream(UpstreamId("i"), with_member(field, objects)).ok());
+    }
+    CHECK_FALSE(DecodeUpstream(UpstreamId("i"), arrays).ok());
+    CHECK_FALSE(DecodeUpstream(UpstreamId("i"), objects).ok());
+    CHECK_FALSE(DecodeUpstream(UpstreamId("i"), std::string(bytes, '[')).ok());
+    CHECK_FALSE(DecodeUpstream(UpstreamId("i"), repeat(R"({"a":)", bytes / 5)).ok());
+    // A field of a later version leaves an entry in use while the entry is short.
+    CHECK(DecodeUpstream(UpstreamId("i"), with_member("later", arrays)).ok() ==
+          (bytes < kMaxUpstreamEntryBytes));
+  }
+  // The values themselves take 3 MB.
+  CHECK(PeakResidentKilobytes() - peak_before < 20'000);
+}
+
+// Guards against a log line as long as the entry: errors of the JSON library quote the text.
+TEST_CASE("the reason for which an entry is rejected is short", "[platform]") {
+  const std::string long_text(1'000'000, 'x');
+  auto json = UpstreamJson();
+  json["state"] = long_text;
+  StoreDecoder decoder;
+  const auto result = DecodeAll(&decoder, {{"servers/i-1", json.dump(), Revision(3)},
+                                           {"servers/i-2", "{\"" + long_text, Revision(4)}});
+  REQUIRE(result.rejected.size() == 2);
+  for (const auto& rejected : result.rejected) {
+    CHECK_FALSE(rejected.reason.empty());
+    CHECK(rejected.reason.size() <= 300);
+  }
+}
+
 // Guards against input that ends the process. Corrupted text must be rejected or decoded
 // completely.
 TEST_CASE("decoding corrupted text does not crash", "[platform]") {
--- a/tests/platform/restart_test.cc
+++ b/tests/platform/restart_test.cc
@@ -252,5 +252,69 @@
   CHECK(WaitUntil([&] { return Contains(site.ResponseBody(1, "c"), "at o1"); }, seconds(3)));
 }
 
+// Guards against one odd entry of another writer among those of the upstreams that ends the
+// instances which read it, now or after a restart, or that stops them from following the list.
+TEST_CASE("instances follow the list of upstreams beside odd entries", "[platform][malformed]") {
+  // Half of the memory of the smallest machine, which has 160 MB.
+  constexpr std::uint64_t kMaxResidentBytes = 80'000'000;
+  struct OddEntry {
+    std::string key;
+    std::string value;
+    // Number of copies of `value`, and what follows them.
+    int repeat;
+    std::string end;
+  };
+  const auto entry = [](const std::string& address, const std::string& more) {
+    return R"({"service":"reads","zone":"dc0","version":"v1","state":"ready","address":")" +
+           address + R"(")" + more + "}";
+  };
+  const std::string slots = R"(,"maxConcurrency":6)";
+  const std::vector<OddEntry> odd_entries = {
+      {"servers/deep", "[", 1'000'000, ""},
+      {"servers/deep-objects", R"({"a":)", 200'000, ""},
+      {"servers/wide", "[],", 300'000, "0]"},
+      {"servers/large-number", entry("10.0.0.1:99", slots + R"(,"coldMs":1e999)"), 1, ""},
+      {"servers/long-number", R"({"maxConcurrency":1)" + std::string(400, '0'), 1, "}"},
+      {"servers/cold", entry("10.0.0.1:99", slots + R"(,"coldMs":1e300)"), 1, ""},
+      {"servers/port", entry("10.0.0.1:65536", slots), 1, ""},
+      {"servers/no-port", entry("10.0.0.1:0", slots), 1, ""},
+      {"servers/negative-port", entry("10.0.0.1:-1", slots), 1, ""},
+      {"servers/two words\r\nX: y", entry("10.0.0.1:99", slots), 1, ""},
+      {"servers/control", "\x01", 1'000'000, ""},
+      {"servers/bytes", "\xff", 1'000'000, ""}};
+  RestartSite site;
+  for (const auto& odd : odd_entries) {
+    site.SendCommand("/put", {{"key", odd.key},
+                              {"value", odd.value},
+                              {"repeat", std::to_string(odd.repeat)},
+                              {"end", odd.end}});
+  }
+  int number = 0;
+  const auto check_followed = [&] {
+    ++number;
+    site.AddUpstream("late" + std::to_string(number), "others", 10 + number);
+    site.Configure(10 + number, number % 2 == 0 ? "reads" : "others");
+    const std::string expected = number % 2 == 0 ? "at r" : "at ";
+    for (int i = 0; i < 3; ++i) {
+      INFO("instance " << i << ", round " << number);
+      CHECK(WaitUntil(
+          [&] {
+            return site.WaitForLogLine(
+                       i, {"state_in_force", "configuration=" + std::to_string(10 + number)}) != "";
+          },
+          seconds(5)));
+      CHECK(WaitUntil([&] { return Contains(site.ResponseBody(i, "c"), expected); }, seconds(3)));
+      CHECK(site.Instance(i).Running());
+      CHECK(site.Instance(i).MaxResidentBytes() < kMaxResidentBytes);
+    }
+  };
+  check_followed();
+  for (int i = 0; i < 3; ++i) {
+    site.Restart(i);
+    REQUIRE(site.WaitUntilReady(i));
+  }
+  check_followed();
+}
+
 }  // namespace
 }  // namespace primroseweir::testing
