Reject entries of upstreams with numbers, addresses or ids out of range

Found by looking for what operators of a system like ours saw (one odd entry among those of the upstreams). An entry with coldMs of 1e300 was converted to a duration with an undefined result that differs between x86-64 and arm64; a start time above 2^63 wrapped around; 4,294,967,295 slots drew the calls of a service to one address; port 0 and 0.0.0.0 were upstreams; an id with a line break was sent in a header field of each request to that upstream.

Cause: fields were checked for their type, not for their range.

Fix: such entries are rejected, the others hold.

--- a/src/gateway/upstream_prober.cc
+++ b/src/gateway/upstream_prober.cc
@@ -1,6 +1,8 @@
 #include "primroseweir/gateway/upstream_prober.h"
 
+#include <algorithm>
 #include <chrono>
+#include <cstdint>
 #include <cstdlib>
 #include <string>
 #include <utility>
@@ -20,6 +22,14 @@
 namespace {
 
 constexpr int kOk = 200;
+// Far above the times that upstreams state. A faulty upstream must not stay paced for good.
+constexpr std::int64_t kMaxWarmUpMilliseconds = 3'600'000;
+
+// Returns zero for text that is not a number.
+Duration ParseWarmUpLeft(const std::string& text) {
+  return std::chrono::milliseconds(
+      std::clamp<std::int64_t>(std::strtoll(text.c_str(), nullptr, 10), 0, kMaxWarmUpMilliseconds));
+}
 
 }  // namespace
 
@@ -75,8 +85,7 @@
       return;
     }
     upstream_->RecordProbeResponse();
-    const auto warm_up_left =
-        std::chrono::milliseconds(std::atoll(head->fields.Get(fields.warm_up_left).c_str()));
+    const auto warm_up_left = ParseWarmUpLeft(head->fields.Get(fields.warm_up_left));
     if (const auto load = ParseLoadField(head->fields.Get(fields.load))) {
       upstream_->RecordReport(*load, BalancedUpstream::ReportSource::kProbe, now);
     }
--- a/tests/platform/decoder_test.cc
+++ b/tests/platform/decoder_test.cc
@@ -210,6 +210,30 @@
   CHECK_FALSE(DecodeUpstream(UpstreamId("i"), json.dump()).ok());
 }
 
+// Guards against an entry of another writer whose numbers overflow when they are converted, or that
+// draws the calls of its service to an address without a server.
+TEST_CASE("upstream entries with numbers out of range are rejected", "[platform]") {
+  const std::vector<std::pair<std::string, std::vector<std::string>>> values = {
+      {"coldMs", {"1e300", "1e400", "-1e300", "9223372036854775807", "3600001"}},
+      {"maxConcurrency", {"0", "4294967295", "4294967302", "18446744073709551615", "1e3", "1e400"}},
+      {"born", {"18446744073709551615", "9223372036854775808", "1e18", "1e400", "-1"}},
+      {"sequence", {"1e400"}},
+      {"address",
+       {"\"10.0.0.1:0\"", "\"10.0.0.1:65536\"", "\"10.0.0.1:-1\"", "\"10.0.0.1:99999999999999\"",
+        "\"10.0.0.1: 99\"", "\"10.0.0.1\"", "\"10.0.0.1:\"", "\"0.0.0.0:99\"", "\":99\"", "\"\""}}};
+  for (const auto& [field, texts] : values) {
+    for (const auto& text : texts) {
+      auto json = UpstreamJson();
+      json[field] = "PLACEHOLDER";
+      auto entry = json.dump();
+      const std::string placeholder = "\"PLACEHOLDER\"";
+      entry.replace(entry.find(placeholder), placeholder.size(), text);
+      INFO(entry);
+      CHECK_FALSE(DecodeUpstream(UpstreamId("i"), entry).ok());
+    }
+  }
+}
+
 // Guards against memory that grows with the depth of an entry: a nested value of 1 MB, the largest
 // that the store accepts, took 77 MB, half of the smallest machine's.
 TEST_CASE("long and deeply nested upstream entries are rejected in bounded memory", "[platform]") {
@@ -246,6 +270,15 @@
   CHECK(PeakResidentKilobytes() - peak_before < 20'000);
 }
 
+// Guards against an entry whose id, which is sent in a header field, adds fields to the request.
+TEST_CASE("upstream entries whose id is not printable are rejected", "[platform]") {
+  const auto entry = UpstreamJson().dump();
+  CHECK(DecodeUpstream(UpstreamId("i-7f3a91c2"), entry).ok());
+  for (const char* id : {"", "a b", "a\r\nX-Id: b", "a\tb", "a\x7f", "\xc3\xa4"}) {
+    CHECK_FALSE(DecodeUpstream(UpstreamId(id), entry).ok());
+  }
+}
+
 // Guards against a log line as long as the entry: errors of the JSON library quote the text.
 TEST_CASE("the reason for which an entry is rejected is short", "[platform]") {
   const std::string long_text(1'000'000, 'x');
@@ -261,6 +294,24 @@
   }
 }
 
+// Guards against one odd entry that hides the others.
+TEST_CASE("odd entries leave the other upstreams in the list", "[platform]") {
+  const auto sound = UpstreamJson().dump();
+  auto json = UpstreamJson();
+  json["address"] = "10.0.0.1:65536";
+  StoreDecoder decoder;
+  const auto result = DecodeAll(&decoder, {{"servers/i-1", sound, Revision(3)},
+                                           {"servers/i-2", json.dump(), Revision(4)},
+                                           {"servers/i-3", std::string(500'000, '['), Revision(5)},
+                                           {"servers/i-4", R"({"coldMs":1e999})", Revision(6)},
+                                           {"servers/", sound, Revision(7)},
+                                           {"servers/i-5", sound, Revision(8)}});
+  REQUIRE(result.state->upstreams.size() == 2);
+  CHECK(result.state->upstreams[0].id == UpstreamId("i-1"));
+  CHECK(result.state->upstreams[1].id == UpstreamId("i-5"));
+  CHECK(result.rejected.size() == 4);
+}
+
 // Guards against input that ends the process. Corrupted text must be rejected or decoded
 // completely.
 TEST_CASE("decoding corrupted text does not crash", "[platform]") {
