Test that a response whose head is cut off is never forwarded

Operators of a system like ours saw 200 with an empty or short body when an upstream stopped in the middle of its answer's head and closed. This can't happen here: a response counts as begun only once its head is complete, in the parser that both stacks share.

--- a/tests/gateway/stray_response_test.cc
+++ b/tests/gateway/stray_response_test.cc
@@ -189,6 +189,27 @@
   }
 }
 
+// Guards against a part of a head that reaches the caller as a whole response.
+TEST_CASE("a response whose head is cut off is not forwarded", "[gateway][whole-answers]") {
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nX-Id: q1\r\nX-Signature: s\r\nContent-Length: 30\r\n\r\n";
+  for (const auto kind : {CallKind::kIdempotent, CallKind::kNonIdempotent, CallKind::kDownload}) {
+    for (std::size_t size = 0; size <= head.size(); size += 5) {
+      GatewayFixture fixture;
+      for (int i = 0; i < 2; ++i) {
+        fixture.AddUpstream([&](const Request&) {
+          return Reply{head.substr(0, size), Then::kClose, {}};
+        });
+      }
+      fixture.Apply(kind);
+      const auto caller = fixture.Call();
+      INFO(head.substr(0, size));
+      CHECK(caller->status() == 502);
+      CHECK_FALSE(Contains(caller->received(), "X-Signature"));
+    }
+  }
+}
+
 // Guards against a call that an endless response keeps in progress, and against a reply that denies
 // that such a call may have been executed.
 TEST_CASE("an endless response counts as a lost response", "[gateway][endless][not-run]") {
--- a/tests/http/parser_test.cc
+++ b/tests/http/parser_test.cc
@@ -140,6 +140,33 @@
   CHECK(parser.is_message_complete());
 }
 
+// Guards against a part of a head that counts as a whole response when the connection ends.
+TEST_CASE("a response whose head is cut off at any byte is never complete") {
+  for (const char* framing : {"", "Content-Length: 30\r\n", "Transfer-Encoding: chunked\r\n"}) {
+    for (const char* interim : {"", "HTTP/1.1 100 Continue\r\n\r\n"}) {
+      const auto head =
+          interim + ("HTTP/1.1 200 OK\r\nX-Id: a\r\n" + std::string(framing)) + "\r\n";
+      for (std::size_t size = 0; size < head.size(); ++size) {
+        MessageParser parser(MessageParser::Kind::kResponse);
+        std::string body;
+        auto fed = parser.Feed(head.data(), size, &body);
+        REQUIRE(fed.ok());
+        if (parser.is_message_complete()) {
+          REQUIRE(parser.response()->status == 100);
+          parser.Reset();
+          fed = parser.Feed(head.data() + *fed, size - *fed, &body);
+          REQUIRE(fed.ok());
+        }
+        INFO(head.substr(0, size));
+        CHECK_FALSE(parser.is_head_complete());
+        CHECK_FALSE(parser.FeedEnd().ok());
+        CHECK_FALSE(parser.is_message_complete());
+        CHECK(body.empty());
+      }
+    }
+  }
+}
+
 // ---- fuzzing ----
 
 std::string RandomRequest(Random* random) {
--- a/tests/loop/http_client_stream_test.cc
+++ b/tests/loop/http_client_stream_test.cc
@@ -231,6 +231,30 @@
   CHECK(connection.Send("/1", "mine")->body == "mine");
 }
 
+// Guards against a part of a head that counts as a whole response.
+TEST_CASE("a response whose head is cut off at any byte is a failure", "[loop][whole-answers]") {
+  const std::string fields = "X-Id: mine\r\nX-Signature: s\r\n";
+  // Framed by a length, by chunks and by the end of the connection; the second one after an interim
+  // response.
+  const std::vector<std::string> heads = {
+      "HTTP/1.1 200 OK\r\n" + fields + "Content-Length: 30\r\n\r\n",
+      "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n" + fields +
+          "Transfer-Encoding: chunked\r\n\r\n",
+      "HTTP/1.1 200 OK\r\n" + fields + "\r\n"};
+  for (const auto& head : heads) {
+    for (std::size_t size = 0; size < head.size(); ++size) {
+      for (const auto then : {Then::kClose, Then::kReset}) {
+        Exchange exchange([&](const auto&) { return MakeReply(head.substr(0, size), then); },
+                          "mine");
+        INFO(head.substr(0, size));
+        CHECK_FALSE(exchange.is_complete);
+        CHECK(exchange.piece_count == 0);
+        CHECK(exchange.failure.has_value());
+      }
+    }
+  }
+}
+
 // Guards against extra bytes after a response that the next request would take for its response.
 TEST_CASE("a connection with extra bytes after the response is not used again",
           "[loop][whole-answers]") {
