--- a/include/primroseweir/filters/pooled_connection.h
+++ b/include/primroseweir/filters/pooled_connection.h
@@ -26,11 +26,14 @@
   // Marks the connection as unresponsive. It is closed, but counts against the share for another
   // ConnectionShare::kUnresponsiveHoldTime because the upstream may still hold it.
   void MarkUnresponsive() { is_unresponsive_ = true; }
+  // Closes the connection after its current use instead of returning it.
+  void PreventReuse() { may_be_reused_ = false; }
 
  private:
   std::unique_ptr<ClientConnection> connection_;
   std::shared_ptr<UpstreamConnections> owner_;
   bool is_unresponsive_ = false;
+  bool may_be_reused_ = true;
 };
 
 }  // namespace primroseweir
--- a/src/filters/detail/attempt.cc
+++ b/src/filters/detail/attempt.cc
@@ -124,6 +124,11 @@
   CallResult result;
   result.outcome = outcome;
   result.time_to_head = time_to_head_;
+  if (WasRefused()) {
+    // Responses carry no id, so a copy of the refusal would be taken for the response to the next
+    // call, which may then be executed.
+    connection_.PreventReuse();
+  }
   if (head_ != nullptr) {
     result.report = ParseLoadReport(head_->fields.Get("X-Load"));
     result.leaving = HasLeavingField(*head_);
--- a/src/filters/pooled_connection.cc
+++ b/src/filters/pooled_connection.cc
@@ -21,7 +21,7 @@
   if (is_unresponsive_) {
     connection_.reset();
     owner_->ReleaseUnresponsive(MonotonicNow());
-  } else if (connection_->IsReusable()) {
+  } else if (may_be_reused_ && connection_->IsReusable()) {
     owner_->Return(std::move(connection_));
   } else {
     connection_.reset();
--- a/tests/filters/at_most_once_test.cc
+++ b/tests/filters/at_most_once_test.cc
@@ -1,5 +1,10 @@
+#include <arpa/inet.h>
+#include <sys/socket.h>
+
+#include <atomic>
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <cstdint>
 #include <mutex>
 #include <set>
 #include <string>
@@ -49,6 +54,49 @@
   CHECK(test.requests() == 1);
 }
 
+// Returns the caller's port of a connection, which identifies it while the test runs.
+std::uint16_t PeerPort(ServerConnection* connection) {
+  sockaddr_in address{};
+  socklen_t size = sizeof address;
+  REQUIRE(getpeername(connection->socket()->descriptor(), reinterpret_cast<sockaddr*>(&address),
+                      &size) == 0);
+  return ntohs(address.sin_port);
+}
+
+// Guards against a refusal that an upstream sends once more on a kept connection, before the
+// response to the next call: it was taken for the response to that call, which was then executed
+// again.
+TEST_CASE("[at-most-once] a repeated refusal does not refuse the next call", "[at-most-once]") {
+  std::mutex mutex;
+  std::set<std::uint16_t> refused_connections;
+  std::atomic<int> executions{0};
+  TwoUpstreams test("ledger", [&](ServerConnection* connection) {
+    ReadRequestBody(connection);
+    const bool is_refused = connection->request()->target == "/refused";
+    const std::lock_guard<std::mutex> lock(mutex);
+    const bool sends_copy = refused_connections.count(PeerPort(connection)) != 0;
+    if (is_refused || sends_copy) {
+      refused_connections.insert(PeerPort(connection));
+      ResponseHead head;
+      head.status = 503;
+      head.fields.Add("X-Refused", "not-run");
+      connection->Respond(head, "").IgnoreError();
+    }
+    if (!is_refused) {
+      ++executions;
+      connection->Respond(ResponseHead(), "booked").IgnoreError();
+    }
+  });
+  for (int i = 0; i < 5; ++i) {
+    CHECK(test.entry.Send(CallFixture::Request("POST", "/ledger/refused", "b"), "b").outcome() ==
+          "not-run");
+    executions = 0;
+    const auto reply = test.entry.Send(CallFixture::Request("POST", "/ledger/x", "b"), "b");
+    CHECK(reply.body == "booked");
+    CHECK(executions == 1);
+  }
+}
+
 // Guards against a call key that is ignored for a service whose calls are idempotent.
 TEST_CASE("[at-most-once] a call with a call key is not sent again after a connection reset",
           "[at-most-once]") {
