Treat a 421 of unknown origin like other refusals without proof

A 421 that neither echoes the id nor names another upstream takes the path of a 503 without the not_executed field, which ends in 502 or a retry of an idempotent call, as before.

--- a/src/gateway/routed_call.cc
+++ b/src/gateway/routed_call.cc
@@ -189,16 +189,14 @@
        {"took_ms", std::to_string(ToMilliseconds(now - attempt->started_at()))}},
       now);
   using AttemptEnd = RetryPolicy::AttemptEnd;
-  if (head->status == kMisdirected && !IsFromOtherUpstream(*attempt, *head)) {
-    FinishAttempt(attempt, AttemptEnd::kNoResponse, UpstreamOutcome::kFailed, nullptr, {}, now);
-  } else if (head->status == kMisdirected) {
+  if (head->status == kMisdirected && IsFromOtherUpstream(*attempt, *head)) {
     upstream.SetMisdirected();
     gateway_->pool().CloseIdle(upstream.record().id);
     gateway_->log().WriteCall(
         "upstream_misdirected",
         {{"request", request_id_}, {"upstream", upstream.record().id.value()}}, now);
     FinishAttempt(attempt, AttemptEnd::kNotExecuted, UpstreamOutcome::kRefused, nullptr, {}, now);
-  } else if (head->fields.Find(fields.not_executed) != nullptr) {
+  } else if (head->status != kMisdirected && head->fields.Find(fields.not_executed) != nullptr) {
     // A full upstream says nothing about the others, but room is likely to be scarce.
     retry_may_succeed_at_once_ = upstream.has_reported_room();
     FinishAttempt(attempt, AttemptEnd::kNotExecuted, UpstreamOutcome::kRefused, nullptr, {}, now);
