Stop sending to upstreams that state that they leave or ask for a pause

Upstreams of the users' platform may add Server-Leaving: 1 to all their responses, and Retry-After to a refusal (503).

A response to a call or a probe that states that its upstream leaves ends all use of that process: calls, retries, hedges, queued calls, connections and probes, whatever the store says. LoadBalancer remembers the process by its start time and address, also while its entry is not listed, so that an entry that expired and returns does not bring it back, and a new process is used at once. Instances do not tell each other: an upstream that leaves still serves for seconds, and a stale or forged message could take a sound upstream from all.

After a refusal with Retry-After the instance sends that upstream nothing, no probe either, for that time, limited to ten minutes; then its calls return over one second (UpstreamPause). If all usable upstreams of a service are paused, calls are refused at once with the time until the first pause ends.

--- a/include/primroseweir/balance/balanced_upstream.h
+++ b/include/primroseweir/balance/balanced_upstream.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "primroseweir/balance/upstream_load_report.h"
+#include "primroseweir/balance/upstream_pause.h"
 #include "primroseweir/balance/warm_up_pacer.h"
 #include "primroseweir/base/time.h"
 #include "primroseweir/configuration/upstream_record.h"
@@ -46,13 +47,23 @@
   // Records that another upstream responded at the address. This one gets no calls until it is
   // listed with a new start time or address.
   void SetMisdirected() { is_misdirected_ = true; }
+  // Records that the upstream stated that it leaves. It gets no calls until it is listed with a new
+  // start time or address, whatever it states later.
+  void SetLeaving() { is_leaving_ = true; }
+  bool is_leaving() const { return is_leaving_; }
   // Returns whether the upstream may get new calls: it is listed as live, its data centre is in
-  // service, and it is not misdirected.
+  // service, and it is neither misdirected nor leaving.
   bool is_usable() const {
-    return is_listed_ && !is_data_centre_out_ && !is_misdirected_ &&
+    return is_listed_ && !is_data_centre_out_ && !is_misdirected_ && !is_leaving_ &&
            record_.state == ListedState::kLive;
   }
 
+  // ---- pause ----
+
+  // The pause that the upstream asked this instance for. It gets no calls and no probes meanwhile.
+  UpstreamPause& pause() { return pause_; }
+  const UpstreamPause& pause() const { return pause_; }
+
   // ---- cold start ----
 
   // Marks the upstream cold until `until`, or longer if it already is. `instances` as for
@@ -173,6 +184,8 @@
   bool is_listed_ = true;
   bool is_data_centre_out_ = false;
   bool is_misdirected_ = false;
+  bool is_leaving_ = false;
+  UpstreamPause pause_;
   bool is_suspect_ = false;
   bool connection_lost_ = false;
   Instant next_probe_;
--- a/include/primroseweir/balance/load_balancer.h
+++ b/include/primroseweir/balance/load_balancer.h
@@ -2,8 +2,10 @@
 #define PRIMROSEWEIR_BALANCE_LOAD_BALANCER_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -12,6 +14,7 @@
 #include "primroseweir/balance/latency_estimator.h"
 #include "primroseweir/base/ids.h"
 #include "primroseweir/base/random.h"
+#include "primroseweir/base/socket_address.h"
 #include "primroseweir/base/time.h"
 #include "primroseweir/configuration/upstream_record.h"
 #include "primroseweir/routes/route.h"
@@ -83,6 +86,11 @@
   void SetFleetSize(std::size_t instances) { fleet_size_ = instances; }
   std::size_t fleet_size() const { return fleet_size_; }
 
+  // Records that the upstream stated that it leaves. Its process gets no calls and no probes from
+  // then on, also if its entry disappears from the list and is listed again later. A new process
+  // under the same id is used.
+  void SetLeaving(BalancedUpstream* upstream, Instant now);
+
   // ---- picking ----
 
   // Picks the upstream with the lowest cost among those within the latency limit. A cold one is a
@@ -111,6 +119,9 @@
   // Returns the expected time until a call gets room when `waiting` calls are served before it,
   // derived from the service's latency estimate.
   Duration ExpectedWait(const ServiceName& service, std::size_t waiting, Instant now) const;
+  // Returns when the first pause of an upstream of the service ends, if all its usable upstreams
+  // asked for one. Returns no value otherwise.
+  std::optional<Instant> EndOfPauses(const ServiceName& service, Instant now) const;
   // Returns the latency estimate of the service.
   Duration LatencyEstimate(const ServiceName& service) const;
 
@@ -131,6 +142,9 @@
     return upstreams_;
   }
 
+  // Time for which a leaving process is remembered after it was last listed. Entries that expire
+  // during an outage of the platform are listed again within seconds of its end.
+  static constexpr Duration kLeavingMemory = std::chrono::minutes(10);
   // Calls in flight per upstream of a returned data centre that is probed at a time.
   static constexpr std::size_t kCallsPerProbe = 4;
   // The upstreams of a service without calls for this long are not probed.
@@ -178,7 +192,18 @@
   double Cost(const BalancedUpstream& upstream, const ServiceEntry& service, CallKind kind,
               std::uint32_t limit, Instant now) const;
 
+  // A process that stated that it leaves.
+  struct LeavingProcess {
+    SocketAddress address;
+    std::int64_t started_ms = 0;
+    Instant last_listed;
+  };
+
+  // Marks an upstream that was listed again as leaving if it is the process that stated so.
+  void RestoreLeaving(BalancedUpstream* upstream, Instant now);
+
   const Options options_;
+  std::map<UpstreamId, LeavingProcess> leaving_;
   Random random_;
   std::size_t fleet_size_ = 1;
   std::map<UpstreamId, std::shared_ptr<BalancedUpstream>> upstreams_;
--- a/include/primroseweir/balance/retry_policy.h
+++ b/include/primroseweir/balance/retry_policy.h
@@ -74,6 +74,11 @@
   static Duration RetryAfter(RefusalReason reason, Duration expected_wait, Duration time_left,
                              double jitter);
 
+  // Returns the time after which a caller should retry when all upstreams of the service asked for
+  // a pause, the first of which ends after `pause_left`. It may exceed the caller's remaining time:
+  // a shorter one would be untrue.
+  static Duration RetryAfterPause(Duration pause_left, double jitter);
+
   // A caller follows Retry-After only up to its remaining time divided by this.
   static constexpr int kRetryAfterDivisor = 3;
   static constexpr Duration kMinRetryAfter = std::chrono::milliseconds(50);
--- /dev/null
+++ b/include/primroseweir/balance/upstream_pause.h
@@ -0,0 +1,44 @@
+#ifndef PRIMROSEWEIR_BALANCE_UPSTREAM_PAUSE_H_
+#define PRIMROSEWEIR_BALANCE_UPSTREAM_PAUSE_H_
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "primroseweir/base/time.h"
+
+namespace primroseweir {
+
+// Time for which an upstream asked this instance to send it nothing, and the gradual return of
+// calls after it. An upstream states that time with a refusal.
+class UpstreamPause {
+ public:
+  // Returns the duration that the value of a Retry-After field states: a non-negative decimal
+  // number of seconds, with or without a fraction, limited to kMaxPause. Returns no value for other
+  // text, which asks for no pause.
+  static std::optional<Duration> ParseDuration(const std::string& text);
+
+  // Starts a pause of `duration`, or extends the present one. One that ends sooner than the present
+  // one has no effect.
+  void Start(Duration duration, Instant now);
+  bool is_active(Instant now) const { return now < end_; }
+  Instant end() const { return end_; }
+  // Returns how many calls of this instance the upstream may execute at once: none during a pause,
+  // one at its end, and from then on more in proportion to the time, up to `limit` after
+  // kReturnTime.
+  std::uint32_t MaxInFlight(std::uint32_t limit, Instant now) const;
+
+  // Upper bound of a pause. An upstream that asks for more is tried again after this time.
+  static constexpr Duration kMaxPause = std::chrono::minutes(10);
+  // Time in which the calls return after a pause. An upstream that asked for a pause was
+  // overloaded: all instances that it refused would return at the same moment.
+  static constexpr Duration kReturnTime = std::chrono::seconds(1);
+
+ private:
+  Instant end_;
+};
+
+}  // namespace primroseweir
+
+#endif  // PRIMROSEWEIR_BALANCE_UPSTREAM_PAUSE_H_
--- a/include/primroseweir/gateway/call_header_names.h
+++ b/include/primroseweir/gateway/call_header_names.h
@@ -20,6 +20,8 @@
   std::string not_executed;
   // Present in responses that the upstream itself produced.
   std::string signature;
+  // "1" in each response of an upstream that is about to leave.
+  std::string leaving;
   // Id of the upstream that responds to a probe.
   std::string upstream_id;
   // Remaining warm-up time of the upstream in milliseconds, in the response to a probe.
--- a/include/primroseweir/gateway/gateway.h
+++ b/include/primroseweir/gateway/gateway.h
@@ -35,6 +35,7 @@
 class LineLog;
 class RoutedCall;
 class UpstreamProber;
+struct ResponseHead;
 
 // Proxies calls through one instance: holds the port for callers, the routes, the load balancer and
 // the calls in progress. Must only be used on the thread of its event loop.
@@ -104,6 +105,9 @@
   void OnProbeCompleted(const ServiceName& service, Instant now);
   UpstreamProber& prober() { return *prober_; }
   // Records that a connection was lost after the request with that fingerprint had been sent.
+  // Records what an upstream states about itself in any response: that it leaves, or with a refusal
+  // that it asks for a pause.
+  void RecordStatements(BalancedUpstream* upstream, const ResponseHead& head, Instant now);
   void RecordSuspectedCrash(const UpstreamId& upstream, std::uint64_t fingerprint, Instant now);
   // Records a crash strike for each request that was suspected within kCrashWindow: the upstream
   // now refuses connections, so the request may have crashed it.
--- a/include/primroseweir/gateway/routed_call.h
+++ b/include/primroseweir/gateway/routed_call.h
@@ -158,6 +158,9 @@
   void ForwardResponse(ResponseHead head, const std::string& body, Instant now);
   void AbortResponse(std::string_view reason, Instant now);
   void Refuse(std::string_view reason, Instant now);
+  // As Refuse, for a call that no upstream accepted. If all upstreams of the service asked for a
+  // pause, the caller gets the time until the first pause ends, and that reason.
+  void RefuseUnplaced(std::string_view reason, Instant now);
   void Fail(int status, std::string_view reason, Instant now);
   void SendLocalReply(int status, std::string_view outcome, std::string_view reason,
                       std::optional<Duration> retry_after, Instant now);
--- a/include/primroseweir/gateway/upstream_connection_pool.h
+++ b/include/primroseweir/gateway/upstream_connection_pool.h
@@ -28,11 +28,12 @@
   // Returns an idle connection that `reuse` allows, or a new one if there is none.
   std::unique_ptr<HttpClientStream> Acquire(const std::shared_ptr<BalancedUpstream>& upstream,
                                             ConnectionReuse reuse, Instant now);
-  // Returns a connection to the pool, or closes it if it is not reusable or the pool is full.
+  // Returns a connection to the pool, or closes it if it is not reusable, its upstream leaves or
+  // the pool is full.
   void Return(const std::shared_ptr<BalancedUpstream>& upstream,
               std::unique_ptr<HttpClientStream> stream);
-  // Closes all idle connections to a misdirected upstream. Leaves BalancedUpstream::is_connected()
-  // as it is, since such an upstream gets no calls.
+  // Closes all idle connections to a misdirected or leaving upstream. Leaves
+  // BalancedUpstream::is_connected() as it is, since such an upstream gets no calls.
   void CloseIdle(const UpstreamId& upstream);
   // Closes idle connections that are broken or that the upstream is about to close.
   void CloseExpired(Instant now);
--- a/src/balance/balanced_upstream.cc
+++ b/src/balance/balanced_upstream.cc
@@ -50,6 +50,8 @@
                               const WarmUpPacer::Limits& warm_up_limits) {
   if (!IsSameProcess(record, record_)) {
     is_misdirected_ = false;
+    is_leaving_ = false;
+    pause_ = UpstreamPause();
     is_new_ = true;
     is_suspect_ = false;
     log_slowness_ = 0;
--- a/src/balance/load_balancer.cc
+++ b/src/balance/load_balancer.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <iterator>
 #include <utility>
 
 #include "primroseweir/routes/route_table.h"
@@ -43,6 +44,12 @@
       upstreams_.at(record.id)->MarkNew();
     }
   }
+  for (auto it = leaving_.begin(); it != leaving_.end();) {
+    if (listed.count(it->first) != 0) {
+      it->second.last_listed = now;
+    }
+    it = now - it->second.last_listed > kLeavingMemory ? leaving_.erase(it) : std::next(it);
+  }
   for (auto& [name, service] : services_) {
     service.upstreams.clear();
   }
@@ -81,6 +88,7 @@
   bool has_new_warm_up = true;
   if (upstream == nullptr) {
     upstream = std::make_shared<BalancedUpstream>(record, limits);
+    RestoreLeaving(upstream.get(), now);
   } else {
     has_new_warm_up = upstream->record().started_ms != record.started_ms ||
                       upstream->record().warm_up_left != record.warm_up_left;
@@ -96,6 +104,27 @@
   }
 }
 
+void LoadBalancer::SetLeaving(BalancedUpstream* upstream, Instant now) {
+  upstream->SetLeaving();
+  const auto& record = upstream->record();
+  leaving_[record.id] = {record.address, record.started_ms, now};
+}
+
+void LoadBalancer::RestoreLeaving(BalancedUpstream* upstream, Instant now) {
+  const auto& record = upstream->record();
+  const auto found = leaving_.find(record.id);
+  if (found == leaving_.end()) {
+    return;
+  }
+  // Without a start time, a new entry can't be distinguished from that of a new process.
+  if (record.started_ms != 0 && record.started_ms == found->second.started_ms &&
+      record.address == found->second.address) {
+    upstream->SetLeaving();
+  } else {
+    leaving_.erase(found);
+  }
+}
+
 // ---- picking ----
 
 LoadBalancer::PickResult LoadBalancer::Pick(const PickArgs& args, Instant now) {
@@ -109,19 +138,23 @@
   pick.failure = PickFailure::kNoUpstream;
   std::vector<std::pair<double, std::shared_ptr<BalancedUpstream>>> ranked;
   const bool local_only =
-      args.local_only &&
-      std::any_of(service.upstreams.begin(), service.upstreams.end(), [this](const auto& upstream) {
-        return upstream->is_usable() && !upstream->is_suspect() && IsLocal(*upstream);
-      });
+      args.local_only && std::any_of(service.upstreams.begin(), service.upstreams.end(),
+                                     [this, now](const auto& upstream) {
+                                       return upstream->is_usable() &&
+                                              !upstream->pause().is_active(now) &&
+                                              !upstream->is_suspect() && IsLocal(*upstream);
+                                     });
   for (const auto& upstream : service.upstreams) {
-    if (!upstream->is_usable() || Contains(args.excluded, upstream->record().id)) {
+    if (!upstream->is_usable() || upstream->pause().is_active(now) ||
+        Contains(args.excluded, upstream->record().id)) {
       continue;
     }
     const auto limit = service.latency_estimator.ConcurrencyLimit(upstream->record().slots);
+    const bool is_returning = upstream->in_flight() >= upstream->pause().MaxInFlight(limit, now);
     const bool must_wait_for_pacer = upstream->is_cold(now) && !upstream->pacer().IsReady(now);
     const double expected_latency =
         Seconds(service.latency_estimator.latency_estimate()) * upstream->slowness(now);
-    const bool is_full = upstream->is_suspect() || must_wait_for_pacer ||
+    const bool is_full = upstream->is_suspect() || must_wait_for_pacer || is_returning ||
                          (local_only && !IsLocal(*upstream)) ||
                          upstream->occupancy(now) + 0.5 >= limit;
     if (expected_latency > Seconds(args.latency_limit)) {
@@ -164,7 +197,7 @@
   for (const bool local : {true, false}) {
     for (const auto& upstream : service.upstreams) {
       if (due.size() < kMaxProbesPerCall && IsLocal(*upstream) == local && upstream->is_usable() &&
-          upstream->TryAcquireProbe(now)) {
+          !upstream->pause().is_active(now) && upstream->TryAcquireProbe(now)) {
         due.push_back(upstream);
       }
     }
@@ -204,8 +237,9 @@
   for (const auto& upstream : found->second.upstreams) {
     const auto limit = found->second.latency_estimator.ConcurrencyLimit(upstream->record().slots);
     const bool must_wait_for_pacer = upstream->is_cold(now) && !upstream->pacer().IsReady(now);
+    const auto max_in_flight = upstream->pause().MaxInFlight(limit, now);
     if (upstream->is_usable() && !upstream->is_suspect() && !must_wait_for_pacer &&
-        upstream->may_report() && upstream->in_flight() < limit &&
+        upstream->may_report() && upstream->in_flight() < max_in_flight &&
         now - upstream->reported_at() >= kMaxReportAge) {
       candidates.push_back(upstream);
     }
@@ -271,6 +305,24 @@
   return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(wait));
 }
 
+std::optional<Instant> LoadBalancer::EndOfPauses(const ServiceName& service, Instant now) const {
+  std::optional<Instant> first_end;
+  const auto found = services_.find(service);
+  if (found == services_.end()) {
+    return first_end;
+  }
+  for (const auto& upstream : found->second.upstreams) {
+    if (!upstream->is_usable()) {
+      continue;
+    }
+    if (!upstream->pause().is_active(now)) {
+      return std::nullopt;
+    }
+    first_end = std::min(first_end.value_or(Instant::max()), upstream->pause().end());
+  }
+  return first_end;
+}
+
 Duration LoadBalancer::LatencyEstimate(const ServiceName& service) const {
   const auto found = services_.find(service);
   return found == services_.end() ? LatencyEstimator::kInitialLatencyEstimate
@@ -287,7 +339,8 @@
     }
     auto returned_left = ReturnedProbeLimit(service);
     for (const auto& upstream : service.upstreams) {
-      if (!upstream->is_usable() || (!upstream->is_suspect_after_loss() && returned_left == 0) ||
+      if (!upstream->is_usable() || upstream->pause().is_active(now) ||
+          (!upstream->is_suspect_after_loss() && returned_left == 0) ||
           !upstream->TryAcquireProbe(now)) {
         continue;
       }
--- a/src/balance/retry_policy.cc
+++ b/src/balance/retry_policy.cc
@@ -55,6 +55,10 @@
                   Scale(latency_estimate, kMinHedgeDelayFactor));
 }
 
+Duration RetryPolicy::RetryAfterPause(Duration pause_left, double jitter) {
+  return std::max<Duration>(pause_left, kMinRetryAfter) + Scale(kNoRoomJitter, jitter);
+}
+
 Duration RetryPolicy::RetryAfter(RefusalReason reason, Duration expected_wait, Duration time_left,
                                  double jitter) {
   const auto wait =
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -7,11 +7,19 @@
 #include "primroseweir/gateway/routed_call.h"
 #include "primroseweir/gateway/upstream_prober.h"
 #include "primroseweir/http/request_head.h"
+#include "primroseweir/http/response_head.h"
 #include "primroseweir/loop/event_loop.h"
 #include "primroseweir/loop/http_server_stream.h"
 #include "primroseweir/routes/route_table.h"
 
 namespace primroseweir {
+namespace {
+
+constexpr int kUnavailable = 503;
+// Value of CallHeaderNames::leaving.
+constexpr char kLeavingValue[] = "1";
+
+}  // namespace
 
 Gateway::Gateway(EventLoop* loop, const Options& options, LineLog* log, GatewayMetrics* metrics)
     : loop_(loop),
@@ -111,6 +119,26 @@
   StartWaitingCalls(service, now);
 }
 
+void Gateway::RecordStatements(BalancedUpstream* upstream, const ResponseHead& head, Instant now) {
+  const auto& id = upstream->record().id;
+  if (head.fields.Get(options_.fields.leaving) == kLeavingValue && !upstream->is_leaving()) {
+    balancer_.SetLeaving(upstream, now);
+    pool_.CloseIdle(id);
+    metrics_->CountEvent("upstream_leaving");
+    log_->Write("upstream_leaving",
+                {{"upstream", id.value()}, {"service", upstream->record().service.value()}}, now);
+  }
+  if (head.status != kUnavailable) {
+    return;
+  }
+  if (const auto pause = UpstreamPause::ParseDuration(head.fields.Get("Retry-After"))) {
+    upstream->pause().Start(*pause, now);
+    metrics_->CountEvent("upstream_pause");
+    log_->Write("upstream_paused",
+                {{"upstream", id.value()}, {"ms", std::to_string(ToMilliseconds(*pause))}}, now);
+  }
+}
+
 void Gateway::RecordSuspectedCrash(const UpstreamId& upstream, std::uint64_t fingerprint,
                                    Instant now) {
   suspected_crashes_[upstream].push_back({fingerprint, now});
--- a/src/gateway/routed_call.cc
+++ b/src/gateway/routed_call.cc
@@ -196,7 +196,12 @@
         "upstream_misdirected",
         {{"request", request_id_}, {"upstream", upstream.record().id.value()}}, now);
     FinishAttempt(attempt, AttemptEnd::kNotExecuted, UpstreamOutcome::kRefused, nullptr, {}, now);
-  } else if (head->status != kMisdirected && head->fields.Find(fields.not_executed) != nullptr) {
+    return;
+  }
+  if (head->status != kMisdirected) {
+    gateway_->RecordStatements(&upstream, *head, now);
+  }
+  if (head->status != kMisdirected && head->fields.Find(fields.not_executed) != nullptr) {
     // A full upstream says nothing about the others, but room is likely to be scarce.
     retry_may_succeed_at_once_ = upstream.has_reported_room();
     FinishAttempt(attempt, AttemptEnd::kNotExecuted, UpstreamOutcome::kRefused, nullptr, {}, now);
@@ -273,7 +278,7 @@
 void RoutedCall::RespondWithoutRetry(RetryPolicy::Step step, const ResponseHead& failure,
                                      const std::string& body, Instant now) {
   if (step == RetryPolicy::Step::kRefuse) {
-    Refuse("upstreams_refused", now);
+    RefuseUnplaced("upstreams_refused", now);
   } else if (step == RetryPolicy::Step::kFail) {
     Fail(kBadGateway, "upstream_lost", now);
   } else if (RetryPolicy::IsNotExecutedStatus(failure.status)) {
--- a/src/gateway/routed_call_placement.cc
+++ b/src/gateway/routed_call_placement.cc
@@ -107,7 +107,7 @@
                        : placement == PlacementResult::kNoUpstream ? "no_upstream"
                                                                    : "no_retry_budget";
   if (step_without_retry == RetryPolicy::Step::kRefuse) {
-    Refuse(reason, now);
+    RefuseUnplaced(reason, now);
   } else {
     Fail(kBadGateway, reason, now);
   }
@@ -134,7 +134,8 @@
     ticket_.reset();
     wait_timer_.Cancel();
     if (placement != PlacementResult::kStarted) {
-      may_have_executed_ ? Fail(kBadGateway, "no_retry", time) : Refuse("no_upstream", time);
+      may_have_executed_ ? Fail(kBadGateway, "no_retry", time)
+                         : RefuseUnplaced("no_upstream", time);
     }
     return true;
   });
@@ -149,7 +150,8 @@
   if (TryLastResort(now)) {
     return;
   }
-  may_have_executed_ ? Fail(kBadGateway, "no_room_in_time", now) : Refuse("no_room_in_time", now);
+  may_have_executed_ ? Fail(kBadGateway, "no_room_in_time", now)
+                     : RefuseUnplaced("no_room_in_time", now);
 }
 
 bool RoutedCall::TryLastResort(Instant now) {
--- a/src/gateway/routed_call_responses.cc
+++ b/src/gateway/routed_call_responses.cc
@@ -98,6 +98,17 @@
   caller->Abort();
 }
 
+void RoutedCall::RefuseUnplaced(std::string_view reason, Instant now) {
+  const auto pause_end = gateway_->balancer().EndOfPauses(service_, now);
+  if (!pause_end) {
+    Refuse(reason, now);
+    return;
+  }
+  const auto retry_after =
+      RetryPolicy::RetryAfterPause(*pause_end - now, gateway_->random().UniformUnit());
+  SendLocalReply(kUnavailable, "refused", "upstreams_paused", retry_after, now);
+}
+
 void RoutedCall::Refuse(std::string_view reason, Instant now) {
   const auto expected_wait =
       gateway_->balancer().ExpectedWait(service_, gateway_->queue(service_).size(), now);
--- a/src/gateway/upstream_connection_pool.cc
+++ b/src/gateway/upstream_connection_pool.cc
@@ -56,7 +56,8 @@
                                     std::unique_ptr<HttpClientStream> stream) {
   auto& entry = idle_[upstream->record().id];
   entry.upstream = upstream;
-  if (stream->is_reusable() && entry.streams.size() < kMaxIdlePerUpstream) {
+  if (stream->is_reusable() && !upstream->is_leaving() &&
+      entry.streams.size() < kMaxIdlePerUpstream) {
     entry.streams.push_back(std::move(stream));
   }
   upstream->SetConnected(!entry.streams.empty());
--- a/src/gateway/upstream_prober.cc
+++ b/src/gateway/upstream_prober.cc
@@ -85,6 +85,7 @@
       return;
     }
     upstream_->RecordProbeResponse();
+    gateway_->RecordStatements(upstream_.get(), *head, now);
     const auto warm_up_left = ParseWarmUpLeft(head->fields.Get(fields.warm_up_left));
     if (const auto load = ParseLoadField(head->fields.Get(fields.load))) {
       upstream_->RecordReport(*load, BalancedUpstream::ReportSource::kProbe, now);
--- a/standins/platform/platform_upstream.h
+++ b/standins/platform/platform_upstream.h
@@ -14,6 +14,10 @@
 #include "primroseweir/loop/request_sink.h"
 #include "primroseweir/loop/timer.h"
 
+namespace primroseweir {
+struct ResponseHead;
+}  // namespace primroseweir
+
 namespace primroseweir::standin {
 
 // Stand-in for an upstream with the platform's protocol: checks the expected instance of a call,
@@ -40,12 +44,22 @@
   // Returns the entry of this upstream in the store, with the given state.
   std::string StoreEntry(const std::string& state) const;
   // Sets how later calls are treated: ok, refuse (503, not executed), fail (500), reset (closes the
-  // connection) or silent (sends no response).
+  // connection), silent (sends no response), leave (states in all responses that it leaves) or
+  // pause (refuses all requests, and asks for a pause of kPauseSeconds).
   void SetMode(const std::string& mode) { mode_ = mode; }
+  // Continues as a new process with the same id and address, in mode ok.
+  void Restart() {
+    ++started_ms_;
+    mode_ = "ok";
+  }
   // Number of calls executed so far.
   std::uint64_t executions() const { return executions_; }
+  // Number of requests received so far, also those that were refused and those for health.
+  std::uint64_t requests() const { return requests_; }
   const std::string& id() const { return options_.id; }
 
+  static constexpr int kPauseSeconds = 2;
+
   void OnRequest(HttpServerStream* stream, RequestHead* head, std::string body) override;
   void OnCallerDisconnected(HttpServerStream* stream) override;
 
@@ -60,6 +74,7 @@
   void Execute(HttpServerStream* stream, const std::string& request, const std::string& body);
   void Finish(HttpServerStream* stream);
   std::string LoadReport() const;
+  ResponseHead MakeHead(int status, const std::string& request) const;
 
   EventLoop* const loop_;
   const Options options_;
@@ -68,6 +83,8 @@
   std::string mode_ = "ok";
   std::list<Execution> in_flight_;
   std::uint64_t executions_ = 0;
+  std::uint64_t requests_ = 0;
+  std::int64_t started_ms_ = 1000;
 };
 
 }  // namespace primroseweir::standin
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -32,6 +32,7 @@
   fields.load = "X-Load";
   fields.not_executed = "X-Not-Run";
   fields.signature = "X-Signature";
+  fields.leaving = "X-Leaving";
   fields.upstream_id = "X-Upstream";
   fields.warm_up_left = "X-Warm-Up";
   return fields;
--- a/tests/platform/site_test.cc
+++ b/tests/platform/site_test.cc
@@ -1,6 +1,8 @@
 #include <signal.h>
 
 #include <catch2/catch.hpp>
+#include <chrono>
+#include <cstdlib>
 #include <string>
 #include <thread>
 
@@ -152,6 +154,94 @@
   CHECK(site.Instance(1).WaitForExit(seconds(4)) == 0);
 }
 
+// Guards against requests to an upstream after it stated in its responses that it leaves, with the
+// store and without it, and against one that is lost when it returns as a new process.
+TEST_CASE("an upstream that states that it leaves gets no call until it registers anew",
+          "[platform][upstream-leaving]") {
+  ServedSite site;
+  const auto serves = [&site](int instance, const std::string& upstream, const std::string& id) {
+    const auto response = site.Call(instance, "GET", "/read/1", id);
+    return response.ok() && response->body.find("at " + upstream) != std::string::npos;
+  };
+  // Without a second upstream, all calls go to the first one.
+  site.SendCommand("/mode", {{"id", "r2"}, {"mode", "refuse"}});
+  site.SendCommand("/mode", {{"id", "r1"}, {"mode", "leave"}});
+  int number = 0;
+  for (int i = 0; i < 3; ++i) {
+    // A call or a probe gets the first response.
+    CHECK(WaitUntil(
+        [&] {
+          site.CallStatus(i, "GET", "/read/1", "l" + std::to_string(number++));
+          return site.Instance(i).Log().find("event=upstream_leaving upstream=r1") !=
+                 std::string::npos;
+        },
+        seconds(5)));
+  }
+  site.SendCommand("/mode", {{"id", "r2"}, {"mode", "ok"}});
+  const auto runs_before = site.SendCommand("/runs");
+  const auto r1_runs = [](const std::string& runs) {
+    return runs.substr(runs.find("r1="), runs.find('\n', runs.find("r1=")) - runs.find("r1="));
+  };
+  for (int round = 0; round < 2; ++round) {
+    for (int i = 0; i < 60; ++i) {
+      CHECK(serves(i % 3, "r2", "m" + std::to_string(number++)));
+    }
+    // It no longer states that it leaves, and its entry has not changed.
+    site.SendCommand("/mode", {{"id", "r1"}, {"mode", "ok"}});
+    site.SendCommand("/state", {{"id", "r1"}, {"state", "ready"}});
+    site.Configure(2);
+    site.SendCommand("/down", {{"for", round == 0 ? "all" : "no"}});
+  }
+  CHECK(r1_runs(site.SendCommand("/runs")) == r1_runs(runs_before));
+  site.SendCommand("/mode", {{"id", "r2"}, {"mode", "refuse"}});
+  site.SendCommand("/restart", {{"id", "r1"}});
+  for (int i = 0; i < 3; ++i) {
+    CHECK(WaitUntil([&] { return serves(i, "r1", "n" + std::to_string(number++)); }, seconds(8)));
+  }
+}
+
+// Guards against requests, also for health, that reach an upstream during the pause that it asked
+// for.
+TEST_CASE("an upstream that asks for a pause gets no request from the instances that it refused",
+          "[platform][not-run]") {
+  ServedSite site;
+  const auto requests = [&site](const std::string& id) {
+    const auto text = site.SendCommand("/requests");
+    return std::atoi(text.c_str() + text.find(id + "=") + id.size() + 1);
+  };
+  site.SendCommand("/mode", {{"id", "b1"}, {"mode", "pause"}});
+  for (int i = 0; i < 3; ++i) {
+    REQUIRE(WaitUntil(
+        [&] {
+          return site.CallStatus(i, "POST", "/book/1", "p" + std::to_string(i)) == 503 &&
+                 !site.WaitForLogLine(i, {"event=upstream_paused", "upstream=b1"}).empty();
+        },
+        seconds(5)));
+  }
+  const auto refused_at = MonotonicNow();
+  const auto requests_before = requests("b1");
+  site.SendCommand("/mode", {{"id", "b1"}, {"mode", "ok"}});
+  int number = 0;
+  while (MonotonicNow() - refused_at < std::chrono::milliseconds(1200)) {
+    const auto response =
+        site.Call(number % 3, "POST", "/book/1", "w" + std::to_string(number), "b");
+    ++number;
+    REQUIRE(response.ok());
+    CHECK(response->head.status == 503);
+    CHECK(response->body == "upstreams_paused\n");
+    CHECK_FALSE(response->head.Value("Retry-After").empty());
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
+  CHECK(requests("b1") == requests_before);
+  for (int i = 0; i < 3; ++i) {
+    CHECK(WaitUntil(
+        [&] {
+          return site.CallStatus(i, "POST", "/book/1", "x" + std::to_string(number++)) == 200;
+        },
+        seconds(5)));
+  }
+}
+
 // Guards against a second execution of a booking, and against a response that wrongly says that the
 // booking was not executed.
 TEST_CASE("a booking that may have been executed is neither retried nor reported as not executed",
