Count the time to close a connection from the end of the response's delivery

Callers saw: a download with "Connection: close" was cut 1 to 1.5 s after its last piece was queued, although the caller was reading it (LOST).

Cause: HttpServerStream closed a connection one second after the last input once the response was queued, whatever the caller had received. Connections that stay open allowed a minute for the rest.

Fix: both limits begin when the caller has acknowledged all bytes. A caller that acknowledges nothing for a minute is cut off, as is each after an hour.

--- a/include/primroseweir/loop/http_server_stream.h
+++ b/include/primroseweir/loop/http_server_stream.h
@@ -75,11 +75,14 @@
   static constexpr std::size_t kMaxPipelinedBytes = std::size_t{64} * 1024;
   // A caller sends its first request with the last packet of its handshake or a round trip later.
   static constexpr Duration kFirstRequestTimeout = std::chrono::milliseconds(500);
-  // Maximum time for a caller to read the rest of a response, if the idle timeout is not longer.
-  // The timeouts of TcpStream cut off a caller that reads nothing meanwhile.
-  static constexpr Duration kMaxResponseWriteTime = std::chrono::minutes(1);
-  // After a response that ends the connection, input is discarded until it pauses for this long:
-  // closing with unread input would reset the connection and could destroy the response in transit.
+  // Maximum time in which a caller acknowledges no byte of the rest of a response. The timeouts of
+  // TcpStream usually end the connection earlier.
+  static constexpr Duration kStalledWriteTimeout = std::chrono::minutes(1);
+  // Maximum time for a caller to read the rest of a response, however slowly: the longest deadline
+  // of a call.
+  static constexpr Duration kMaxResponseWriteTime = std::chrono::hours(1);
+  // After the caller has received a response that ends the connection, input is discarded until it
+  // pauses for this long: closing with unread input would reset the connection.
   static constexpr Duration kLingerIdleTimeout = std::chrono::seconds(1);
   // Maximum time for discarding such input, which may never end.
   static constexpr Duration kMaxLingerTime = std::chrono::seconds(5);
@@ -97,6 +100,9 @@
   void ForwardBodyPiece();
   void RejectRequest(int status);
   void FinishResponse();
+  // Whether the caller is still receiving the last response, within the time limits for that.
+  // Called regularly, since it records the progress.
+  bool IsWriting(Instant now);
   void RemoveFromPort();
   Instant Now() const;
 
@@ -108,8 +114,13 @@
   State state_ = State::kIdle;
   // Start of the current state or the last progress within it, for the limits on pauses.
   Instant state_since_;
-  // Start of the current request or of lingering, for the limits on the total time.
+  // Start of the current request, or end of the last one, for the limits on the total time.
   Instant request_started_;
+  // When the caller had received the last response on the connection.
+  Instant lingering_since_;
+  // Bytes that the caller had not acknowledged at the last check, and when they last changed.
+  std::size_t last_unacked_bytes_ = 0;
+  Instant write_progress_at_;
   std::size_t reported_bytes_ = 0;
   // Bytes of the current request that the sink holds, and bytes of its body forwarded to the sink.
   std::size_t sink_buffered_bytes_ = 0;
--- a/include/primroseweir/loop/tcp_stream.h
+++ b/include/primroseweir/loop/tcp_stream.h
@@ -38,6 +38,9 @@
   void Write(std::string data);
   // Returns how many bytes are queued in this process.
   std::size_t pending_bytes() const;
+  // Returns how many bytes the peer has not acknowledged: those queued in this process and those in
+  // the socket.
+  std::size_t unacked_bytes() const;
   // Whether received bytes wait in the socket that were not handed over yet.
   bool has_input() const;
   // Closes the sending side once all queued bytes are sent.
--- a/src/loop/http_server_stream.cc
+++ b/src/loop/http_server_stream.cc
@@ -231,7 +231,8 @@
 std::size_t HttpServerStream::pending_bytes() const { return stream_->pending_bytes(); }
 
 void HttpServerStream::FinishResponse() {
-  request_started_ = state_since_ = Now();
+  request_started_ = state_since_ = lingering_since_ = Now();
+  last_unacked_bytes_ = 0;
   is_receiving_body_ = is_body_paused_ = false;
   sink_buffered_bytes_ = forwarded_bytes_ = 0;
   if (close_after_response_) {
@@ -280,10 +281,12 @@
     case State::kIdle:
       if (port_->is_draining()) {
         CloseIfIdle(now);
-      } else if (now - state_since_ > (stream_->pending_bytes() > 0
-                                           ? std::max(kMaxResponseWriteTime, limits.idle_timeout)
-                                           : limits.idle_timeout)) {
-        RemoveFromPort();
+      } else if (now - state_since_ > limits.idle_timeout) {
+        if (IsWriting(now)) {
+          state_since_ = now;
+        } else {
+          RemoveFromPort();
+        }
       }
       break;
     case State::kReading:
@@ -294,7 +297,10 @@
       }
       break;
     case State::kLingering:
-      if (now - state_since_ > kLingerIdleTimeout || now - request_started_ > kMaxLingerTime) {
+      if (IsWriting(now)) {
+        state_since_ = lingering_since_ = now;
+      } else if (now - state_since_ > kLingerIdleTimeout ||
+                 now - lingering_since_ > kMaxLingerTime) {
         RemoveFromPort();
       }
       break;
@@ -306,6 +312,18 @@
   }
 }
 
+bool HttpServerStream::IsWriting(Instant now) {
+  const auto unacked_bytes = stream_->unacked_bytes();
+  if (unacked_bytes == 0) {
+    return false;
+  }
+  if (std::exchange(last_unacked_bytes_, unacked_bytes) != unacked_bytes) {
+    write_progress_at_ = now;
+  }
+  return now - write_progress_at_ <= kStalledWriteTimeout &&
+         now - request_started_ <= kMaxResponseWriteTime;
+}
+
 void HttpServerStream::CloseIfIdle(Instant now) {
   if (!IsBusy(now)) {
     RemoveFromPort();
--- a/src/loop/tcp_stream.cc
+++ b/src/loop/tcp_stream.cc
@@ -148,6 +148,18 @@
   return uv_stream_get_write_queue_size(handle_->stream());
 }
 
+std::size_t TcpStream::unacked_bytes() const {
+  uv_os_fd_t descriptor = -1;
+  int send_queue_bytes = 0;
+  if (uv_fileno(handle_->handle(), &descriptor) != 0 ||
+      ioctl(descriptor, SIOCOUTQ, &send_queue_bytes) != 0) {
+    // Not connected yet, or the kernel does not report its queue: the bytes that left this process
+    // count as acknowledged.
+    send_queue_bytes = 0;
+  }
+  return static_cast<std::size_t>(send_queue_bytes) + pending_bytes();
+}
+
 bool TcpStream::has_input() const {
   uv_os_fd_t descriptor = -1;
   char byte = 0;
@@ -193,15 +205,7 @@
   if (!allows_stall_ && unacked_bytes_ <= kMaxUnreadBytes) {
     return;
   }
-  uv_os_fd_t descriptor = -1;
-  int send_queue_bytes = 0;
-  if (uv_fileno(handle_->handle(), &descriptor) != 0 ||
-      ioctl(descriptor, SIOCOUTQ, &send_queue_bytes) != 0) {
-    // Not connected yet, or the kernel does not report its queue: the bytes that left this process
-    // count as acknowledged.
-    send_queue_bytes = 0;
-  }
-  unacked_bytes_ = static_cast<std::size_t>(send_queue_bytes) + pending_bytes() + size;
+  unacked_bytes_ = unacked_bytes() + size;
   const bool allows_stall = unacked_bytes_ > kMaxUnreadBytes;
   if (std::exchange(allows_stall_, allows_stall) != allows_stall) {
     SetOption(TCP_USER_TIMEOUT,
--- a/tests/loop/http_port_test.cc
+++ b/tests/loop/http_port_test.cc
@@ -172,6 +172,36 @@
   CHECK(RunUntil(&fixture.loop(), [&] { return !fixture.port().IsBusy(EventLoop::Now()); }));
 }
 
+// Guards against a response that is cut off because its connection closes after it: the connection
+// was closed a second after the last bytes were queued, although the caller was still reading.
+TEST_CASE("a slow caller receives the whole of a response that ends its connection",
+          "[loop][whole-answers]") {
+  PortFixture fixture;
+  fixture.limits.max_body_bytes = std::size_t{64} * 1024 * 1024;
+  fixture.hold_requests = true;
+  LoopCaller caller(&fixture.loop(), fixture.port().address());
+  caller.Send("GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+  REQUIRE(RunUntil(&fixture.loop(), [&] { return fixture.held_stream != nullptr; }));
+  // More than the kernel buffers on both sides.
+  const std::string body(std::size_t{16} * 1024 * 1024, 'x');
+  fixture.held_stream->Respond(ResponseHead(), body);
+  // Pauses that exceed both limits on lingering together.
+  for (int i = 0; i < 3; ++i) {
+    caller.PauseReading();
+    RunUntil(
+        &fixture.loop(), [] { return false; }, std::chrono::milliseconds(2200));
+    CHECK(fixture.port().connection_count() == 1);
+    const auto received = caller.received().size();
+    caller.ResumeReading();
+    RunUntil(&fixture.loop(),
+             [&] { return caller.ended() || caller.received().size() > received + 1'000'000; });
+  }
+  REQUIRE(RunUntil(&fixture.loop(), [&] { return caller.ended(); }));
+  CHECK(caller.clean());
+  CHECK(caller.received().size() > body.size());
+  CHECK(RunUntil(&fixture.loop(), [&] { return fixture.port().connection_count() == 0; }));
+}
+
 // Guards against a process that exits while its last responses are in transit to slow callers.
 TEST_CASE("a port is busy until the caller has received the response", "[loop][graceful-stop]") {
   PortFixture fixture;
