Count the progress of a download in bytes instead of pieces

Cause: the time limit for a streamed response without progress restarted with each piece of the upstream's response, which has 768 KB.

Fix: when the time has passed, the download goes on if the caller has acknowledged bytes meanwhile or the upstream has sent some. The limit for the whole download stays.

--- a/include/primroseweir/gateway/routed_call.h
+++ b/include/primroseweir/gateway/routed_call.h
@@ -75,7 +75,8 @@
   // Bytes of a streamed response that the caller has not accepted, above which reading from the
   // upstream is paused.
   static constexpr std::size_t kResponseHighWaterMark = std::size_t{256} * 1024;
-  // Maximum time between two pieces of a streamed response.
+  // Maximum time in which a streamed response makes no progress: the caller acknowledges no byte
+  // and the upstream sends none.
   static constexpr Duration kStreamIdleTimeout = std::chrono::seconds(10);
   // Bytes of a streamed body that no upstream has accepted, above which reading from the caller is
   // paused.
@@ -165,6 +166,9 @@
   void SendLocalReply(int status, std::string_view outcome, std::string_view reason,
                       std::optional<Duration> retry_after, Instant now);
   void OnDeadline();
+  // Whether the caller has acknowledged bytes of a streamed response since the last call or the
+  // last piece, or the upstream has sent some within kStreamIdleTimeout.
+  bool HasStreamProgress(Instant now);
   void LogCompletion(int status, std::string_view outcome, std::string_view reason,
                      Instant now) const;
 
@@ -195,6 +199,8 @@
   bool is_streaming_response_ = false;
   // Time at which a streamed response is aborted.
   Instant stream_deadline_;
+  // Bytes of a streamed response that the caller had not acknowledged at the last check.
+  std::size_t stream_unacked_bytes_ = 0;
   bool is_probing_ = false;
   // Time at which the call stops waiting for probes; set by its first probe.
   Instant probe_deadline_;
--- a/include/primroseweir/loop/http_server_stream.h
+++ b/include/primroseweir/loop/http_server_stream.h
@@ -35,6 +35,8 @@
   void Abort();
   // Returns how many bytes of the response have not left this process yet.
   std::size_t pending_bytes() const;
+  // Returns how many bytes of the response the caller has not acknowledged yet.
+  std::size_t unacked_bytes() const;
 
   // ---- streamed body ----
 
--- a/src/gateway/routed_call.cc
+++ b/src/gateway/routed_call.cc
@@ -320,6 +320,7 @@
   deadline_timer_.Start(std::min<Duration>(kStreamIdleTimeout, stream_deadline_ - now));
   caller_->WritePiece(piece);
   gateway_->CountResponseBytes(piece.size());
+  stream_unacked_bytes_ = caller_->unacked_bytes();
   if (!is_complete) {
     if (caller_->pending_bytes() > kResponseHighWaterMark) {
       attempt->stream()->PauseReading();
--- a/src/gateway/routed_call_responses.cc
+++ b/src/gateway/routed_call_responses.cc
@@ -46,6 +46,10 @@
 
 void RoutedCall::OnDeadline() {
   const auto now = EventLoop::Now();
+  if (is_streaming_response_ && HasStreamProgress(now)) {
+    deadline_timer_.Start(std::min<Duration>(kStreamIdleTimeout, stream_deadline_ - now));
+    return;
+  }
   if (is_streaming_response_) {
     AbortResponse("no_progress", now);
     return;
@@ -60,6 +64,15 @@
   }
 }
 
+bool RoutedCall::HasStreamProgress(Instant now) {
+  const auto unacked_bytes = caller_->unacked_bytes();
+  const bool has_caller_read = std::exchange(stream_unacked_bytes_, unacked_bytes) != unacked_bytes;
+  const bool has_upstream_sent =
+      !attempts_.empty() &&
+      now - attempts_.front()->stream()->last_received_at() < kStreamIdleTimeout;
+  return now < stream_deadline_ && (has_caller_read || has_upstream_sent);
+}
+
 // ---- streamed body ----
 
 void RoutedCall::OnBodyPiece(const std::string& piece, bool last) {
--- a/src/loop/http_server_stream.cc
+++ b/src/loop/http_server_stream.cc
@@ -230,6 +230,8 @@
 
 std::size_t HttpServerStream::pending_bytes() const { return stream_->pending_bytes(); }
 
+std::size_t HttpServerStream::unacked_bytes() const { return stream_->unacked_bytes(); }
+
 void HttpServerStream::FinishResponse() {
   request_started_ = state_since_ = lingering_since_ = Now();
   last_unacked_bytes_ = 0;
