Let pipelined requests wait until earlier responses have been read

The instance exceeded its memory and was killed.

Cause: HttpServerStream served the next pipelined request as soon as the response before it was queued, whatever the caller had read.

Fix: the next request on a connection waits while more than 256 KB of responses are queued in the process. It is parsed when these have been written. The sum over all connections has no limit yet.

--- a/include/primroseweir/loop/http_server_stream.h
+++ b/include/primroseweir/loop/http_server_stream.h
@@ -75,6 +75,9 @@
   static constexpr std::size_t kMinStreamedBodyBytes = std::size_t{64} * 1024;
   // Reading pauses when the input behind the current request exceeds this size.
   static constexpr std::size_t kMaxPipelinedBytes = std::size_t{64} * 1024;
+  // The next pipelined request waits while more bytes of earlier responses are queued in this
+  // process, so that a caller that does not read cannot fill its memory.
+  static constexpr std::size_t kMaxPendingResponseBytes = std::size_t{256} * 1024;
   // A caller sends its first request with the last packet of its handshake or a round trip later.
   static constexpr Duration kFirstRequestTimeout = std::chrono::milliseconds(500);
   // Maximum time in which a caller acknowledges no byte of the rest of a response. The timeouts of
--- a/src/loop/http_server_stream.cc
+++ b/src/loop/http_server_stream.cc
@@ -59,8 +59,11 @@
 }
 
 bool HttpServerStream::ShouldRead() const {
-  return is_receiving_body_ ? !is_body_paused_
-                            : state_ == State::kIdle || state_ == State::kReading;
+  if (is_receiving_body_) {
+    return !is_body_paused_;
+  }
+  return state_ == State::kReading ||
+         (state_ == State::kIdle && stream_->pending_bytes() <= kMaxPendingResponseBytes);
 }
 
 void HttpServerStream::UpdateBufferedBytes() {
@@ -274,6 +277,14 @@
 void HttpServerStream::OnWriteDrained() {
   if (state_ == State::kServing) {
     port_->sink()->OnCallerWritable(this);
+    return;
+  }
+  // Requests may have waited in the input for the caller to read the responses before them.
+  if (std::exchange(is_reading_paused_, false)) {
+    stream_->ResumeReading();
+  }
+  if (state_ == State::kIdle && !is_parsing_ && !input_.empty()) {
+    ParseInput();
   }
 }
 
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -1,13 +1,9 @@
-#include <arpa/inet.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
-#include <cerrno>
 #include <string>
 
 #include "gateway_fixture.h"
 #include "primroseweir/balance/retry_policy.h"
 #include "primroseweir/gateway/routed_call.h"
+#include "slow_caller.h"
 
 namespace primroseweir::testing {
 namespace {
@@ -287,39 +283,19 @@
     return Reply{FormatResponse(r, 200, std::string(kBodyBytes, 'x')), {}, {}};
   });
   fixture.Apply(CallKind::kDownload);
-  // A small receive buffer, so that the kernel does not read ahead of the caller.
-  const int caller = socket(AF_INET, SOCK_STREAM, 0);
-  const int buffer_bytes = 32 * 1024;
-  setsockopt(caller, SOL_SOCKET, SO_RCVBUF, &buffer_bytes, sizeof buffer_bytes);
-  const auto address = fixture.gateway().address();
-  sockaddr_in target{};
-  target.sin_family = AF_INET;
-  target.sin_port = htons(address.port);
-  inet_pton(AF_INET, address.ip.c_str(), &target.sin_addr);
-  REQUIRE(connect(caller, reinterpret_cast<sockaddr*>(&target), sizeof target) == 0);
-  const std::string request =
-      "GET /x/1 HTTP/1.1\r\nHost: h\r\nX-Id: q1\r\nX-Deadline: 120000\r\n\r\n";
-  REQUIRE(send(caller, request.data(), request.size(), 0) == static_cast<ssize_t>(request.size()));
-  std::string buffer(1'000'000, '\0');
-  std::size_t received = 0;
-  // Returns false at the end of the connection.
-  const auto read_once = [&](std::size_t size) {
-    const auto count = recv(caller, buffer.data(), size, MSG_DONTWAIT);
-    received += count > 0 ? static_cast<std::size_t>(count) : 0;
-    return count > 0 || (count < 0 && errno == EAGAIN);
-  };
+  SlowCaller caller(fixture.gateway().address(),
+                    "GET /x/1 HTTP/1.1\r\nHost: h\r\nX-Id: q1\r\nX-Deadline: 120000\r\n\r\n");
   const auto start = MonotonicNow();
   while (MonotonicNow() - start < RoutedCall::kStreamIdleTimeout + std::chrono::seconds(3)) {
     RunUntil(
         &fixture.loop(), [] { return false; }, kReadInterval);
-    REQUIRE(read_once(kBytesPerRead));
+    REQUIRE(caller.Read(kBytesPerRead));
   }
-  REQUIRE(received < 1'000'000);
+  REQUIRE(caller.received() < 1'000'000);
   CHECK(RunUntil(
-      &fixture.loop(), [&] { return !read_once(buffer.size()) || received > kBodyBytes; },
+      &fixture.loop(), [&] { return !caller.Read(1'000'000) || caller.received() > kBodyBytes; },
       std::chrono::seconds(60)));
-  CHECK(received > kBodyBytes);
-  close(caller);
+  CHECK(caller.received() > kBodyBytes);
 }
 
 }  // namespace
--- a/tests/loop/http_port_test.cc
+++ b/tests/loop/http_port_test.cc
@@ -172,6 +172,31 @@
   CHECK(RunUntil(&fixture.loop(), [&] { return !fixture.port().IsBusy(EventLoop::Now()); }));
 }
 
+// Guards against memory that grows with the number of pipelined requests while their caller does
+// not read the responses: an instance exceeded its memory and was killed.
+TEST_CASE("pipelined requests wait while the caller has not read earlier responses",
+          "[loop][whole-answers]") {
+  PortFixture fixture;
+  constexpr std::size_t kResponseBytes = std::size_t{300} * 1000;
+  constexpr int kRequests = 300;
+  fixture.response_body = std::string(kResponseBytes, 'x');
+  LoopCaller caller(&fixture.loop(), fixture.port().address());
+  RunUntil(&fixture.loop(), [&] { return fixture.port().connection_count() == 1; });
+  caller.PauseReading();
+  for (int i = 0; i < kRequests; ++i) {
+    caller.Send("GET /" + std::to_string(i) + " HTTP/1.1\r\nHost: h\r\n\r\n");
+  }
+  RunUntil(
+      &fixture.loop(), [] { return false; }, std::chrono::milliseconds(500));
+  // The kernel buffers up to 10 MB on both sides.
+  CHECK(fixture.request_count > 0);
+  CHECK(fixture.request_count < 50);
+  caller.ResumeReading();
+  CHECK(RunUntil(&fixture.loop(),
+                 [&] { return caller.received().size() > kRequests * kResponseBytes; }));
+  CHECK(fixture.request_count == kRequests);
+}
+
 // Guards against a response that is cut off because its connection closes after it: the connection
 // was closed a second after the last bytes were queued, although the caller was still reading.
 TEST_CASE("a slow caller receives the whole of a response that ends its connection",
--- a/tests/loop/port_fixture.h
+++ b/tests/loop/port_fixture.h
@@ -13,7 +13,8 @@
 
 namespace primroseweir::testing {
 
-// Responds to each request with its method, target and body, unless `hold_requests` is set.
+// Responds to each request with `response_body`, or with the method, target and body of the request
+// if that is empty, unless `hold_requests` is set.
 class PortFixture : public RequestSink {
  public:
   PortFixture() : port_(&loop_, this, [this] { return limits; }) {
@@ -26,7 +27,9 @@
       held_stream = stream;
       return;
     }
-    stream->Respond(ResponseHead(), head->method + " " + head->target + " " + body);
+    stream->Respond(ResponseHead(), response_body.empty()
+                                        ? head->method + " " + head->target + " " + body
+                                        : response_body);
   }
   void OnCallerDisconnected(HttpServerStream*) override { ++disconnect_count; }
 
@@ -47,6 +50,7 @@
   CallerLimits limits;
   int request_count = 0;
   int disconnect_count = 0;
+  std::string response_body;
   bool hold_requests = false;
   HttpServerStream* held_stream = nullptr;
 
