--- a/include/primroseweir/balance/load_balancer.h
+++ b/include/primroseweir/balance/load_balancer.h
@@ -177,6 +177,13 @@
     Instant last_requested;
   };
 
+  // A process that stated that it leaves.
+  struct LeavingProcess {
+    SocketAddress address;
+    std::int64_t started_ms = 0;
+    Instant last_listed;
+  };
+
   // Returns up to kMaxProbesPerCall suspect upstreams whose probe is due, local ones first, and
   // schedules their next probes.
   std::vector<std::shared_ptr<BalancedUpstream>> DueSuspectProbes(const ServiceEntry& service,
@@ -192,17 +199,11 @@
   double Cost(const BalancedUpstream& upstream, const ServiceEntry& service, CallKind kind,
               std::uint32_t limit, Instant now) const;
 
-  // A process that stated that it leaves.
-  struct LeavingProcess {
-    SocketAddress address;
-    std::int64_t started_ms = 0;
-    Instant last_listed;
-  };
-
   // Marks an upstream that was listed again as leaving if it is the process that stated so.
   void RestoreLeaving(BalancedUpstream* upstream, Instant now);
 
   const Options options_;
+  // The processes that stated that they leave, by the ids under which they are or were listed.
   std::map<UpstreamId, LeavingProcess> leaving_;
   Random random_;
   std::size_t fleet_size_ = 1;
--- a/include/primroseweir/gateway/gateway.h
+++ b/include/primroseweir/gateway/gateway.h
@@ -104,10 +104,10 @@
   // connection.
   void OnProbeCompleted(const ServiceName& service, Instant now);
   UpstreamProber& prober() { return *prober_; }
-  // Records that a connection was lost after the request with that fingerprint had been sent.
   // Records what an upstream states about itself in any response: that it leaves, or with a refusal
   // that it asks for a pause.
   void RecordStatements(BalancedUpstream* upstream, const ResponseHead& head, Instant now);
+  // Records that a connection was lost after the request with that fingerprint had been sent.
   void RecordSuspectedCrash(const UpstreamId& upstream, std::uint64_t fingerprint, Instant now);
   // Records a crash strike for each request that was suspected within kCrashWindow: the upstream
   // now refuses connections, so the request may have crashed it.
