--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -84,6 +84,42 @@
   CHECK(fixture.cache.Items().size() == 1);
 }
 
+// Guards against one odd item that stops an instance from following the others: the whole response
+// was read again for as long as it held the item.
+TEST_CASE("an item whose value can't be decoded leaves the others of a response in force",
+          "[platform][malformed]") {
+  const std::vector<std::string> odd_values = {R"("====")", R"("QQ=")", R"("*A==")",
+                                               "7",         "null",     R"({"a":[]})"};
+  for (const auto& value : odd_values) {
+    for (const bool in_watch : {false, true}) {
+      INFO(value << (in_watch ? " in a watch" : " in a read"));
+      const auto items = R"([{"key":"servers/i-1","value":"aQ==","revision":8},)"
+                         R"({"key":"servers/odd","value":)" +
+                         value + R"(,"revision":9},)" +
+                         R"({"key":"servers/i-2","value":"aQ==","revision":10}])";
+      StoreFixture fixture([&](const LoopServer::Request& request) {
+        const bool is_read = request.head.target.find("kv-range") != std::string::npos;
+        if (is_read) {
+          return LoopServer::Reply{
+              OkResponse(in_watch ? kEmptyRange : R"({"items":)" + items + R"(,"at":10})"), {}, {}};
+        }
+        return LoopServer::Reply{OkResponse(in_watch ? R"({"events":)" + items + R"(,"at":10})"
+                                                     : R"({"events":[],"at":10})"),
+                                 {},
+                                 {}};
+      });
+      CHECK(RunUntil(
+          &fixture.loop, [&] { return fixture.cache.revision() == Revision(10); },
+          std::chrono::seconds(1)));
+      REQUIRE(fixture.cache.Items().size() == 3);
+      CHECK(fixture.cache.Items()[0]->value == "i");
+      CHECK(fixture.cache.Items()[1]->value == "i");
+      // The decoder rejects an empty value.
+      CHECK(fixture.cache.Items()[2]->value.empty());
+    }
+  }
+}
+
 // Guards against a full read of the store by each instance of a fleet that starts at the same time.
 TEST_CASE("the first read is skipped once a peer's state is in the cache", "[platform]") {
   std::vector<std::string> targets;
