Print why an upstream is not called when upstream-leaving.process fails

The log of the failed run could not tell an upstream that no instance may call from one whose instance has no callers. The test now prints the counters of the upstreams, the members and connections of each instance, and its explanation.

--- a/tests/process/upstream_states_test.cc
+++ b/tests/process/upstream_states_test.cc
@@ -3,6 +3,26 @@
 namespace primroseweir::testing {
 namespace {
 
+// Returns what the upstreams of the read service counted, the calls and members that each instance
+// counts, and why it uses the upstreams or not: an upstream without calls may have no instance that
+// may call it, or only one that has no callers.
+std::string DescribeReadUpstreams(const Site& site) {
+  std::string text;
+  for (const std::string& id : site.UpstreamIds(kReadService)) {
+    text += id + " " + site.UpstreamState(id).dump() + "\n";
+  }
+  for (int index = 0; index < site.entry_count(); ++index) {
+    text += "instance " + std::to_string(index) + " in " + site.DataCentreOf(index) + " " +
+            site.FetchStatus(index).dump() + "\naddresses " + AddressesOf(site, index).dump() +
+            "\n";
+    const auto explanation = site.Admin(index, std::string("/explain?service=") + kReadService);
+    text += "instance " + std::to_string(index) + " " +
+            (explanation.ok() ? explanation->body : std::string(explanation.status().message())) +
+            "\n";
+  }
+  return text;
+}
+
 // Guards against new calls to an upstream that reports itself as leaving or that the instance list
 // shows as leaving, and against calls that fail meanwhile.
 TEST_CASE("a leaving upstream gets no new calls", "[upstream-leaving]") {
@@ -11,7 +31,10 @@
   BackgroundLoad load(MakeReadLoadPlan(site, 300));
   const bool self_reported = GENERATE(true, false);
   CAPTURE(self_reported);
-  REQUIRE(WaitUntil([&] { return site.UpstreamState("ib-2")["since_mark"] > 50; }, seconds(10)));
+  const bool is_called =
+      WaitUntil([&] { return site.UpstreamState("ib-2")["since_mark"] > 50; }, seconds(10));
+  if (!is_called) UNSCOPED_INFO(DescribeReadUpstreams(site));
+  REQUIRE(is_called);
   MarkAllUpstreams(&site);
   if (self_reported) {
     site.Control("ib-2", "/modes", R"({"leaving":true})");
