End an upload that is refused early without an id before its deadline

Seen in a test: an upload whose upstream refuses it early, without an id, and does not read the rest of the body got no answer before its deadline.

Cause: since such a refusal is discarded, and the attempt ends when it is overdue. The timer for that starts at the end of the body, which is never sent.

Fix: the connection reports the discarded response, and the attempt starts the timer then. HttpClientStream::has_unidentified_error, which the attempt polled, goes.

Evidence: "an upload that is refused early without an id fails when it is overdue" has no status after 5 s of 40 without the change, and gets 502 with it.

--- a/include/primroseweir/gateway/upstream_attempt.h
+++ b/include/primroseweir/gateway/upstream_attempt.h
@@ -64,6 +64,7 @@
 
   void OnSent() override;
   void OnWriteDrained() override;
+  void OnUnidentifiedError() override;
   void OnResponse(ResponseHead* head, std::string piece, bool is_complete) override;
   void OnFailure(Failure failure) override;
 
@@ -88,6 +89,8 @@
   bool has_sent_ = false;
   // More of the request body follows.
   bool has_more_body_ = false;
+  // A refusal that may have been the response to this attempt was discarded.
+  bool has_unidentified_error_ = false;
   bool is_complete_ = false;
   bool is_finished_ = false;
   std::unique_ptr<HttpClientStream> stream_;
--- a/include/primroseweir/loop/http_client_callbacks.h
+++ b/include/primroseweir/loop/http_client_callbacks.h
@@ -35,6 +35,9 @@
   virtual void OnSent() {}
   // Called when the queued bytes of the request have left this process.
   virtual void OnWriteDrained() {}
+  // Called when an error response without the echo field was discarded, which may have been the
+  // response to this request. Must not destroy the stream.
+  virtual void OnUnidentifiedError() {}
   // Called with each piece of the response; `is_complete` is true for the last one. Responses of up
   // to HttpClientStream::kMaxBufferedBytes come in one piece.
   virtual void OnResponse(ResponseHead* head, std::string piece, bool is_complete) = 0;
--- a/include/primroseweir/loop/http_client_stream.h
+++ b/include/primroseweir/loop/http_client_stream.h
@@ -61,9 +61,6 @@
   bool is_connected() const { return is_connected_; }
   // Whether the connection ended, failed, was abandoned or received bytes while idle.
   bool is_broken() const { return is_broken_; }
-  // Whether the request waits for its response and an error response without the echo field has
-  // been discarded meanwhile, which may have been that response.
-  bool has_unidentified_error() const { return has_unidentified_error_; }
   // When the last response was complete.
   Instant idle_since() const { return idle_since_; }
   // How long the server keeps an idle connection open; zero if it did not state that.
@@ -116,7 +113,6 @@
   bool is_broken_ = false;
   // A stray response was discarded, so the next response may belong to another request too.
   bool may_be_desynchronized_ = false;
-  bool has_unidentified_error_ = false;
   // The connection has carried a response, which the server may send again.
   bool may_receive_copies_ = false;
   Instant idle_since_;
--- a/src/gateway/upstream_attempt.cc
+++ b/src/gateway/upstream_attempt.cc
@@ -81,7 +81,7 @@
   const auto now = EventLoop::Now();
   dependencies_.balancer->RecordOverdue(upstream_.get(), started_at_, now);
   call_->OnAttemptOverdue(*this, now);
-  if (stream_->has_unidentified_error()) {
+  if (has_unidentified_error_) {
     OnFailure(Failure::kUnidentified);
     return;
   }
@@ -89,7 +89,16 @@
   overdue_timer_.Start(overdue_after_);
 }
 
+void UpstreamAttempt::OnUnidentifiedError() {
+  // An upstream that refuses a request early may not read the rest of its body, so the wait for the
+  // response starts here if it has not yet.
+  if (!std::exchange(has_unidentified_error_, true) && has_more_body_) {
+    StartResponseTimer();
+  }
+}
+
 void UpstreamAttempt::OnResponse(ResponseHead* head, std::string piece, bool is_complete) {
+  has_unidentified_error_ = false;
   is_complete_ = is_complete;
   call_->OnAttemptResponse(this, head, piece, is_complete);
 }
--- a/src/loop/http_client_stream.cc
+++ b/src/loop/http_client_stream.cc
@@ -48,7 +48,6 @@
   body_.clear();
   interim_responses_ = 0;
   stray_bytes_ = 0;
-  has_unidentified_error_ = false;
   is_request_chunked_ = head.body.kind == BodyKind::kChunked;
   is_sending_body_ = is_request_chunked_ ||
                      (head.body.kind == BodyKind::kLength && body.size() < head.body.length);
@@ -144,7 +143,6 @@
   if (!IsExpectedResponse()) {
     return DiscardStrayResponse(*used);
   }
-  has_unidentified_error_ = false;
   if (parser_.is_message_complete()) {
     Complete();
     return false;
@@ -158,7 +156,9 @@
 
 bool HttpClientStream::DiscardStrayResponse(std::size_t used) {
   may_be_desynchronized_ = may_receive_copies_ = true;
-  has_unidentified_error_ = has_unidentified_error_ || IsUnidentifiedError();
+  if (IsUnidentifiedError()) {
+    callbacks_->OnUnidentifiedError();
+  }
   stray_bytes_ += used;
   body_.clear();
   if (stray_bytes_ > kMaxStrayBytes) {
@@ -180,8 +180,8 @@
     return value == nullptr || value->empty();
   }
   if (value == nullptr) {
-    // A server that has taken over the address of another one may not read the request. On a
-    // connection that has carried a response, it may be a copy of that one.
+    // Another server at the address may not read the request, so it cannot echo the field. Only the
+    // first response on a connection is no copy of an earlier one.
     return parser_.response()->status == kMisdirectedStatus && !may_receive_copies_;
   }
   return *value == echo_.value;
--- a/tests/gateway/upload_test.cc
+++ b/tests/gateway/upload_test.cc
@@ -214,6 +214,23 @@
   CHECK(served.requests()[0].body == body);
 }
 
+// Guards against an upload that waits until its deadline: the refusal, which has no id, may be its
+// own, and the upstream does not read the rest of the body.
+TEST_CASE("an upload that is refused early without an id fails when it is overdue",
+          "[gateway][at-most-once][not-run]") {
+  UploadFixture fixture;
+  auto& upstream = fixture.AddUpstream(&RespondStored, "here", 4, [](const Request&) {
+    return Reply{"HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", {}, {}};
+  });
+  upstream.HoldBodies();
+  fixture.Apply(CallKind::kUpload);
+  const auto body = MakeBody(16 * kLargeBodyBytes);
+  const auto caller = fixture.Send(FormatHeadForSize(body.size()) + body);
+  REQUIRE(fixture.WaitUntil([&] { return caller->status() != 0; }, std::chrono::seconds(5)));
+  CHECK(caller->status() == 502);
+  CHECK(upstream.heads() == 1);
+}
+
 // Guards against a retry without the start of the body, which was discarded before the upstream
 // refused the call.
 TEST_CASE("an upload whose start was discarded is refused, not sent in part",
--- a/tests/loop/http_client_stream_test.cc
+++ b/tests/loop/http_client_stream_test.cc
@@ -62,11 +62,13 @@
       is_complete = last;
     }
     void OnFailure(Failure /*reason*/) override { has_failed = true; }
+    void OnUnidentifiedError() override { has_unidentified_error = true; }
 
     int status = 0;
     std::string body;
     bool is_complete = false;
     bool has_failed = false;
+    bool has_unidentified_error = false;
   };
 
   explicit KeptConnection(LoopServer::Script script)
@@ -209,11 +211,12 @@
                          ? "HTTP/1.1 200 OK\r\nX-Id: first\r\nContent-Length: 0\r\n\r\n"
                          : "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n");
   });
-  REQUIRE(connection.Send("/1", "first")->is_complete);
-  CHECK_FALSE(connection.stream().has_unidentified_error());
+  const auto first = connection.Send("/1", "first");
+  REQUIRE(first->is_complete);
+  CHECK_FALSE(first->has_unidentified_error);
   const auto second = connection.Send("/2", "second");
   CHECK_FALSE(second->is_complete);
-  CHECK(connection.stream().has_unidentified_error());
+  CHECK(second->has_unidentified_error);
 }
 
 // Guards against a second copy of the response to a probe that ends the next request.
