Treat Retry-After: 0 as no pause

Seen in a test: after a refusal with Retry-After: 0, an upstream got one call at a time at first, and as many as before only a second later.

Cause: a pause of no length ended at once, but the gradual return of the calls followed it.

Fix: a pause of no length has no effect. The reasons of the two limits say what they guard against.

Evidence: "a pause of no length leaves the calls of the upstream as they are" fails without the change (second call not picked) and passes with it.

--- a/include/primroseweir/balance/upstream_pause.h
+++ b/include/primroseweir/balance/upstream_pause.h
@@ -20,7 +20,7 @@
   static std::optional<Duration> ParseDuration(const std::string& text);
 
   // Starts a pause of `duration`, or extends the present one. One that ends sooner than the present
-  // one has no effect.
+  // one, or has no length, has no effect.
   void Start(Duration duration, Instant now);
   bool is_active(Instant now) const { return now < end_; }
   Instant end() const { return end_; }
@@ -29,10 +29,12 @@
   // kReturnTime.
   std::uint32_t MaxInFlight(std::uint32_t limit, Instant now) const;
 
-  // Upper bound of a pause. An upstream that asks for more is tried again after this time.
+  // Upper bound of a pause. A wrong unit, such as milliseconds in place of seconds, must not take
+  // an upstream out of use for days.
   static constexpr Duration kMaxPause = std::chrono::minutes(10);
-  // Time in which the calls return after a pause. An upstream that asked for a pause was
-  // overloaded: all instances that it refused would return at the same moment.
+  // Time in which the calls return after a pause, since all instances that the upstream refused
+  // would otherwise return at the same moment. Several calls of usual length end within it, so that
+  // the load reports show how much room the upstream has.
   static constexpr Duration kReturnTime = std::chrono::seconds(1);
 
  private:
--- a/src/balance/upstream_pause.cc
+++ b/src/balance/upstream_pause.cc
@@ -19,7 +19,9 @@
 }
 
 void UpstreamPause::Start(Duration duration, Instant now) {
-  end_ = std::max(end_, now + std::min<Duration>(duration, kMaxPause));
+  if (duration > Duration::zero()) {
+    end_ = std::max(end_, now + std::min<Duration>(duration, kMaxPause));
+  }
 }
 
 std::uint32_t UpstreamPause::MaxInFlight(std::uint32_t limit, Instant now) const {
--- a/tests/balance/leaving_and_pause_test.cc
+++ b/tests/balance/leaving_and_pause_test.cc
@@ -164,6 +164,19 @@
   CHECK(fixture.At("a").in_flight() == 4);
 }
 
+// Guards against calls that are held back after a refusal that asks for no pause.
+TEST_CASE("a pause of no length leaves the calls of the upstream as they are", "[balance]") {
+  BalanceFixture fixture;
+  fixture.Add("a");
+  fixture.Apply();
+  fixture.At("a").pause().Start(Duration::zero(), fixture.now);
+  for (int i = 0; i < 4; ++i) {
+    const auto pick = fixture.Pick();
+    REQUIRE(pick.upstream != nullptr);
+    fixture.balancer.RecordStart(pick.upstream.get(), fixture.now);
+  }
+}
+
 // Guards against a pause that a changed entry ends, or that binds a new process.
 TEST_CASE("a pause holds for the process that asked for it", "[balance]") {
   BalanceFixture fixture;
