Count a paused upstream as unavailable when returned upstreams are probed

Seen in a test: while the only usable upstream of a service was paused, the upstreams of a data centre that had just returned were not probed, so that the service stayed without an upstream until a call probed them itself.

Fix: BalancedUpstream::is_available combines the two, and all places that send calls or probes use it. Also: Retry-After: 0 is no longer logged as a pause, an unused argument of RestoreLeaving goes, and kLeavingMemory states its reason.

Evidence: "a returned data centre is probed while the only other upstream is paused" fails without the change and passes with it.

--- a/include/primroseweir/balance/balanced_upstream.h
+++ b/include/primroseweir/balance/balanced_upstream.h
@@ -63,6 +63,8 @@
   // The pause that the upstream asked this instance for. It gets no calls and no probes meanwhile.
   UpstreamPause& pause() { return pause_; }
   const UpstreamPause& pause() const { return pause_; }
+  // Returns whether the upstream may get calls and probes now: it is usable and not paused.
+  bool is_available(Instant now) const { return is_usable() && !pause_.is_active(now); }
 
   // ---- cold start ----
 
--- a/include/primroseweir/balance/load_balancer.h
+++ b/include/primroseweir/balance/load_balancer.h
@@ -142,8 +142,9 @@
     return upstreams_;
   }
 
-  // Time for which a leaving process is remembered after it was last listed. Entries that expire
-  // during an outage of the platform are listed again within seconds of its end.
+  // Time for which a leaving process is remembered after it was last listed: its entry may expire
+  // during an outage of the platform and be listed again after its end. Bounds the memory for
+  // processes that are gone.
   static constexpr Duration kLeavingMemory = std::chrono::minutes(10);
   // Calls in flight per upstream of a returned data centre that is probed at a time.
   static constexpr std::size_t kCallsPerProbe = 4;
@@ -189,7 +190,7 @@
   std::vector<std::shared_ptr<BalancedUpstream>> DueSuspectProbes(const ServiceEntry& service,
                                                                   Instant now) const;
   // Returns the number of upstreams of a returned data centre that may be probed now.
-  static std::size_t ReturnedProbeLimit(const ServiceEntry& service);
+  static std::size_t ReturnedProbeLimit(const ServiceEntry& service, Instant now);
   WarmUpPacer::Limits WarmUpLimitsOf(const UpstreamRecord& record, const RouteTable& routes) const;
   void AddOrUpdate(const UpstreamRecord& record, const RouteTable& routes, Instant now);
   bool IsLocal(const BalancedUpstream& upstream) const {
@@ -200,7 +201,7 @@
               std::uint32_t limit, Instant now) const;
 
   // Marks an upstream that was listed again as leaving if it is the process that stated so.
-  void RestoreLeaving(BalancedUpstream* upstream, Instant now);
+  void RestoreLeaving(BalancedUpstream* upstream);
 
   const Options options_;
   // The processes that stated that they leave, by the ids under which they are or were listed.
--- a/include/primroseweir/balance/upstream_pause.h
+++ b/include/primroseweir/balance/upstream_pause.h
@@ -14,9 +14,9 @@
 // calls after it. An upstream states that time with a refusal.
 class UpstreamPause {
  public:
-  // Returns the duration that the value of a Retry-After field states: a non-negative decimal
-  // number of seconds, with or without a fraction, limited to kMaxPause. Returns no value for other
-  // text, which asks for no pause.
+  // Returns the duration that the value of a Retry-After field states: a positive decimal number of
+  // seconds, with or without a fraction, limited to kMaxPause. Returns no value for zero and for
+  // other text, which ask for no pause.
   static std::optional<Duration> ParseDuration(const std::string& text);
 
   // Starts a pause of `duration`, or extends the present one. One that ends sooner than the present
--- a/src/balance/load_balancer.cc
+++ b/src/balance/load_balancer.cc
@@ -88,7 +88,7 @@
   bool has_new_warm_up = true;
   if (upstream == nullptr) {
     upstream = std::make_shared<BalancedUpstream>(record, limits);
-    RestoreLeaving(upstream.get(), now);
+    RestoreLeaving(upstream.get());
   } else {
     has_new_warm_up = upstream->record().started_ms != record.started_ms ||
                       upstream->record().warm_up_left != record.warm_up_left;
@@ -110,7 +110,7 @@
   leaving_[record.id] = {record.address, record.started_ms, now};
 }
 
-void LoadBalancer::RestoreLeaving(BalancedUpstream* upstream, Instant now) {
+void LoadBalancer::RestoreLeaving(BalancedUpstream* upstream) {
   const auto& record = upstream->record();
   const auto found = leaving_.find(record.id);
   if (found == leaving_.end()) {
@@ -140,13 +140,11 @@
   const bool local_only =
       args.local_only && std::any_of(service.upstreams.begin(), service.upstreams.end(),
                                      [this, now](const auto& upstream) {
-                                       return upstream->is_usable() &&
-                                              !upstream->pause().is_active(now) &&
+                                       return upstream->is_available(now) &&
                                               !upstream->is_suspect() && IsLocal(*upstream);
                                      });
   for (const auto& upstream : service.upstreams) {
-    if (!upstream->is_usable() || upstream->pause().is_active(now) ||
-        Contains(args.excluded, upstream->record().id)) {
+    if (!upstream->is_available(now) || Contains(args.excluded, upstream->record().id)) {
       continue;
     }
     const auto limit = service.latency_estimator.ConcurrencyLimit(upstream->record().slots);
@@ -196,8 +194,8 @@
   std::vector<std::shared_ptr<BalancedUpstream>> due;
   for (const bool local : {true, false}) {
     for (const auto& upstream : service.upstreams) {
-      if (due.size() < kMaxProbesPerCall && IsLocal(*upstream) == local && upstream->is_usable() &&
-          !upstream->pause().is_active(now) && upstream->TryAcquireProbe(now)) {
+      if (due.size() < kMaxProbesPerCall && IsLocal(*upstream) == local &&
+          upstream->is_available(now) && upstream->TryAcquireProbe(now)) {
         due.push_back(upstream);
       }
     }
@@ -238,7 +236,7 @@
     const auto limit = found->second.latency_estimator.ConcurrencyLimit(upstream->record().slots);
     const bool must_wait_for_pacer = upstream->is_cold(now) && !upstream->pacer().IsReady(now);
     const auto max_in_flight = upstream->pause().MaxInFlight(limit, now);
-    if (upstream->is_usable() && !upstream->is_suspect() && !must_wait_for_pacer &&
+    if (upstream->is_available(now) && !upstream->is_suspect() && !must_wait_for_pacer &&
         upstream->may_report() && upstream->in_flight() < max_in_flight &&
         now - upstream->reported_at() >= kMaxReportAge) {
       candidates.push_back(upstream);
@@ -277,13 +275,13 @@
   }
 }
 
-std::size_t LoadBalancer::ReturnedProbeLimit(const ServiceEntry& service) {
+std::size_t LoadBalancer::ReturnedProbeLimit(const ServiceEntry& service, Instant now) {
   std::size_t calls = 0;
   bool has_available_upstream = false;
   for (const auto& upstream : service.upstreams) {
     calls += upstream->in_flight();
     has_available_upstream =
-        has_available_upstream || (upstream->is_usable() && !upstream->is_suspect());
+        has_available_upstream || (upstream->is_available(now) && !upstream->is_suspect());
   }
   return std::max(calls / kCallsPerProbe, has_available_upstream ? 0 : kMaxProbesPerCall);
 }
@@ -337,9 +335,9 @@
     if (service.last_requested == Instant() || now - service.last_requested > kServiceIdleTime) {
       continue;
     }
-    auto returned_left = ReturnedProbeLimit(service);
+    auto returned_left = ReturnedProbeLimit(service, now);
     for (const auto& upstream : service.upstreams) {
-      if (!upstream->is_usable() || upstream->pause().is_active(now) ||
+      if (!upstream->is_available(now) ||
           (!upstream->is_suspect_after_loss() && returned_left == 0) ||
           !upstream->TryAcquireProbe(now)) {
         continue;
--- a/src/balance/upstream_pause.cc
+++ b/src/balance/upstream_pause.cc
@@ -15,6 +15,9 @@
   }
   const double seconds = std::min(std::strtod(text.c_str(), nullptr),
                                   std::chrono::duration<double>(kMaxPause).count());
+  if (seconds <= 0) {
+    return std::nullopt;
+  }
   return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
 }
 
--- a/tests/balance/leaving_and_pause_test.cc
+++ b/tests/balance/leaving_and_pause_test.cc
@@ -96,11 +96,10 @@
   const auto parse = &UpstreamPause::ParseDuration;
   CHECK(parse("2") == seconds(2));
   CHECK(parse("0.25") == milliseconds(250));
-  CHECK(parse("0") == Duration::zero());
   CHECK(parse("86400") == UpstreamPause::kMaxPause);
   CHECK(parse(std::string(400, '9')) == UpstreamPause::kMaxPause);
-  for (const char* text : {"", "-1", "soon", ".", "1.2.3", "1e3", "nan", "inf", "+1", " 1", "0x10",
-                           "Wed, 21 Oct 2026 07:28:00 GMT"}) {
+  for (const char* text : {"", "0", "0.0", "-1", "soon", ".", "1.2.3", "1e3", "nan", "inf", "+1",
+                           " 1", "0x10", "Wed, 21 Oct 2026 07:28:00 GMT"}) {
     INFO(text);
     CHECK_FALSE(parse(text).has_value());
   }
@@ -177,6 +176,24 @@
   }
 }
 
+// Guards against upstreams of a returned data centre that are not probed because a paused upstream
+// counts as available.
+TEST_CASE("a returned data centre is probed while the only other upstream is paused", "[balance]") {
+  BalanceFixture fixture;
+  fixture.Add("a");
+  fixture.Add("b", "there");
+  fixture.data_centres_out = {DataCentre("there")};
+  fixture.Apply();
+  fixture.data_centres_out.clear();
+  fixture.Apply();
+  CHECK(fixture.PickId() == "a");
+  CHECK(fixture.balancer.DueProbes(fixture.now).empty());
+  fixture.At("a").pause().Start(seconds(3), fixture.now);
+  const auto due = fixture.balancer.DueProbes(fixture.now);
+  REQUIRE(due.size() == 1);
+  CHECK(due[0]->record().id == UpstreamId("b"));
+}
+
 // Guards against a pause that a changed entry ends, or that binds a new process.
 TEST_CASE("a pause holds for the process that asked for it", "[balance]") {
   BalanceFixture fixture;
