State the limit of a warm-up time once, and test it for probes

Without the limit, a warm-up time that does not fit into a duration made a cold upstream count as warm.

"the warm-up time that a probe reports is limited" fails with the limit taken out of UpstreamProber. The cases for configurations were added to "an invalid configuration is rejected".

--- a/include/primroseweir/configuration/upstream_record.h
+++ b/include/primroseweir/configuration/upstream_record.h
@@ -1,6 +1,7 @@
 #ifndef PRIMROSEWEIR_CONFIGURATION_UPSTREAM_RECORD_H_
 #define PRIMROSEWEIR_CONFIGURATION_UPSTREAM_RECORD_H_
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <tuple>
@@ -11,6 +12,11 @@
 
 namespace primroseweir {
 
+// Upper bound of the remaining warm-up time that an upstream states, in its entry or in the
+// response to a probe. It is far above the times that upstreams need; one that states more is
+// faulty and must not be paced for good.
+constexpr Duration kMaxWarmUpTime = std::chrono::hours(1);
+
 // State of an upstream in the platform's list, which lags behind what the upstream itself reports.
 enum class ListedState { kLive, kLeaving };
 
--- a/src/gateway/upstream_prober.cc
+++ b/src/gateway/upstream_prober.cc
@@ -22,13 +22,14 @@
 namespace {
 
 constexpr int kOk = 200;
-// Far above the times that upstreams state. A faulty upstream must not stay paced for good.
-constexpr std::int64_t kMaxWarmUpMilliseconds = 3'600'000;
+constexpr int kDecimalBase = 10;
 
-// Returns zero for text that is not a number.
+// Returns the warm-up time that a probe's response states in milliseconds, limited to
+// kMaxWarmUpTime; zero for text that is not a positive number.
 Duration ParseWarmUpLeft(const std::string& text) {
+  const std::int64_t milliseconds = std::strtoll(text.c_str(), nullptr, kDecimalBase);
   return std::chrono::milliseconds(
-      std::clamp<std::int64_t>(std::strtoll(text.c_str(), nullptr, 10), 0, kMaxWarmUpMilliseconds));
+      std::clamp<std::int64_t>(milliseconds, 0, ToMilliseconds(kMaxWarmUpTime)));
 }
 
 }  // namespace
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -1,4 +1,6 @@
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "gateway_fixture.h"
 #include "primroseweir/balance/retry_policy.h"
@@ -270,6 +272,42 @@
   CHECK_FALSE(caller->clean());
 }
 
+// Guards against a cold upstream that counts as warm: the milliseconds that it stated did not fit
+// into a duration.
+TEST_CASE("the warm-up time that a probe reports is limited", "[gateway][cold-start]") {
+  const std::vector<std::pair<std::string, Duration>> values = {
+      {"1500", std::chrono::milliseconds(1500)},
+      {"9223372036854775807", kMaxWarmUpTime},
+      {"99999999999999999999999", kMaxWarmUpTime},
+      {"-9223372036854775808", Duration::zero()},
+      {"soon", Duration::zero()}};
+  for (const auto& [text, expected] : values) {
+    GatewayFixture fixture;
+    fixture.service_settings.probe_target = "/health";
+    fixture.service_settings.cold_rate = 1000;
+    int probes = 0;
+    fixture.AddUpstream([&, value = text](const Request& r) {
+      if (r.head.target != "/health") {
+        return Reply{FormatResponse(r, 200, "ok"), {}, {}};
+      }
+      ++probes;
+      return Reply{"HTTP/1.1 200 OK\r\nX-Upstream: u1\r\nX-Warm-Up: " + value +
+                       "\r\nX-Load: 0,0,4,100\r\nContent-Length: 0\r\n\r\n",
+                   {},
+                   {}};
+    });
+    fixture.Apply(CallKind::kIdempotent);
+    const auto start = EventLoop::Now();
+    fixture.Call();
+    REQUIRE(probes > 0);
+    const auto upstream = fixture.gateway().balancer().Find(UpstreamId("u1"));
+    INFO(text);
+    CHECK(upstream->is_cold(start + expected - std::chrono::milliseconds(1)) ==
+          (expected > Duration::zero()));
+    CHECK_FALSE(upstream->is_cold(EventLoop::Now() + expected + std::chrono::milliseconds(1)));
+  }
+}
+
 // Guards against a download that is cut off while its caller reads it slowly: progress counted in
 // the pieces that the upstream's response is divided into, 768 KB each, instead of bytes.
 TEST_CASE("a download goes on while its caller reads it, however slowly",
--- a/tests/platform/decoder_test.cc
+++ b/tests/platform/decoder_test.cc
@@ -125,6 +125,10 @@
   CHECK(is_rejected([](Json* json) { (*json)["routes"][0]["kind"] = 7; }));
   CHECK(is_rejected([](Json* json) { (*json)["routes"][0]["prefix"] = "/x"; }));
   CHECK(is_rejected([](Json* json) { (*json)["routes"][0].erase("timeoutMs"); }));
+  CHECK(is_rejected([](Json* json) { (*json)["routes"][0]["timeoutMs"] = 1e300; }));
+  CHECK(is_rejected([](Json* json) { (*json)["routes"][0]["sloMs"] = -1e300; }));
+  CHECK(is_rejected([](Json* json) { (*json)["services"][0]["warmupS"] = 1e300; }));
+  CHECK(is_rejected([](Json* json) { (*json)["limits"]["idleTimeoutMs"] = 1e300; }));
   CHECK(is_rejected([](Json* json) { (*json)["version"] = "1c"; }));
   CHECK(is_rejected([](Json* json) { json->erase("limits"); }));
   std::set<std::string> kinds;
