Tell more hypotheses apart in the log, and test two more paths of slow downloads

attempt_overdue and attempt_lost name the bytes of responses to other requests that arrived instead of the call's own: a silent upstream and one that sends copies looked alike. upstream_leaving names the usable upstreams that remain, so that reason=no_upstream can be traced to it.

Tests for paths of that none covered: a connection that stays open whose caller needs longer than the idle timeout, and a download whose upstream is slow. Comments that had to be read twice are reworded.

--- a/include/primroseweir/balance/load_balancer.h
+++ b/include/primroseweir/balance/load_balancer.h
@@ -119,6 +119,8 @@
   // Returns the expected time until a call gets room when `waiting` calls are served before it,
   // derived from the service's latency estimate.
   Duration ExpectedWait(const ServiceName& service, std::size_t waiting, Instant now) const;
+  // Returns the number of upstreams of the service that are usable, also those that are paused.
+  std::size_t CountUsable(const ServiceName& service) const;
   // Returns when the first pause of an upstream of the service ends, if all its usable upstreams
   // asked for one. Returns no value otherwise.
   std::optional<Instant> EndOfPauses(const ServiceName& service, Instant now) const;
--- a/include/primroseweir/gateway/connection_reuse.h
+++ b/include/primroseweir/gateway/connection_reuse.h
@@ -5,11 +5,15 @@
 
 // Which idle connections to an upstream a request may use.
 enum class ConnectionReuse {
+  // Any that the upstream is expected to keep open.
   kAny,
-  // For a call that must be executed at most once and can't be retried: it would be lost on a
-  // connection that the upstream closed or that became unresponsive while it was idle for long.
+  // Only one that was used within UpstreamConnectionPool::kMaxRecentIdleTime. For calls that must
+  // be
+  // executed at most once: these can't be retried if the upstream has closed the connection, or if
+  // the connection has become unresponsive.
   kRecentlyUsed,
-  // For a call without an id, whose response can't be distinguished from a copy of an earlier one.
+  // None: the request gets a new connection. For calls without an id, whose response can't be
+  // distinguished from a copy of an earlier one.
   kNone,
 };
 
--- a/include/primroseweir/gateway/routed_call.h
+++ b/include/primroseweir/gateway/routed_call.h
@@ -166,8 +166,8 @@
   void SendLocalReply(int status, std::string_view outcome, std::string_view reason,
                       std::optional<Duration> retry_after, Instant now);
   void OnDeadline();
-  // Whether the caller has acknowledged bytes of a streamed response since the last call or the
-  // last piece, or the upstream has sent some within kStreamIdleTimeout.
+  // Whether a streamed response has made progress: the caller has acknowledged bytes since the last
+  // check or the last piece, or the upstream has sent some within kStreamIdleTimeout.
   bool HasStreamProgress(Instant now);
   void LogCompletion(int status, std::string_view outcome, std::string_view reason,
                      Instant now) const;
--- a/include/primroseweir/loop/http_client_stream.h
+++ b/include/primroseweir/loop/http_client_stream.h
@@ -28,8 +28,8 @@
 class HttpClientStream : public StreamHandler {
  public:
   // A header field that the server copies from the request to its response. An empty `field` turns
-  // the check off. An empty `value` means that the request lacks the field: a response with a value
-  // of it is then a stray response.
+  // the check off. An empty `value` means that the request lacks the field; a response that has the
+  // field with a value is then a stray response.
   struct Echo {
     std::string field;
     std::string value;
@@ -61,6 +61,8 @@
   bool is_connected() const { return is_connected_; }
   // Whether the connection ended, failed, was abandoned or received bytes while idle.
   bool is_broken() const { return is_broken_; }
+  // Bytes of responses to other requests that were discarded during the current request.
+  std::size_t stray_bytes() const { return stray_bytes_; }
   // When the last response was complete.
   Instant idle_since() const { return idle_since_; }
   // How long the server keeps an idle connection open; zero if it did not state that.
@@ -88,7 +90,7 @@
   // returns false.
   bool DiscardStrayResponse(std::size_t used);
   bool IsExpectedResponse();
-  // Whether the current response is an error that lacks the value which the request sent.
+  // Whether the request has the echo field and the current response is an error without it.
   bool IsUnidentifiedError();
   void Write(std::string bytes);
   void Complete();
--- a/include/primroseweir/loop/http_server_stream.h
+++ b/include/primroseweir/loop/http_server_stream.h
@@ -105,8 +105,8 @@
   void ForwardBodyPiece();
   void RejectRequest(int status);
   void FinishResponse();
-  // Whether the caller is still receiving the last response, within the time limits for that.
-  // Called regularly, since it records the progress.
+  // Whether the caller has not received the whole of the last response and is within the time
+  // limits for that. Records its progress, so it must be called regularly.
   bool IsWriting(Instant now);
   void RemoveFromPort();
   Instant Now() const;
@@ -119,9 +119,10 @@
   State state_ = State::kIdle;
   // Start of the current state or the last progress within it, for the limits on pauses.
   Instant state_since_;
-  // Start of the current request, or end of the last one, for the limits on the total time.
+  // Start of the current request while one is read, otherwise the time at which the last response
+  // was queued; for the limits on the total time.
   Instant request_started_;
-  // When the caller had received the last response on the connection.
+  // When a caller whose connection ends was last seen to receive the response.
   Instant lingering_since_;
   // Bytes that the caller had not acknowledged at the last check, and when they last changed.
   std::size_t last_unacked_bytes_ = 0;
--- a/src/balance/load_balancer.cc
+++ b/src/balance/load_balancer.cc
@@ -303,6 +303,17 @@
   return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(wait));
 }
 
+std::size_t LoadBalancer::CountUsable(const ServiceName& service) const {
+  const auto found = services_.find(service);
+  if (found == services_.end()) {
+    return 0;
+  }
+  const auto& upstreams = found->second.upstreams;
+  return static_cast<std::size_t>(
+      std::count_if(upstreams.begin(), upstreams.end(),
+                    [](const auto& upstream) { return upstream->is_usable(); }));
+}
+
 std::optional<Instant> LoadBalancer::EndOfPauses(const ServiceName& service, Instant now) const {
   std::optional<Instant> first_end;
   const auto found = services_.find(service);
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -126,7 +126,10 @@
     pool_.CloseIdle(id);
     metrics_->CountEvent("upstream_leaving");
     log_->Write("upstream_leaving",
-                {{"upstream", id.value()}, {"service", upstream->record().service.value()}}, now);
+                {{"upstream", id.value()},
+                 {"service", upstream->record().service.value()},
+                 {"usable", std::to_string(balancer_.CountUsable(upstream->record().service))}},
+                now);
   }
   if (head.status != kUnavailable) {
     return;
--- a/src/gateway/routed_call.cc
+++ b/src/gateway/routed_call.cc
@@ -144,6 +144,7 @@
        {"service", service_.value()},
        {"upstream", upstream.record().id.value()},
        {"slowness_percent", std::to_string(static_cast<int>(upstream.slowness(now) * kPercent))},
+       {"stray_bytes", std::to_string(attempt.stream()->stray_bytes())},
        {"took_ms", std::to_string(ToMilliseconds(now - attempt.started_at()))}},
       now);
 }
@@ -235,6 +236,7 @@
        {"upstream", upstream.record().id.value()},
        {"reason", HttpClientCallbacks::NameOf(failure)},
        {"sent", has_sent ? "yes" : "no"},
+       {"stray_bytes", std::to_string(attempt->stream()->stray_bytes())},
        {"took_ms", std::to_string(ToMilliseconds(now - attempt->started_at()))}},
       now);
   if (is_streaming_response_) {
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -5,7 +5,9 @@
 #include "gateway_fixture.h"
 #include "primroseweir/balance/retry_policy.h"
 #include "primroseweir/gateway/routed_call.h"
+#include "primroseweir/loop/http_client_stream.h"
 #include "slow_caller.h"
+#include "support/flood_server.h"
 
 namespace primroseweir::testing {
 namespace {
@@ -336,5 +338,26 @@
   CHECK(caller.received() > kBodyBytes);
 }
 
+// Guards against the same fault when the upstream is the slow one.
+TEST_CASE("a download goes on while its upstream sends it, however slowly",
+          "[gateway][whole-answers]") {
+  constexpr std::size_t kFirstBytes = 2 * HttpClientStream::kMaxBufferedBytes;
+  GatewayFixture fixture;
+  fixture.timeout = std::chrono::minutes(2);
+  FloodServer server(
+      &fixture.loop(),
+      "HTTP/1.1 200 OK\r\nX-Id: q1\r\nX-Signature: s\r\nContent-Length: 9000000\r\n\r\n" +
+          std::string(kFirstBytes, 'x'),
+      std::string(100, 'x'), std::chrono::milliseconds(200));
+  fixture.AddUpstreamRecord(server.address());
+  fixture.Apply(CallKind::kDownload);
+  const auto caller = fixture.StartCall();
+  REQUIRE(RunUntil(&fixture.loop(), [&] { return caller->received().size() > kFirstBytes / 2; }));
+  RunUntil(
+      &fixture.loop(), [&] { return caller->ended(); },
+      RoutedCall::kStreamIdleTimeout + std::chrono::seconds(3));
+  CHECK_FALSE(caller->ended());
+}
+
 }  // namespace
 }  // namespace primroseweir::testing
--- a/tests/loop/http_port_test.cc
+++ b/tests/loop/http_port_test.cc
@@ -227,6 +227,28 @@
   CHECK(RunUntil(&fixture.loop(), [&] { return fixture.port().connection_count() == 0; }));
 }
 
+// Guards against a response that is cut off on a connection that stays open, when the caller needs
+// longer for it than the idle timeout.
+TEST_CASE("a slow caller receives the whole of a response that outlasts the idle timeout",
+          "[loop][whole-answers]") {
+  PortFixture fixture;
+  fixture.limits.idle_timeout = std::chrono::milliseconds(300);
+  fixture.response_body = std::string(std::size_t{16} * 1024 * 1024, 'x');
+  LoopCaller caller(&fixture.loop(), fixture.port().address());
+  caller.Send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+  REQUIRE(RunUntil(&fixture.loop(), [&] { return fixture.request_count == 1; }));
+  caller.PauseReading();
+  RunUntil(
+      &fixture.loop(), [] { return false; },
+      2 * HttpPort::kTimeoutCheckInterval + fixture.limits.idle_timeout);
+  CHECK(fixture.port().connection_count() == 1);
+  caller.ResumeReading();
+  CHECK(RunUntil(&fixture.loop(),
+                 [&] { return caller.received().size() > fixture.response_body.size(); }));
+  // The idle timeout counts again.
+  CHECK(RunUntil(&fixture.loop(), [&] { return fixture.port().connection_count() == 0; }));
+}
+
 // Guards against a process that exits while its last responses are in transit to slow callers.
 TEST_CASE("a port is busy until the caller has received the response", "[loop][graceful-stop]") {
   PortFixture fixture;
