Recognise customers by their keys and name them to upstreams

A key passed through to the upstream, and calls without a key were served. The customers of a configuration are now part of its route table. A call whose route is not public needs a known key and is answered 401 otherwise, before its body is read. Upstreams get the customer's name in place of the key, whatever name the caller sent.

--- a/include/primroseweir/base/ids.h
+++ b/include/primroseweir/base/ids.h
@@ -12,6 +12,8 @@
 using UpstreamId = StrongId<struct UpstreamIdTag>;
 // Name of a service, from the configuration text of the operators.
 using ServiceName = StrongId<struct ServiceNameTag>;
+// Name of a customer, from the configuration.
+using CustomerName = StrongId<struct CustomerNameTag>;
 // Name of a data centre, from the settings and the platform's list.
 using DataCentre = StrongId<struct DataCentreTag>;
 // Id of a call, as in logs and header fields.
--- /dev/null
+++ b/include/primroseweir/customers/customer.h
@@ -0,0 +1,28 @@
+#ifndef PRIMROSEWEIR_CUSTOMERS_CUSTOMER_H_
+#define PRIMROSEWEIR_CUSTOMERS_CUSTOMER_H_
+
+#include <cstdint>
+#include <optional>
+
+#include "primroseweir/base/ids.h"
+
+namespace primroseweir {
+
+// A customer as configured by the operators, without its keys.
+struct Customer {
+  CustomerName name;
+  // Hash of the name, which identifies the customer in messages between instances.
+  std::uint64_t hash = 0;
+  // Priority of the customer's calls, which takes precedence over that of the route.
+  std::optional<std::uint32_t> priority;
+  // Quota over all instances together: calls per second and additional calls at once. Without a
+  // rate there is no limit.
+  double rate = 0;
+  double burst = 0;
+
+  bool has_quota() const { return rate > 0; }
+};
+
+}  // namespace primroseweir
+
+#endif  // PRIMROSEWEIR_CUSTOMERS_CUSTOMER_H_
--- a/include/primroseweir/gateway/call_header_names.h
+++ b/include/primroseweir/gateway/call_header_names.h
@@ -26,6 +26,10 @@
   std::string upstream_id;
   // Remaining warm-up time of the upstream in milliseconds, in the response to a probe.
   std::string warm_up_left;
+  // Authentication scheme of the Authorization field that carries a customer's key.
+  std::string key_scheme;
+  // Name of the customer that makes the call, set in the request to the upstream.
+  std::string customer;
 };
 
 }  // namespace primroseweir
--- a/include/primroseweir/gateway/gateway.h
+++ b/include/primroseweir/gateway/gateway.h
@@ -136,6 +136,7 @@
   // ---- requests ----
 
   bool ShouldStreamBody(const RequestHead& head) override;
+  bool WillReject(const RequestHead& head) override;
   void OnRequest(HttpServerStream* stream, RequestHead* head, std::string body) override;
   void OnBodyPiece(HttpServerStream* stream, const std::string& piece, bool last) override;
   void OnBodyError(HttpServerStream* stream, int status) override;
--- a/include/primroseweir/gateway/routed_call.h
+++ b/include/primroseweir/gateway/routed_call.h
@@ -15,6 +15,7 @@
 #include "primroseweir/base/ids.h"
 #include "primroseweir/base/time.h"
 #include "primroseweir/gateway/call_body.h"
+#include "primroseweir/gateway/caller_identity.h"
 #include "primroseweir/http/request_head.h"
 #include "primroseweir/http/response_head.h"
 #include "primroseweir/loop/http_client_callbacks.h"
@@ -68,6 +69,8 @@
 
   HttpServerStream* caller() const { return caller_; }
   const ServiceName& service() const { return service_; }
+  // Priority in the admission queue: that of the customer, or else of the route.
+  std::uint32_t priority() const { return identity_.PriorityOr(route_->priority); }
 
   // Deadline of a call whose caller states none, and the upper bound of stated deadlines.
   static constexpr Duration kDefaultDeadline = std::chrono::seconds(10);
@@ -111,6 +114,8 @@
   // ---- route ----
   // Returns false if the call has ended with a local reply: no configuration or no route.
   bool FindRoute(Instant now);
+  // Returns false if the call has ended with a local reply: its caller has no valid key.
+  bool IdentifyCaller(Instant now);
   void SetDeadline(Instant now);
 
   // ---- placement ----
@@ -184,6 +189,7 @@
   // Keeps route_ valid.
   std::shared_ptr<const RouteTable> routes_;
   const Route* route_ = nullptr;
+  CallerIdentity identity_;
   ServiceName service_;
   Instant deadline_;
   std::uint64_t fingerprint_ = 0;
--- a/include/primroseweir/loop/request_sink.h
+++ b/include/primroseweir/loop/request_sink.h
@@ -16,6 +16,9 @@
   // Whether the sink takes a large body of this request in pieces, so that it need not be held
   // until it is complete.
   virtual bool ShouldStreamBody(const RequestHead& /*head*/) { return false; }
+  // Whether the sink rejects this request by its head alone. The request is then delivered without
+  // the rest of its body, and the response ends the connection.
+  virtual bool WillReject(const RequestHead& /*head*/) { return false; }
   // Called with a complete request or, if the sink streams its body and stream->receiving() is
   // true, with the head and the first part of the body. The sink responds through `stream`, at once
   // or later; `head` is valid until then.
--- a/include/primroseweir/routes/route.h
+++ b/include/primroseweir/routes/route.h
@@ -46,6 +46,8 @@
   std::uint32_t max_attempts = 1;
   // Priority in the admission queue; 0 is served first.
   std::uint32_t priority = 0;
+  // Whether a call needs no customer's key. Matters only in a configuration with customers.
+  bool is_public = false;
 };
 
 }  // namespace primroseweir
--- a/include/primroseweir/routes/route_table.h
+++ b/include/primroseweir/routes/route_table.h
@@ -3,12 +3,14 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
 
 #include "primroseweir/base/ids.h"
+#include "primroseweir/customers/customer_table.h"
 #include "primroseweir/routes/caller_limits.h"
 #include "primroseweir/routes/route.h"
 #include "primroseweir/routes/service_settings.h"
@@ -19,8 +21,10 @@
 class RouteTable {
  public:
   // `version` is the number that the operators gave the configuration; a higher one is newer.
+  // `customers` is null if the configuration has none, and calls then need no key.
   RouteTable(std::uint64_t version, std::vector<Route> routes,
-             std::map<ServiceName, ServiceSettings> services, const CallerLimits& limits);
+             std::map<ServiceName, ServiceSettings> services, const CallerLimits& limits,
+             std::shared_ptr<const CustomerTable> customers = nullptr);
 
   // Returns the route of that host with the longest prefix that matches the path of `target`; null
   // when none matches. Ignores a port in `host`, its case, and the query of `target`. Linear in the
@@ -33,12 +37,15 @@
   std::uint64_t version() const { return version_; }
   const std::vector<Route>& routes() const { return routes_; }
   const CallerLimits& limits() const { return limits_; }
+  // Null if the configuration has no customers.
+  const CustomerTable* customers() const { return customers_.get(); }
 
  private:
   const std::uint64_t version_;
   const std::vector<Route> routes_;
   const std::map<ServiceName, ServiceSettings> services_;
   const CallerLimits limits_;
+  const std::shared_ptr<const CustomerTable> customers_;
   // Indices into routes_ by lower-case host without port, longest prefix first.
   std::unordered_map<std::string, std::vector<std::size_t>> by_host_;
 };
--- /dev/null
+++ b/src/customers/customer_table.cc
@@ -0,0 +1,50 @@
+#include "primroseweir/customers/customer_table.h"
+
+#include <unordered_set>
+#include <utility>
+
+#include "primroseweir/base/error.h"
+#include "primroseweir/base/rendezvous.h"
+
+namespace primroseweir {
+namespace {
+
+absl::Status InvalidError(const CustomerName& customer, const std::string& reason) {
+  return MakeError(absl::StatusCode::kInvalidArgument, {"customers", ""},
+                   "customer " + customer.value() + ": " + reason);
+}
+
+}  // namespace
+
+absl::StatusOr<std::shared_ptr<const CustomerTable>> CustomerTable::Create(
+    std::vector<Entry> entries) {
+  std::shared_ptr<CustomerTable> table(new CustomerTable);
+  std::unordered_set<std::string> names;
+  for (auto& entry : entries) {
+    const auto& name = entry.customer.name;
+    if (name.empty() || !names.insert(name.value()).second) {
+      return InvalidError(name, "name is empty or occurs twice");
+    }
+    for (const auto& key : entry.keys) {
+      const auto [held, is_new] =
+          table->by_key_.emplace(KeyDigest::Of(key), table->customers_.size());
+      if (key.empty()) {
+        return InvalidError(name, "empty key");
+      }
+      if (!is_new && held->second != table->customers_.size()) {
+        return InvalidError(
+            name, "shares a key with customer " + table->customers_[held->second].name.value());
+      }
+    }
+    entry.customer.hash = StableHash(name.value());
+    table->customers_.push_back(std::move(entry.customer));
+  }
+  return std::shared_ptr<const CustomerTable>(std::move(table));
+}
+
+const Customer* CustomerTable::Find(const KeyDigest& digest) const {
+  const auto found = by_key_.find(digest);
+  return found == by_key_.end() ? nullptr : &customers_[found->second];
+}
+
+}  // namespace primroseweir
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "primroseweir/base/line_log.h"
+#include "primroseweir/gateway/caller_identity.h"
 #include "primroseweir/gateway/gateway_metrics.h"
 #include "primroseweir/gateway/routed_call.h"
 #include "primroseweir/gateway/upstream_prober.h"
@@ -175,6 +176,16 @@
   return route != nullptr && route->kind == CallKind::kUpload;
 }
 
+bool Gateway::WillReject(const RequestHead& head) {
+  if (!is_admitting_ || state_->routes == nullptr) {
+    return true;
+  }
+  const auto* route = state_->routes->Find(head.fields.Get("Host"), head.target);
+  return route == nullptr ||
+         !CallerIdentity::Of(head.fields, *route, state_->routes->customers(), options_.fields)
+              .is_allowed();
+}
+
 void Gateway::OnBodyPiece(HttpServerStream* stream, const std::string& piece, bool last) {
   const auto found = calls_.find(stream);
   if (found != calls_.end()) {
--- a/src/gateway/routed_call.cc
+++ b/src/gateway/routed_call.cc
@@ -26,6 +26,7 @@
 namespace {
 
 constexpr double kPercent = 100;
+constexpr int kUnauthorized = 401;
 constexpr int kNotFound = 404;
 constexpr int kMisdirected = 421;
 constexpr int kFirstServerError = 500;
@@ -79,7 +80,7 @@
 // ---- route ----
 
 void RoutedCall::Start(Instant now) {
-  if (!FindRoute(now)) {
+  if (!FindRoute(now) || !IdentifyCaller(now)) {
     return;
   }
   SetDeadline(now);
@@ -113,6 +114,15 @@
   return true;
 }
 
+bool RoutedCall::IdentifyCaller(Instant now) {
+  identity_ = CallerIdentity::Of(head_.fields, *route_, routes_->customers(), gateway_->fields());
+  if (!identity_.is_allowed()) {
+    SendLocalReply(kUnauthorized, "refused", "unknown_key", std::nullopt, now);
+    return false;
+  }
+  return true;
+}
+
 void RoutedCall::SetDeadline(Instant now) {
   Duration time_left = kDefaultDeadline;
   if (const auto* deadline_field = head_.fields.Find(gateway_->fields().deadline)) {
--- a/src/gateway/routed_call_placement.cc
+++ b/src/gateway/routed_call_placement.cc
@@ -14,6 +14,7 @@
 #include "primroseweir/http/message_writer.h"
 #include "primroseweir/loop/event_loop.h"
 #include "primroseweir/loop/http_server_stream.h"
+#include "primroseweir/routes/route_table.h"
 
 namespace primroseweir {
 namespace {
@@ -122,11 +123,11 @@
                deadline_ - now - latency_estimate) -
       (now - received_at_);
   const auto expected_wait =
-      gateway_->balancer().ExpectedWait(service_, queue.CountAhead(route_->priority), now);
+      gateway_->balancer().ExpectedWait(service_, queue.CountAhead(priority()), now);
   if (max_wait <= Duration::zero() || expected_wait > max_wait) {
     return false;
   }
-  ticket_ = queue.Add(route_->priority, [this](Instant time) {
+  ticket_ = queue.Add(priority(), [this](Instant time) {
     const auto placement = TryStart(PickScope::kInTime, time);
     if (placement == PlacementResult::kNoRoom || placement == PlacementResult::kOnlySlowRoom) {
       return false;
@@ -211,6 +212,9 @@
   const auto& fields = gateway_->fields();
   RequestHead head = head_;
   RemoveHopByHopFields(&head.fields);
+  if (routes_->customers() != nullptr) {
+    identity_.ReplaceCredentials(&head.fields, fields);
+  }
   const auto time_left = std::max<std::int64_t>(1, ToMilliseconds(deadline_ - now));
   head.fields.Set(fields.deadline, std::to_string(time_left));
   head.fields.Set(fields.expected_upstream, attempt.upstream().record().id.value());
--- a/src/gateway/routed_call_responses.cc
+++ b/src/gateway/routed_call_responses.cc
@@ -19,6 +19,7 @@
 namespace primroseweir {
 namespace {
 
+constexpr int kUnauthorized = 401;
 constexpr int kUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
 
@@ -147,6 +148,9 @@
   if (retry_after) {
     head.fields.Add("Retry-After", FormatSeconds(*retry_after));
   }
+  if (status == kUnauthorized) {
+    head.fields.Add("WWW-Authenticate", gateway_->fields().key_scheme);
+  }
   head.fields.Add("Content-Type", "text/plain");
   LogCompletion(status, outcome, reason, now);
   gateway_->CountLocalReply(status);
--- a/src/loop/http_server_stream.cc
+++ b/src/loop/http_server_stream.cc
@@ -110,7 +110,8 @@
   UpdateBufferedBytes();
 }
 
-// Rejects the request and returns false if it exceeds a limit. Otherwise sends 100 Continue to a
+// Returns false if the request exceeds a limit, or if the sink rejects it by its head; it then has
+// been responded to. Otherwise sends 100 Continue to a
 // caller that expects it.
 bool HttpServerStream::CheckRequestLimits() {
   const auto limits = port_->limits();
@@ -127,7 +128,13 @@
       return false;
     }
   }
-  if (!std::exchange(is_head_checked_, true) && !parser_.is_message_complete() &&
+  const bool is_first_check = !std::exchange(is_head_checked_, true);
+  if (is_first_check && !parser_.is_message_complete() &&
+      port_->sink()->WillReject(*parser_.request())) {
+    DeliverRequest();
+    return false;
+  }
+  if (is_first_check && !parser_.is_message_complete() &&
       EqualsIgnoreCase(parser_.request()->fields.Get("Expect"), "100-continue")) {
     stream_->Write(kContinueResponse);
   }
--- a/src/routes/route_table.cc
+++ b/src/routes/route_table.cc
@@ -22,11 +22,13 @@
 }  // namespace
 
 RouteTable::RouteTable(std::uint64_t version, std::vector<Route> routes,
-                       std::map<ServiceName, ServiceSettings> services, const CallerLimits& limits)
+                       std::map<ServiceName, ServiceSettings> services, const CallerLimits& limits,
+                       std::shared_ptr<const CustomerTable> customers)
     : version_(version),
       routes_(std::move(routes)),
       services_(std::move(services)),
-      limits_(limits) {
+      limits_(limits),
+      customers_(std::move(customers)) {
   for (std::size_t i = 0; i < routes_.size(); ++i) {
     by_host_[HostKey(routes_[i].host)].push_back(i);
   }
--- /dev/null
+++ b/tests/customers/customer_table_test.cc
@@ -0,0 +1,50 @@
+#include "primroseweir/customers/customer_table.h"
+
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+#include "primroseweir/base/error.h"
+
+namespace primroseweir {
+namespace {
+
+CustomerTable::Entry MakeEntry(const std::string& name, std::vector<std::string> keys) {
+  CustomerTable::Entry entry;
+  entry.customer.name = CustomerName(name);
+  entry.keys = std::move(keys);
+  return entry;
+}
+
+// Guards against a key that is found for another customer, or found after it was withdrawn.
+TEST_CASE("each key finds its customer", "[customers]") {
+  const auto table =
+      CustomerTable::Create({MakeEntry("a", {"key-1", "key-2"}), MakeEntry("b", {"key-3"})});
+  REQUIRE(table.ok());
+  REQUIRE((*table)->FindByKey("key-2") != nullptr);
+  CHECK((*table)->FindByKey("key-2")->name == CustomerName("a"));
+  CHECK((*table)->FindByKey("key-3")->name == CustomerName("b"));
+  CHECK((*table)->FindByKey("key-4") == nullptr);
+  CHECK((*table)->FindByKey("") == nullptr);
+}
+
+// Guards against a configuration in which a call could be charged to either of two customers, and
+// against a key in the reason, which is logged.
+TEST_CASE("a key of two customers is rejected without naming the key", "[customers]") {
+  const auto table =
+      CustomerTable::Create({MakeEntry("a", {"secret-key"}), MakeEntry("b", {"secret-key"})});
+  REQUIRE_FALSE(table.ok());
+  CHECK(MessageOf(table.status()).find("secret-key") == std::string::npos);
+  CHECK(MessageOf(table.status()).find("customer b") != std::string::npos);
+}
+
+// Guards against tables with entries that no key or name can tell apart.
+TEST_CASE("repeated names and empty names or keys are rejected", "[customers]") {
+  CHECK_FALSE(CustomerTable::Create({MakeEntry("a", {"1"}), MakeEntry("a", {"2"})}).ok());
+  CHECK_FALSE(CustomerTable::Create({MakeEntry("", {"1"})}).ok());
+  CHECK_FALSE(CustomerTable::Create({MakeEntry("a", {""})}).ok());
+  CHECK(CustomerTable::Create({MakeEntry("a", {"1", "1"}), MakeEntry("b", {})}).ok());
+}
+
+}  // namespace
+}  // namespace primroseweir
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -35,6 +35,8 @@
   fields.leaving = "X-Leaving";
   fields.upstream_id = "X-Upstream";
   fields.warm_up_left = "X-Warm-Up";
+  fields.key_scheme = "Token";
+  fields.customer = "X-Customer";
   return fields;
 }
 
@@ -87,10 +89,12 @@
     route.timeout = timeout;
     route.latency_objective = std::chrono::milliseconds(400);
     route.max_attempts = 2;
+    route.is_public = is_public;
     auto state = std::make_shared<ServingState>();
     state->routes = std::make_shared<RouteTable>(
         1, std::vector<Route>{route},
-        std::map<ServiceName, ServiceSettings>{{ServiceName("s"), service_settings}}, limits);
+        std::map<ServiceName, ServiceSettings>{{ServiceName("s"), service_settings}}, limits,
+        customers);
     state->upstreams = upstreams_;
     gateway_->Apply(state, EventLoop::Now());
   }
@@ -103,6 +107,14 @@
     return caller;
   }
 
+  // Starts a call with further header fields, each of which ends with CR LF.
+  std::unique_ptr<LoopCaller> StartCallWith(const std::string& fields) {
+    auto caller = std::make_unique<LoopCaller>(&loop_, gateway_->address());
+    caller->Send("POST /x/1 HTTP/1.1\r\nHost: h\r\nX-Id: q1\r\nX-Deadline: 2000\r\n" + fields +
+                 "Content-Length: 2\r\n\r\nhi");
+    return caller;
+  }
+
   // Runs one call until its response or the end of the connection.
   std::unique_ptr<LoopCaller> Call(const std::string& target = "/x/1") {
     auto caller = StartCall(target);
@@ -123,6 +135,9 @@
 
   Duration timeout = std::chrono::seconds(2);
   CallerLimits limits;
+  // Null for a configuration without customers.
+  std::shared_ptr<const CustomerTable> customers;
+  bool is_public = false;
   ServiceSettings service_settings;
 
  private:
--- a/tests/platform/decoder_test.cc
+++ b/tests/platform/decoder_test.cc
@@ -98,6 +98,39 @@
   CHECK((*table)->limits().idle_timeout == std::chrono::seconds(9));
 }
 
+// Guards against keys or quotas that are lost between the configuration and the table.
+TEST_CASE("tenants are decoded into customers with keys and quotas", "[platform]") {
+  auto json = ConfigurationJson();
+  CHECK((*DecodeJson(json))->customers() == nullptr);
+  json["tenants"] = Json::parse(R"([{"name": "t1", "apiKeys": ["k1", "k2"], "priority": 0,
+    "ratePerS": 93, "burst": 20}, {"name": "t2", "apiKeys": []}])");
+  const auto table = DecodeJson(json);
+  REQUIRE(table.ok());
+  REQUIRE((*table)->customers() != nullptr);
+  const auto* customer = (*table)->customers()->FindByKey("k2");
+  REQUIRE(customer != nullptr);
+  CHECK(customer->name == CustomerName("t1"));
+  CHECK(customer->priority == 0U);
+  CHECK(customer->rate == 93);
+  CHECK(customer->burst == 20);
+  REQUIRE((*table)->customers()->customers().size() == 2);
+  CHECK_FALSE((*table)->customers()->customers()[1].has_quota());
+  CHECK_FALSE((*table)->customers()->customers()[1].priority.has_value());
+}
+
+// Guards against a key that two customers claim, and against names that could change a request.
+TEST_CASE("configurations with ambiguous or invalid tenants are rejected", "[platform]") {
+  for (const auto* tenants :
+       {R"([{"name": "t1", "apiKeys": ["k"]}, {"name": "t2", "apiKeys": ["k"]}])",
+        R"([{"name": "t\r\nX: y", "apiKeys": ["k"]}])", R"([{"name": "t1", "ratePerS": -1}])",
+        R"([{"name": "t1", "apiKeys": "k"}])", R"([{"apiKeys": ["k"]}])"}) {
+    CAPTURE(tenants);
+    auto json = ConfigurationJson();
+    json["tenants"] = Json::parse(tenants);
+    CHECK_FALSE(DecodeJson(json).ok());
+  }
+}
+
 // Guards against a table that is decoded differently from the equivalent array.
 TEST_CASE("tables and arrays of records are decoded alike", "[platform]") {
   const auto table = DecodeJson(ConfigurationJson());
