--- a/src/published/published_snapshot.cc
+++ b/src/published/published_snapshot.cc
@@ -8,6 +8,7 @@
 #include <stdexcept>
 
 #include "primroseweir/base/error.h"
+#include "primroseweir/base/json_error.h"
 
 namespace primroseweir {
 namespace {
@@ -93,7 +94,7 @@
     }
     return snapshot;
   } catch (const std::exception& error) {
-    return MakeError(absl::StatusCode::kInvalidArgument, {"peer snapshot", ""}, error.what());
+    return MakeError(absl::StatusCode::kInvalidArgument, {"peer snapshot", ""}, JsonErrorReason(error));
   }
 }
 
--- a/tests/platform/decoder_test.cc
+++ b/tests/platform/decoder_test.cc
@@ -131,6 +131,48 @@
   }
 }
 
+// Guards against a configuration that is rejected for a field that its operators left empty.
+TEST_CASE("null fields of tenants are treated as absent", "[platform]") {
+  auto json = ConfigurationJson();
+  json["tenants"] = Json::parse(
+      R"([{"name": "t1", "apiKeys": null, "priority": null, "ratePerS": null, "burst": null}])");
+  const auto table = DecodeJson(json);
+  REQUIRE(table.ok());
+  CHECK_FALSE((*table)->customers()->customers()[0].has_quota());
+  CHECK_FALSE((*table)->customers()->customers()[0].priority.has_value());
+}
+
+// Guards against keys in the reason of a rejected configuration, which is logged: errors of the
+// JSON library quote the text around the error.
+TEST_CASE("the reason of a rejected configuration quotes no key", "[platform]") {
+  auto json = ConfigurationJson();
+  json["tenants"] = Json::parse(R"([{"name": "t1", "apiKeys": ["secret-key"]}])");
+  const auto text = json.dump();
+  const auto key_begin = text.find("secret-key");
+  StoreDecoder decoder;
+  std::uint64_t revision = 1;
+  const auto check_reason = [&](const std::string& value) {
+    const PublishedItem item{kConfigurationKey, value, Revision(++revision)};
+    const auto result = decoder.Decode({&item}, item.revision);
+    REQUIRE(result.rejected.size() == 1);
+    CHECK_FALSE(result.rejected[0].reason.empty());
+    CHECK(result.rejected[0].reason.find("secret") == std::string::npos);
+  };
+  for (auto size = key_begin; size < key_begin + 20; ++size) {
+    check_reason(text.substr(0, size));
+    check_reason(text.substr(0, size) + "\x01" + text.substr(size));
+  }
+  for (
+      const auto* tenants :
+      {R"("secret-key")", R"(["secret-key"])", R"([{"name": "t1", "apiKeys": "secret-key"}])",
+       R"([{"name": "t1", "apiKeys": {"secret-key": 1}}])",
+       R"([{"name": "t1", "priority": "secret-key"}])",
+       R"([{"name": "t1", "apiKeys": ["secret-key"]}, {"name": "t2", "apiKeys": ["secret-key"]}])"}) {
+    json["tenants"] = Json::parse(tenants);
+    check_reason(json.dump());
+  }
+}
+
 // Guards against a table that is decoded differently from the equivalent array.
 TEST_CASE("tables and arrays of records are decoded alike", "[platform]") {
   const auto table = DecodeJson(ConfigurationJson());
--- a/tests/published/published_cache_test.cc
+++ b/tests/published/published_cache_test.cc
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 #include <map>
 
+#include "primroseweir/base/error.h"
 #include "primroseweir/base/random.h"
 #include "primroseweir/published/encoded_snapshot_cache.h"
 #include "primroseweir/published/published_snapshot.h"
@@ -141,6 +142,14 @@
   CHECK(source.SnapshotAfter(Revision(29), kNow).after == Revision(29));
 }
 
+// Guards against keys of customers in the log: the reason of a rejected snapshot is logged.
+TEST_CASE("the reason of a rejected snapshot does not quote it", "[published]") {
+  const auto decoded =
+      DecodePublishedSnapshot(R"({"after":0,"items":[["op/config","secret-key" x)");
+  REQUIRE_FALSE(decoded.ok());
+  CHECK(MessageOf(decoded.status()).find("secret") == std::string::npos);
+}
+
 TEST_CASE("arbitrary texts are rejected", "[published]") {
   CHECK(CheckProperty(
       "any text", [](const std::string& text) { RC_ASSERT(!DecodePublishedSnapshot(text).ok()); }));
