Test keys and withdrawals with real processes and in the soak

The stand-in platform lists the customer's name and the Authorization field of each request that its upstreams receive. The soak draws keys for all calls, and withdraws one key of each customer with each version of the configuration.

--- a/standins/platform/main.cc
+++ b/standins/platform/main.cc
@@ -84,6 +84,13 @@
       }
       return PageServer::Page{200, "text/plain", text};
     });
+    port_.Add("/callers", [this](const Query&) {
+      std::string text;
+      for (const auto& line : caller_lines_) {
+        text += line + "\n";
+      }
+      return PageServer::Page{200, "text/plain", text};
+    });
     port_.Add("/ledger", [this](const Query&) {
       std::string text;
       for (const auto& [request, count] : execution_counts_) {
@@ -116,7 +123,8 @@
     options.listed_address = listed_relay.ok() ? *listed_relay : *address;
     options.execution_time =
         std::chrono::milliseconds(std::atoi(QueryValue(query, "work_ms").c_str()));
-    auto upstream = std::make_unique<PlatformUpstream>(loop_, options, &execution_counts_);
+    auto upstream =
+        std::make_unique<PlatformUpstream>(loop_, options, &execution_counts_, &caller_lines_);
     const auto status = upstream->Start();
     if (!status.ok()) {
       return {kNotFound, "text/plain", MessageOf(status)};
@@ -140,6 +148,7 @@
   PlatformStore* const store_;
   PageServer port_;
   PlatformUpstream::ExecutionCounts execution_counts_;
+  PlatformUpstream::CallerLines caller_lines_;
   std::map<std::string, std::unique_ptr<PlatformUpstream>> upstreams_;
 };
 
--- a/standins/platform/platform_upstream.cc
+++ b/standins/platform/platform_upstream.cc
@@ -19,10 +19,11 @@
 }  // namespace
 
 PlatformUpstream::PlatformUpstream(EventLoop* loop, Options options,
-                                   ExecutionCounts* execution_counts)
+                                   ExecutionCounts* execution_counts, CallerLines* caller_lines)
     : loop_(loop),
       options_(std::move(options)),
       execution_counts_(execution_counts),
+      caller_lines_(caller_lines),
       port_(loop, this, [] { return CallerLimits(); }) {}
 
 ResponseHead PlatformUpstream::MakeHead(int status, const std::string& request) const {
@@ -57,6 +58,7 @@
 void PlatformUpstream::OnRequest(HttpServerStream* stream, RequestHead* head, std::string body) {
   ++requests_;
   const auto request = head->fields.Get("X-Request-Id");
+  RecordCaller(request, *head);
   if (mode_ == "pause") {
     auto response = MakeHead(kUnavailable, request);
     response.fields.Add("X-Not-Executed", "1");
@@ -83,6 +85,16 @@
   }
 }
 
+void PlatformUpstream::RecordCaller(const std::string& request, const RequestHead& head) {
+  const auto* customer = head.fields.Find("X-Tenant");
+  const auto* authorization = head.fields.Find("Authorization");
+  if (customer != nullptr || authorization != nullptr) {
+    caller_lines_->push_back((request.empty() ? "-" : request) + " " +
+                             (customer == nullptr ? "-" : *customer) + " " +
+                             (authorization == nullptr ? "-" : *authorization));
+  }
+}
+
 void PlatformUpstream::Execute(HttpServerStream* stream, const std::string& request,
                                const std::string& body) {
   ++executions_;
--- a/standins/platform/platform_upstream.h
+++ b/standins/platform/platform_upstream.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "primroseweir/base/time.h"
 #include "primroseweir/loop/http_port.h"
@@ -37,8 +38,13 @@
   // Number of executions of each request id at all upstreams.
   using ExecutionCounts = std::map<std::string, int>;
 
-  // `execution_counts` outlives the upstream.
-  PlatformUpstream(EventLoop* loop, Options options, ExecutionCounts* execution_counts);
+  // One line "REQUEST CUSTOMER AUTHORIZATION" for each request with one of these two fields, also
+  // for those that were refused and those for health; "-" for an absent field.
+  using CallerLines = std::vector<std::string>;
+
+  // `execution_counts` and `caller_lines` outlive the upstream.
+  PlatformUpstream(EventLoop* loop, Options options, ExecutionCounts* execution_counts,
+                   CallerLines* caller_lines);
 
   absl::Status Start() { return port_.Listen(options_.address); }
   // Returns the entry of this upstream in the store, with the given state.
@@ -71,6 +77,7 @@
     std::unique_ptr<Timer> timer;
   };
 
+  void RecordCaller(const std::string& request, const RequestHead& head);
   void Execute(HttpServerStream* stream, const std::string& request, const std::string& body);
   void Finish(HttpServerStream* stream);
   std::string LoadReport() const;
@@ -79,6 +86,7 @@
   EventLoop* const loop_;
   const Options options_;
   ExecutionCounts* const execution_counts_;
+  CallerLines* const caller_lines_;
   HttpPort port_;
   std::string mode_ = "ok";
   std::list<Execution> in_flight_;
--- a/tests/platform/platform_site.h
+++ b/tests/platform/platform_site.h
@@ -23,6 +23,7 @@
   using Json = nlohmann::json;
   static constexpr Duration kCallTimeout = std::chrono::seconds(15);
   static constexpr int kStorePort = 7000;
+  static constexpr int kClosedPort = 7999;
 
   // Instances connect to the store at `store_port`, where a test may listen with a relay.
   explicit PlatformSite(int instances, int store_port = kStorePort) : store_port_(store_port) {
@@ -98,8 +99,15 @@
                               {"work_ms", std::to_string(work_ms)}});
   }
 
+  // Returns the record of a customer for Configure.
+  static Json CustomerRecord(const std::string& name, const std::vector<std::string>& keys) {
+    return {{"name", name}, {"apiKeys", keys}};
+  }
+
   // Publishes a configuration with an idempotent route /read/ and a non-idempotent route /book/.
-  void Configure(int version, const std::string& read_service = "reads") {
+  // `customers` is null for a configuration without customers.
+  void Configure(int version, const std::string& read_service = "reads",
+                 const Json& customers = Json()) {
     char digits[16];
     std::snprintf(digits, sizeof digits, "%08x", version);
     const auto route = [](const std::string& prefix, const std::string& service,
@@ -115,17 +123,19 @@
                   {"warmupS", 1},
                   {"coldPerS", 5}};
     };
-    const Json configuration = {
-        {"version", digits},
-        {"routes",
-         {route("/read/", read_service, "idempotent"),
-          route("/book/", "bookings", "non_idempotent")}},
-        {"services", {service("reads"), service("bookings"), service("others")}},
-        {"limits",
-         {{"maxHeaderBytes", 4096},
-          {"maxBodyBytes", 10000},
-          {"headerTimeoutMs", 2000},
-          {"idleTimeoutMs", 5000}}}};
+    Json configuration = {{"version", digits},
+                          {"routes",
+                           {route("/read/", read_service, "idempotent"),
+                            route("/book/", "bookings", "non_idempotent")}},
+                          {"services", {service("reads"), service("bookings"), service("others")}},
+                          {"limits",
+                           {{"maxHeaderBytes", 4096},
+                            {"maxBodyBytes", 10000},
+                            {"headerTimeoutMs", 2000},
+                            {"idleTimeoutMs", 5000}}}};
+    if (!customers.is_null()) {
+      configuration["tenants"] = customers;
+    }
     SendCommand("/put", {{"key", "op/config"}, {"value", configuration.dump()}});
   }
 
@@ -144,10 +154,22 @@
   absl::StatusOr<standins::HttpResponse> Call(int instance, const std::string& method,
                                               const std::string& target, const std::string& id,
                                               const std::string& body = "") {
+    return CallWithKey(key, instance, method, target, id, body);
+  }
+
+  // As Call, with another key; "" for none.
+  absl::StatusOr<standins::HttpResponse> CallWithKey(const std::string& caller_key, int instance,
+                                                     const std::string& method,
+                                                     const std::string& target,
+                                                     const std::string& id,
+                                                     const std::string& body = "") {
     standins::HttpHead head;
     head.method = method;
     head.target = target;
     head.fields = {{"Host", "desk"}, {"X-Request-Id", id}, {"X-Deadline-Ms", "2000"}};
+    if (!caller_key.empty()) {
+      head.fields.push_back({"Authorization", "Token " + caller_key});
+    }
     return standins::Fetch(CallerAddress(instance), head, body, kCallTimeout);
   }
 
@@ -180,6 +202,12 @@
     return found;
   }
 
+  // Instance that is started with a store address at which nobody listens; -1 for none.
+  int instance_without_store = -1;
+
+  // Key of the customer that makes the calls; "" for none.
+  std::string key;
+
   ChildProcess& Instance(int instance) { return *instances_[static_cast<std::size_t>(instance)]; }
 
  private:
@@ -211,7 +239,10 @@
             {"portRange", {7540, 7555}},
             {"seeds", {network_.Host(10, 8002).ToString()}},
             {"contractBounds", {{"graceS", 3}, {"ttl_max_s", 5}, {"drainMs", 2000}}},
-            {"platform", {{"address", network_.Host(1, store_port_).ToString()}}}};
+            {"platform",
+             {{"address",
+               network_.Host(1, instance == instance_without_store ? kClosedPort : store_port_)
+                   .ToString()}}}};
   }
 
   const int store_port_;
--- a/tests/platform/soak.h
+++ b/tests/platform/soak.h
@@ -18,6 +18,7 @@
 
 #include "platform_site.h"
 #include "primroseweir/base/random.h"
+#include "soak_keys.h"
 #include "support/relay.h"
 #include "wire/http_reader.h"
 #include "wire/socket.h"
@@ -27,7 +28,8 @@
 // Runs a site of real processes under random external faults, and checks what callers and upstreams
 // observe: bookings are executed at most once, those reported as not executed were not, responses
 // are complete and belong to their request, and after the faults all instances serve with the
-// newest configuration.
+// newest configuration. Each call has a key: of a customer, one that a later configuration
+// withdraws, or an unknown one. Upstreams get the name of the key's customer and no key.
 class Soak {
  public:
   // kWithoutStatements leaves out upstreams that state that they leave or ask for a pause: seeds
@@ -44,7 +46,8 @@
       site_.AddUpstream(UpstreamName(i), i % 2 == 0 ? "reads" : "bookings", i, 10,
                         i % 4 < 2 ? "dc0" : "dc1", listed.ToString());
     }
-    site_.Configure(configuration_version_);
+    site_.key = SoakKeys::kPermanentKey;
+    PublishConfiguration();
     for (int i = 0; i < kInstances; ++i) {
       if (!site_.WaitUntilReady(i)) {
         violations_.push_back("instance did not become ready within 15 s");
@@ -72,6 +75,7 @@
       caller.join();
     }
     CheckExecutions();
+    CheckCallers();
     return violations_;
   }
 
@@ -86,6 +90,12 @@
   static constexpr int kUpstreamRelayPort = 9100;
   static constexpr Duration kRecoveryTimeout = std::chrono::seconds(12);
 
+  void PublishConfiguration() {
+    site_.Configure(configuration_version_, "reads",
+                    keys_.CustomersOfVersion(configuration_version_));
+    keys_.RecordVersion(configuration_version_, MonotonicNow());
+  }
+
   static std::string UpstreamName(int number) { return "u" + std::to_string(number); }
 
   void RecordFault(const std::string& what) { fault_log_ += what + "\n"; }
@@ -196,7 +206,7 @@
   void Configure() {
     ++configuration_version_;
     RecordFault("configure " + std::to_string(configuration_version_));
-    site_.Configure(configuration_version_);
+    PublishConfiguration();
   }
   void TakeDataCentreOut() {
     const std::string zone = random_.UniformBelow(2) == 0 ? "dc0" : "dc1";
@@ -267,7 +277,9 @@
         continue;
       }
       const auto id = std::to_string(caller) + "-" + std::to_string(number);
-      if (!SendCall(socket.get(), reader.get(), id, random.UniformBelow(2) == 0)) {
+      const bool is_booking = random.UniformBelow(2) == 0;
+      const auto key = keys_.Draw(&random, MonotonicNow());
+      if (!SendCall(socket.get(), reader.get(), id, is_booking, key)) {
         socket.reset();
       }
       // Refusals return at once; without a pause the callers would occupy all cores and slow down
@@ -284,8 +296,9 @@
 
   // Returns whether the connection can be reused.
   bool SendCall(standins::Socket* socket, standins::HttpReader* reader, const std::string& id,
-                bool is_booking) {
+                bool is_booking, const SoakKeys::Use& key) {
     ++calls_;
+    keys_.RecordUse(id, key);
     if (is_booking) {
       const std::lock_guard<std::mutex> lock(mutex_);
       booking_ids_.insert(id);
@@ -295,6 +308,8 @@
     head.method = is_booking ? "POST" : "GET";
     head.target = target;
     head.fields = {{"Host", "desk"}, {"X-Request-Id", id}, {"X-Deadline-Ms", "1500"}};
+    head.fields.push_back({"Authorization", "Token " + SoakKeys::KeyOf(key)});
+    head.fields.push_back({"x-tenant", "forged"});
     const std::string body = is_booking ? "b" + id : "";
     if (is_booking) {
       head.fields.push_back({"Content-Length", std::to_string(body.size())});
@@ -316,6 +331,13 @@
         content->compare(0, expected_prefix.size(), expected_prefix) != 0) {
       RecordViolation("response of another request for " + id + ": " + *content);
     }
+    if (response->status == 401) {
+      if (key.kind == SoakKeys::Kind::kPermanent) {
+        RecordViolation("a valid key was refused for " + id);
+      }
+      const std::lock_guard<std::mutex> lock(mutex_);
+      not_executed_.push_back(id);
+    }
     if (is_booking &&
         (response->status == 503 || response->status == 421 || response->status == 429)) {
       const std::lock_guard<std::mutex> lock(mutex_);
@@ -390,6 +412,13 @@
     }
   }
 
+  void CheckCallers() {
+    for (const auto& violation :
+         keys_.FindViolations(site_.SendCommand("/callers"), site_.SendCommand("/ledger"))) {
+      RecordViolation(violation);
+    }
+  }
+
   Random random_;
   const Duration time_;
   const Faults faults_;
@@ -398,6 +427,7 @@
   std::multimap<Instant, std::function<void()>> pending_undos_;
   std::map<int, bool> is_down_;
   int configuration_version_ = 1;
+  SoakKeys keys_;
   int final_booking_number_ = 0;
   std::atomic<bool> is_stopping_{false};
   std::atomic<std::uint64_t> calls_{0};
