--- a/include/primroseweir/fleet/fleet_message.h
+++ b/include/primroseweir/fleet/fleet_message.h
@@ -1,9 +1,11 @@
 #ifndef PRIMROSEWEIR_FLEET_FLEET_MESSAGE_H_
 #define PRIMROSEWEIR_FLEET_FLEET_MESSAGE_H_
 
+#include <optional>
 #include <string>
 #include <vector>
 
+#include "primroseweir/customers/customer_usage.h"
 #include "primroseweir/fleet/fleet_heartbeat.h"
 #include "primroseweir/fleet/fleet_member.h"
 #include "primroseweir/fleet/peer_load_report.h"
@@ -27,6 +29,8 @@
   bool requests_readers = false;
   // Encoded PublishedSnapshot of the newest change if that is small, else empty.
   std::string change;
+  // Calls of customers with quotas at the sender; absent if it has none.
+  std::optional<UsageReport> usage;
 };
 
 }  // namespace primroseweir
--- a/src/fleet/fleet_codec.cc
+++ b/src/fleet/fleet_codec.cc
@@ -7,7 +7,10 @@
 #include <chrono>
 #include <exception>
 #include <msgpack.hpp>
+#include <optional>
+#include <string>
 #include <tuple>
+#include <utility>
 #include <vector>
 
 #include "primroseweir/base/error.h"
@@ -29,6 +32,16 @@
                std::vector<StrikeTuple>, bool, std::string, std::vector<std::uint64_t>, bool,
                std::vector<std::uint32_t>>;
 
+// Optional element after those of MessageTuple, which instances of earlier versions ignore: whether
+// the sender is active, its customers packed by PackUsage, and addresses of active instances.
+using UsageTuple = std::tuple<bool, std::string, std::vector<std::uint32_t>>;
+constexpr std::uint32_t kUsageIndex = std::tuple_size<MessageTuple>::value;
+// Bytes of one customer: hash, admitted calls and recently admitted calls.
+constexpr std::size_t kCustomerBytes = 10;
+// Bounds on what a message is trusted with. A sender stays below FleetQuota's limits.
+constexpr std::size_t kMaxCustomers = 1024;
+constexpr std::size_t kMaxActivePeers = 256;
+
 constexpr unsigned kAddressShift = 32;
 constexpr unsigned kDigestShift = 16;
 
@@ -42,6 +55,58 @@
           static_cast<std::uint16_t>(packed >> kDigestShift), static_cast<std::uint16_t>(packed)};
 }
 
+void AppendNumber(std::uint32_t number, std::size_t bytes, std::string* text) {
+  for (std::size_t i = 0; i < bytes; ++i) {
+    text->push_back(static_cast<char>(number >> (8 * i) & 0xffU));
+  }
+}
+
+std::uint32_t NumberAt(std::string_view text, std::size_t start, std::size_t bytes) {
+  std::uint32_t number = 0;
+  for (std::size_t i = 0; i < bytes; ++i) {
+    number |= static_cast<std::uint32_t>(static_cast<unsigned char>(text[start + i])) << (8 * i);
+  }
+  return number;
+}
+
+std::string PackUsage(const std::vector<CustomerUsage>& customers) {
+  std::string text;
+  text.reserve(customers.size() * kCustomerBytes);
+  for (const auto& customer : customers) {
+    AppendNumber(customer.customer, 4, &text);
+    AppendNumber(customer.admitted, 4, &text);
+    AppendNumber(customer.recently_admitted, 2, &text);
+  }
+  return text;
+}
+
+// Reads the optional element of a message; nothing if it is absent or of another layout, which a
+// later version may have.
+std::optional<UsageReport> ReadUsage(const msgpack::object& message) {
+  if (message.via.array.size <= kUsageIndex) {
+    return std::nullopt;
+  }
+  UsageTuple tuple;
+  try {
+    tuple = message.via.array.ptr[kUsageIndex].as<UsageTuple>();
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+  auto& [is_active, packed, active_peers] = tuple;
+  if (packed.size() % kCustomerBytes != 0 || packed.size() > kMaxCustomers * kCustomerBytes ||
+      active_peers.size() > kMaxActivePeers) {
+    return std::nullopt;
+  }
+  UsageReport usage;
+  usage.is_active = is_active;
+  usage.active_peers = std::move(active_peers);
+  for (std::size_t start = 0; start < packed.size(); start += kCustomerBytes) {
+    usage.customers.push_back({NumberAt(packed, start, 4), NumberAt(packed, start + 4, 4),
+                               static_cast<std::uint16_t>(NumberAt(packed, start + 8, 2))});
+  }
+  return usage;
+}
+
 MessageTuple ToTuple(const FleetMessage& message) {
   MessageTuple result;
   auto& [format, members, upstream_loads, strikes, requests_readers, change, heartbeats, forwarded,
@@ -113,7 +178,13 @@
 
 std::string EncodeFleetMessage(const FleetMessage& message) {
   msgpack::sbuffer buffer;
-  msgpack::pack(buffer, ToTuple(message));
+  if (message.usage) {
+    const UsageTuple usage(message.usage->is_active, PackUsage(message.usage->customers),
+                           message.usage->active_peers);
+    msgpack::pack(buffer, std::tuple_cat(ToTuple(message), std::make_tuple(usage)));
+  } else {
+    msgpack::pack(buffer, ToTuple(message));
+  }
   return {buffer.data(), buffer.size()};
 }
 
@@ -125,7 +196,9 @@
       return MakeError(absl::StatusCode::kInvalidArgument, {"peer message", ""},
                        "unknown message format, or no record of the sender");
     }
-    return FromTuple(tuple);
+    auto message = FromTuple(tuple);
+    message.usage = ReadUsage(handle.get());
+    return message;
   } catch (const std::exception& error) {
     return MakeError(absl::StatusCode::kInvalidArgument, {"peer message", ""}, error.what());
   }
