Refuse calls above the quota of their customer with 429

RoutedCall acquires the quota before placement and returns it when no upstream can have executed the call. FleetService sends the usage every 100 ms, apart from load reports, to the instances that callers use and those that reported usage themselves.

--- a/include/primroseweir/gateway/fleet_service.h
+++ b/include/primroseweir/gateway/fleet_service.h
@@ -135,6 +135,10 @@
 
   void RunGossipRound();
   void SendLoadReport();
+  // Sends the calls of customers with quotas to the instances that may be serving the same
+  // customers, and schedules the next report while there is one.
+  void SendUsageReport();
+  std::vector<std::string> FindUsageTargets(Instant now) const;
   // Schedules a load report after kLoadReportInterval unless one is already scheduled.
   void ScheduleLoadReport();
   void Receive(const std::string& ip, std::string_view datagram);
@@ -181,6 +185,10 @@
   Instant measured_at_;
   bool last_report_had_load_ = false;
   bool load_report_scheduled_ = false;
+  bool usage_report_scheduled_ = false;
+  // Recomputed after each heartbeat, when empty. The next report begins with next_usage_target_.
+  std::vector<std::string> usage_targets_;
+  std::size_t next_usage_target_ = 0;
   Instant started_at_;
   // Time until which only seeds read the store, if a reader is known and if none is.
   Instant reader_grace_end_;
@@ -195,6 +203,7 @@
   std::unique_ptr<SnapshotFetch> snapshot_fetch_;
   Timer heartbeat_timer_;
   Timer load_timer_;
+  Timer usage_timer_;
   Timer catch_up_timer_;
 };
 
--- a/include/primroseweir/gateway/gateway.h
+++ b/include/primroseweir/gateway/gateway.h
@@ -19,6 +19,7 @@
 #include "primroseweir/base/ids.h"
 #include "primroseweir/base/random.h"
 #include "primroseweir/base/time.h"
+#include "primroseweir/customers/fleet_quota.h"
 #include "primroseweir/gateway/call_header_names.h"
 #include "primroseweir/gateway/serving_state.h"
 #include "primroseweir/gateway/upstream_connection_pool.h"
@@ -30,6 +31,7 @@
 
 namespace primroseweir {
 
+struct Customer;
 class EventLoop;
 class GatewayMetrics;
 class LineLog;
@@ -117,6 +119,11 @@
   bool IsOverMemoryLimit() const { return port_.IsOverMemoryLimit(); }
   void CountResponse(const Route& route, Duration latency);
   void CountLocalReply(int status);
+  // Acquires permission for a call of the customer, as FleetQuota::TryAcquire, and records it.
+  FleetQuota::Decision TryAcquireQuota(const Customer& customer, std::uint64_t request,
+                                       Instant now);
+  void RefundQuota(const Customer& customer, Instant now);
+  FleetQuota& quota() { return quota_; }
 
   EventLoop* loop() const { return loop_; }
   const CallHeaderNames& fields() const { return options_.fields; }
@@ -152,6 +159,8 @@
   // Maximum time from a lost connection until the upstream is found to refuse connections, for the
   // crash to be attributed to the request.
   static constexpr Duration kCrashWindow = std::chrono::seconds(2);
+  // A customer's refusals by its quota are logged this often, with their number.
+  static constexpr Duration kQuotaLogInterval = std::chrono::seconds(10);
 
  private:
   struct SuspectedCrash {
@@ -159,6 +168,13 @@
     Instant recorded_at;
   };
 
+  // Refusals of one customer that have not been logged.
+  struct QuotaRefusals {
+    std::uint64_t count = 0;
+    Instant logged_at;
+  };
+
+  void LogQuotaRefusal(const Customer& customer, Duration retry_after, Instant now);
   void Tick();
   void Wake();
   void StartAllWaitingCalls();
@@ -177,6 +193,8 @@
   UpstreamConnectionPool pool_;
   WeightedServicePicker service_picker_;
   CrashGuard crash_guard_;
+  FleetQuota quota_;
+  std::map<CustomerName, QuotaRefusals> quota_refusals_;
   std::map<ServiceName, AdmissionQueue> queues_;
   std::map<ServiceName, WindowedRetryBudget> retry_budgets_;
   std::map<UpstreamId, std::vector<SuspectedCrash>> suspected_crashes_;
--- a/include/primroseweir/gateway/routed_call.h
+++ b/include/primroseweir/gateway/routed_call.h
@@ -117,6 +117,10 @@
   // Returns false if the call has ended with a local reply: its caller has no valid key.
   bool IdentifyCaller(Instant now);
   void SetDeadline(Instant now);
+  // Returns false if the call has ended with a local reply: its customer is over the quota.
+  bool AcquireQuota(Instant now);
+  // Returns the quota of a call that no upstream can have executed.
+  void RefundUnsent();
 
   // ---- placement ----
   static PlacementResult PlacementResultOf(LoadBalancer::PickFailure failure);
@@ -202,6 +206,8 @@
   // Whether a retry by the caller is as likely to succeed at once as later: the last upstream that
   // refused the call reported free slots, or this instance is stopping while others are not.
   bool retry_may_succeed_at_once_ = false;
+  // Whether the call was taken from its customer's quota. Later attempts are not charged again.
+  bool is_quota_charged_ = false;
   bool is_streaming_response_ = false;
   // Time at which a streamed response is aborted.
   Instant stream_deadline_;
--- a/src/gateway/fleet_service.cc
+++ b/src/gateway/fleet_service.cc
@@ -103,6 +103,7 @@
       socket_(loop),
       heartbeat_timer_(loop, [this] { RunGossipRound(); }),
       load_timer_(loop, [this] { SendLoadReport(); }),
+      usage_timer_(loop, [this] { SendUsageReport(); }),
       catch_up_timer_(loop, [this] { CatchUpWithPeers(clock_()); }) {
   gateway_->crash_guard().SetSender([this](const CrashStrike& strike) {
     unsent_strikes_.push_back(strike);
@@ -123,6 +124,8 @@
   if (!status.ok()) {
     return status;
   }
+  gateway_->quota().SetOwnAddress(AddressBits(table_.self().ip));
+  gateway_->quota().SetPeakFleetSize(table_.PeakSize(clock_()));
   is_seed_ = std::find(seeds_.begin(), seeds_.end(), table_.self().ip) != seeds_.end();
   started_at_ = clock_();
   reader_grace_end_ = started_at_ + kReaderGracePeriod;
@@ -189,6 +192,7 @@
   RecordLostPeers(now);
   MeasureLoad(now);
   gateway_->balancer().SetFleetSize(table_.PeakSize(now));
+  gateway_->quota().SetPeakFleetSize(table_.PeakSize(now));
   const auto targets = table_.PickGossipTargets(heartbeat_count_, now);
   std::set<std::string> own_record_only(targets.own_record_only.begin(),
                                         targets.own_record_only.end());
@@ -206,6 +210,7 @@
     SendHeartbeats(ip, table_.HeartbeatsFor(data_centre, now), now);
   }
   caller_subset_.clear();
+  usage_targets_.clear();
   CatchUpWithPeers(now);
 }
 
@@ -280,6 +285,9 @@
 void FleetService::SendLoadReport() {
   const auto now = clock_();
   load_report_scheduled_ = false;
+  if (gateway_->quota().is_reporting() && !std::exchange(usage_report_scheduled_, true)) {
+    usage_timer_.Start(Duration::zero());
+  }
   FleetMessage message;
   for (const auto& [id, upstream] : gateway_->balancer().upstreams()) {
     const auto age = now - upstream->reported_at();
@@ -323,6 +331,49 @@
   }
 }
 
+void FleetService::SendUsageReport() {
+  const auto now = clock_();
+  auto& quota = gateway_->quota();
+  auto usage = quota.UsageToReport(now);
+  usage_report_scheduled_ = usage.has_value();
+  if (!usage) {
+    return;
+  }
+  usage_timer_.Start(FleetQuota::kReportInterval);
+  if (usage_targets_.empty()) {
+    usage_targets_ = FindUsageTargets(now);
+    quota.SetServingInstances(usage_targets_.size() + 1);
+    gateway_->metrics().SetQuotaShare(quota.usable_share(now));
+  }
+  FleetMessage message;
+  message.members = {table_.self()};
+  message.usage = std::move(usage);
+  const auto datagram = EncodeFleetMessage(message);
+  const auto count = std::min(usage_targets_.size(), FleetQuota::kMaxReportTargets);
+  for (std::size_t i = 0; i < count; ++i) {
+    Send(usage_targets_[next_usage_target_++ % usage_targets_.size()], datagram);
+  }
+}
+
+// Callers of any data centre may use the same customer's keys.
+std::vector<std::string> FleetService::FindUsageTargets(Instant now) const {
+  std::set<std::string> targets;
+  for (const auto address : gateway_->quota().ActivePeers(now)) {
+    targets.insert(AddressText(address));
+  }
+  auto fleet = table_.LivePeers(now);
+  fleet.push_back(table_.self());
+  std::set<DataCentre> data_centres;
+  for (const auto& member : fleet) {
+    if (data_centres.insert(member.data_centre).second) {
+      const auto picked = SubsetPicker::Pick(fleet, member.data_centre);
+      targets.insert(picked.begin(), picked.end());
+    }
+  }
+  targets.erase(table_.self().ip);
+  return {targets.begin(), targets.end()};
+}
+
 void FleetService::ScheduleLoadReport() {
   if (!std::exchange(load_report_scheduled_, true)) {
     load_timer_.Start(kLoadReportInterval);
--- a/src/gateway/fleet_service_receiving.cc
+++ b/src/gateway/fleet_service_receiving.cc
@@ -44,6 +44,7 @@
     Send(ip, EncodeFleetMessage(reply));
   }
   for (const auto& member : message->members) {
+    gateway_->quota().RecordRun(AddressBits(member.ip), member.incarnation);
     if (table_.Merge(member, now)) {
       if (member.ip == ip) {
         IntroducePeers(member, now);
@@ -54,7 +55,13 @@
   if (!message->heartbeats.empty()) {
     ReceiveHeartbeats(*message, now);
   }
-  ReceiveLoadReport(ip, message->load, now);
+  if (message->usage) {
+    gateway_->quota().MergeUsage(AddressBits(ip), message->members.front().incarnation,
+                                 *message->usage, now);
+  } else {
+    // A message with usage has no load report, and doesn't mean that the peer has no load.
+    ReceiveLoadReport(ip, message->load, now);
+  }
   if (!message->change.empty()) {
     ReceiveChange(message->members.front(), message->change, now);
   }
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "primroseweir/base/line_log.h"
+#include "primroseweir/customers/customer.h"
 #include "primroseweir/gateway/caller_identity.h"
 #include "primroseweir/gateway/gateway_metrics.h"
 #include "primroseweir/gateway/routed_call.h"
@@ -17,6 +18,7 @@
 namespace {
 
 constexpr int kUnavailable = 503;
+constexpr double kPercent = 100;
 // Value of CallHeaderNames::leaving.
 constexpr char kLeavingValue[] = "1";
 
@@ -32,6 +34,7 @@
       balancer_(options.balancer),
       pool_(loop),
       service_picker_(options.random_seed + 1),
+      quota_(options.random_seed + 2),
       prober_(std::make_unique<UpstreamProber>(this)),
       port_(
           loop, this,
@@ -57,6 +60,7 @@
   if (state_->routes == nullptr) {
     return;
   }
+  quota_.Apply(state_->routes->customers(), now);
   balancer_.Apply(state_->upstreams, state_->data_centres_out, *state_->routes, now);
   std::vector<ServiceName> waiting_services;
   for (const auto& [service, queue] : queues_) {
@@ -167,6 +171,41 @@
 
 void Gateway::CountLocalReply(int status) { metrics_->CountLocalReply(status); }
 
+FleetQuota::Decision Gateway::TryAcquireQuota(const Customer& customer, std::uint64_t request,
+                                              Instant now) {
+  const auto decision = quota_.TryAcquire(customer, request, now);
+  if (customer.has_quota()) {
+    metrics_->CountQuota(customer.name.value(), decision.admitted
+                                                    ? GatewayMetrics::QuotaEvent::kAdmitted
+                                                    : GatewayMetrics::QuotaEvent::kRefused);
+  }
+  if (!decision.admitted) {
+    LogQuotaRefusal(customer, decision.retry_after, now);
+  }
+  return decision;
+}
+
+void Gateway::RefundQuota(const Customer& customer, Instant now) {
+  quota_.Refund(customer, now);
+  metrics_->CountQuota(customer.name.value(), GatewayMetrics::QuotaEvent::kRefunded);
+}
+
+void Gateway::LogQuotaRefusal(const Customer& customer, Duration retry_after, Instant now) {
+  auto& refusals = quota_refusals_[customer.name];
+  ++refusals.count;
+  if (refusals.logged_at != Instant() && now - refusals.logged_at < kQuotaLogInterval) {
+    return;
+  }
+  log_->Write(
+      "quota_refused",
+      {{"customer", customer.name.value()},
+       {"count", std::to_string(refusals.count)},
+       {"retry_after_ms", std::to_string(ToMilliseconds(retry_after))},
+       {"usable_percent", std::to_string(static_cast<int>(quota_.usable_share(now) * kPercent))}},
+      now);
+  refusals = {0, now};
+}
+
 // ---- requests ----
 
 bool Gateway::ShouldStreamBody(const RequestHead& head) {
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -1,6 +1,7 @@
 #include "primroseweir/gateway/gateway_metrics.h"
 
 #include <prometheus/counter.h>
+#include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
@@ -17,6 +18,18 @@
   return kBounds;
 }
 
+const char* NameOf(GatewayMetrics::QuotaEvent event) {
+  switch (event) {
+    case GatewayMetrics::QuotaEvent::kAdmitted:
+      return "admitted";
+    case GatewayMetrics::QuotaEvent::kRefused:
+      return "refused";
+    case GatewayMetrics::QuotaEvent::kRefunded:
+      return "refunded";
+  }
+  return "unknown";
+}
+
 }  // namespace
 
 GatewayMetrics::GatewayMetrics() : registry_(std::make_shared<prometheus::Registry>()) {
@@ -32,6 +45,15 @@
                  .Name("primroseweir_events_total")
                  .Help("Events by name")
                  .Register(*registry_);
+  quota_calls_ = &prometheus::BuildCounter()
+                      .Name("primroseweir_quota_calls_total")
+                      .Help("Calls of customers with quotas, by customer and decision")
+                      .Register(*registry_);
+  quota_share_ = &prometheus::BuildGauge()
+                      .Name("primroseweir_quota_usable_share")
+                      .Help("Share of the quotas that this instance may use")
+                      .Register(*registry_)
+                      .Add({});
 }
 
 GatewayMetrics::~GatewayMetrics() = default;
@@ -60,6 +82,16 @@
   counter->Increment();
 }
 
+void GatewayMetrics::CountQuota(const std::string& customer, QuotaEvent event) {
+  auto& counter = by_quota_event_[{customer, event}];
+  if (counter == nullptr) {
+    counter = &quota_calls_->Add({{"customer", customer}, {"decision", NameOf(event)}});
+  }
+  counter->Increment();
+}
+
+void GatewayMetrics::SetQuotaShare(double share) { quota_share_->Set(share); }
+
 std::string GatewayMetrics::Text() const {
   return prometheus::TextSerializer().Serialize(registry_->Collect());
 }
--- a/src/gateway/routed_call.cc
+++ b/src/gateway/routed_call.cc
@@ -29,6 +29,7 @@
 constexpr int kUnauthorized = 401;
 constexpr int kNotFound = 404;
 constexpr int kMisdirected = 421;
+constexpr int kTooManyRequests = 429;
 constexpr int kFirstServerError = 500;
 constexpr int kBadGateway = 502;
 
@@ -69,6 +70,7 @@
 
 void RoutedCall::Stop() {
   is_probing_ = false;
+  RefundUnsent();
   LeaveQueue();
   deadline_timer_.Cancel();
   wait_timer_.Cancel();
@@ -96,6 +98,9 @@
     Refuse("crashes_upstreams", now);
     return;
   }
+  if (!AcquireQuota(now)) {
+    return;
+  }
   PlaceOrEnqueue(RetryPolicy::Step::kRefuse, now);
 }
 
@@ -123,6 +128,26 @@
   return true;
 }
 
+bool RoutedCall::AcquireQuota(Instant now) {
+  const auto& customer = identity_.customer();
+  if (!customer || !customer->has_quota()) {
+    return true;
+  }
+  const auto decision = gateway_->TryAcquireQuota(*customer, fingerprint_, now);
+  is_quota_charged_ = decision.admitted;
+  if (!decision.admitted) {
+    SendLocalReply(kTooManyRequests, "refused", "over_quota", decision.retry_after, now);
+  }
+  return decision.admitted;
+}
+
+void RoutedCall::RefundUnsent() {
+  if (is_quota_charged_ && !MayHaveExecuted()) {
+    gateway_->RefundQuota(*identity_.customer(), EventLoop::Now());
+  }
+  is_quota_charged_ = false;
+}
+
 void RoutedCall::SetDeadline(Instant now) {
   Duration time_left = kDefaultDeadline;
   if (const auto* deadline_field = head_.fields.Find(gateway_->fields().deadline)) {
