--- a/include/primroseweir/gateway/gateway_metrics.h
+++ b/include/primroseweir/gateway/gateway_metrics.h
@@ -6,12 +6,14 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "primroseweir/base/ids.h"
 #include "primroseweir/base/time.h"
 
 namespace prometheus {
 class Counter;
+class Gauge;
 class Histogram;
 class Registry;
 template <typename T>
@@ -41,6 +43,12 @@
   // Counts an event by name, such as "probe", "repeat" or "store_call".
   void CountEvent(const std::string& event);
 
+  // What became of a call of a customer with a quota. A refunded call was admitted before.
+  enum class QuotaEvent { kAdmitted, kRefused, kRefunded };
+  void CountQuota(const std::string& customer, QuotaEvent event);
+  // Sets the share of the quotas that this instance may use, from 0 to 1.
+  void SetQuotaShare(double share);
+
   // Returns all metrics as text. Linear in their number.
   std::string Text() const;
 
@@ -56,6 +64,9 @@
   std::map<std::string, prometheus::Counter*> by_event_;
   // By the customer's name, then by outcome.
   std::map<std::string, std::map<std::string, prometheus::Counter*, std::less<>>> by_customer_;
+  prometheus::Family<prometheus::Counter>* quota_calls_;
+  prometheus::Gauge* quota_share_;
+  std::map<std::pair<std::string, QuotaEvent>, prometheus::Counter*> by_quota_event_;
 };
 
 }  // namespace primroseweir
--- a/include/primroseweir/gateway/routed_call.h
+++ b/include/primroseweir/gateway/routed_call.h
@@ -133,6 +133,10 @@
   // Ends the call, whose key has been withdrawn: 401, or 502 if it may have been executed.
   void RejectWithdrawnKey(Instant now);
   void SetDeadline(Instant now);
+  // Returns false if the call has ended with a local reply: its customer is over the quota.
+  bool AcquireQuota(Instant now);
+  // Returns the quota of a call that no upstream can have executed.
+  void RefundUnsent();
 
   // ---- placement ----
   static PlacementResult PlacementResultOf(LoadBalancer::PickFailure failure);
@@ -220,6 +224,9 @@
   // Whether a retry by the caller is as likely to succeed at once as later: the last upstream that
   // refused the call reported free slots, or this instance is stopping while others are not.
   bool retry_may_succeed_at_once_ = false;
+  // The customer from whose quota the call was taken, which a later configuration may not have.
+  // Later attempts are not charged again.
+  std::optional<Customer> charged_customer_;
   bool is_streaming_response_ = false;
   // Time at which a streamed response is aborted.
   Instant stream_deadline_;
