Share scarce upstreams among customers by start-time fair queueing

A customer that sends many times its usual load filled the admission queues and the upstreams' slots, since calls waited by priority and arrival alone. Within a priority, calls now wait in the order of what their customers were served, each attempt being charged to its customer. A call with a better claim displaces the last one of a full queue, a new call doesn't overtake a waiting one with a better claim, and no further calls of a customer wait while it has more than 1.5 times its share of the calls in flight. Without customers the order is unchanged.

--- a/include/primroseweir/gateway/gateway_metrics.h
+++ b/include/primroseweir/gateway/gateway_metrics.h
@@ -1,6 +1,7 @@
 #ifndef PRIMROSEWEIR_GATEWAY_GATEWAY_METRICS_H_
 #define PRIMROSEWEIR_GATEWAY_GATEWAY_METRICS_H_
 
+#include <cstddef>
 #include <map>
 #include <memory>
 #include <string>
@@ -28,20 +29,28 @@
   void CountResponse(const std::string& prefix, Duration latency);
   // Counts a call to which the gateway itself responded.
   void CountLocalReply(int status);
+  // Counts a call of a customer that was refused with 503, by reason. Customers beyond the first
+  // kMaxCustomers that were refused are counted together as "other".
+  void CountCustomerRefusal(const std::string& customer, const std::string& reason);
   // Counts an event by name, such as "probe", "repeat" or "store_call".
   void CountEvent(const std::string& event);
 
   // Returns all metrics as text. Linear in their number.
   std::string Text() const;
 
+  static constexpr std::size_t kMaxCustomers = 100;
+
  private:
   std::shared_ptr<prometheus::Registry> registry_;
   prometheus::Family<prometheus::Histogram>* responses_;
   prometheus::Family<prometheus::Counter>* local_replies_;
   prometheus::Family<prometheus::Counter>* events_;
+  prometheus::Family<prometheus::Counter>* customer_refusals_;
   std::map<std::string, prometheus::Histogram*> histograms_;
   std::map<int, prometheus::Counter*> by_status_;
   std::map<std::string, prometheus::Counter*> by_event_;
+  // By customer, then by reason.
+  std::map<std::string, std::map<std::string, prometheus::Counter*>> by_customer_;
 };
 
 }  // namespace primroseweir
--- a/include/primroseweir/gateway/routed_call.h
+++ b/include/primroseweir/gateway/routed_call.h
@@ -120,12 +120,19 @@
 
   // ---- placement ----
   static PlacementResult PlacementResultOf(LoadBalancer::PickFailure failure);
+  // The call's claim to room, as against other calls that wait.
+  AdmissionQueue::Claim MakeClaim() const;
+  // Starts an attempt, after waiting calls with a better claim.
   PlacementResult TryStart(PickScope scope, Instant now);
+  // Starts an attempt if an upstream can be picked, whether or not other calls wait.
+  PlacementResult TryPick(PickScope scope, Instant now);
   // Sends the call to an upstream, waits for probes, queues the call, or ends it: refused if
   // `step_without_retry` is kRefuse, failed with 502 otherwise.
   void PlaceOrEnqueue(RetryPolicy::Step step_without_retry, Instant now);
   bool TryEnqueue(Instant now);
   void OnWaitTimeout();
+  // Refuses the waiting call, since a call with a better claim needs its place.
+  void OnDisplaced(Instant now);
   // Starts an attempt outside of the usual scope: in another data centre for a download or upload,
   // or, if only slow upstreams have room, at one of those.
   bool TryLastResort(Instant now);
@@ -202,6 +209,9 @@
   // Whether a retry by the caller is as likely to succeed at once as later: the last upstream that
   // refused the call reported free slots, or this instance is stopping while others are not.
   bool retry_may_succeed_at_once_ = false;
+  // Whether the call was not queued since its customer has more than its share of the calls in
+  // flight.
+  bool is_above_share_ = false;
   bool is_streaming_response_ = false;
   // Time at which a streamed response is aborted.
   Instant stream_deadline_;
--- a/include/primroseweir/gateway/upstream_attempt.h
+++ b/include/primroseweir/gateway/upstream_attempt.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <string>
 
+#include "primroseweir/balance/admission_queue.h"
 #include "primroseweir/balance/balanced_upstream.h"
 #include "primroseweir/base/time.h"
 #include "primroseweir/gateway/connection_reuse.h"
@@ -26,6 +27,10 @@
     EventLoop* loop = nullptr;
     LoadBalancer* balancer = nullptr;
     UpstreamConnectionPool* pool = nullptr;
+    // The queue that counts the attempt as the customer's, and by which claim. Null without
+    // customers. Outlives the attempt.
+    AdmissionQueue* queue = nullptr;
+    AdmissionQueue::Claim claim;
   };
 
   // Takes a connection from the pool and starts to connect if it is a new one. `call` outlives the
--- a/src/customers/customer_table.cc
+++ b/src/customers/customer_table.cc
@@ -1,5 +1,6 @@
 #include "primroseweir/customers/customer_table.h"
 
+#include <cmath>
 #include <unordered_set>
 #include <utility>
 
@@ -14,6 +15,19 @@
                    "customer " + customer.value() + ": " + reason);
 }
 
+void SetWeights(std::vector<Customer>* customers) {
+  double sum = 0;
+  double count = 0;
+  for (const auto& customer : *customers) {
+    sum += customer.has_quota() ? std::sqrt(customer.rate) : 0;
+    count += customer.has_quota() ? 1 : 0;
+  }
+  const double mean = count > 0 ? sum / count : 1;
+  for (auto& customer : *customers) {
+    customer.weight = customer.has_quota() ? std::sqrt(customer.rate) : mean;
+  }
+}
+
 }  // namespace
 
 absl::StatusOr<std::shared_ptr<const CustomerTable>> CustomerTable::Create(
@@ -39,6 +53,7 @@
     entry.customer.hash = StableHash(name.value());
     table->customers_.push_back(std::move(entry.customer));
   }
+  SetWeights(&table->customers_);
   return std::shared_ptr<const CustomerTable>(std::move(table));
 }
 
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -32,6 +32,10 @@
                  .Name("primroseweir_events_total")
                  .Help("Events by name")
                  .Register(*registry_);
+  customer_refusals_ = &prometheus::BuildCounter()
+                            .Name("primroseweir_customer_refusals_total")
+                            .Help("Calls refused with 503, by customer and reason")
+                            .Register(*registry_);
 }
 
 GatewayMetrics::~GatewayMetrics() = default;
@@ -52,6 +56,17 @@
   counter->Increment();
 }
 
+void GatewayMetrics::CountCustomerRefusal(const std::string& customer, const std::string& reason) {
+  const bool is_counted_alone =
+      by_customer_.count(customer) != 0 || by_customer_.size() < kMaxCustomers;
+  const std::string label = is_counted_alone ? customer : "other";
+  auto& counter = by_customer_[label][reason];
+  if (counter == nullptr) {
+    counter = &customer_refusals_->Add({{"customer", label}, {"reason", reason}});
+  }
+  counter->Increment();
+}
+
 void GatewayMetrics::CountEvent(const std::string& event) {
   auto& counter = by_event_[event];
   if (counter == nullptr) {
--- a/src/gateway/routed_call_placement.cc
+++ b/src/gateway/routed_call_placement.cc
@@ -8,6 +8,7 @@
 #include "primroseweir/balance/windowed_retry_budget.h"
 #include "primroseweir/gateway/call_header_names.h"
 #include "primroseweir/gateway/gateway.h"
+#include "primroseweir/gateway/gateway_metrics.h"
 #include "primroseweir/gateway/routed_call.h"
 #include "primroseweir/gateway/upstream_attempt.h"
 #include "primroseweir/gateway/upstream_prober.h"
@@ -40,7 +41,32 @@
   }
 }
 
+AdmissionQueue::Claim RoutedCall::MakeClaim() const {
+  AdmissionQueue::Claim claim;
+  claim.priority = priority();
+  if (routes_->customers() != nullptr) {
+    // Callers of public routes without a key share one place.
+    const auto& customer = identity_.customer();
+    claim.customer = customer ? customer->hash : 0;
+    claim.weight = customer ? customer->weight : 1;
+  }
+  return claim;
+}
+
 RoutedCall::PlacementResult RoutedCall::TryStart(PickScope scope, Instant now) {
+  // A call that arrives when a slot frees must not overtake waiting calls with a better claim.
+  // Without room for the first of them, this call may still use an upstream that the first one
+  // can't use.
+  if (routes_->customers() != nullptr) {
+    const auto& queue = gateway_->queue(service_);
+    if (!queue.empty() && queue.CountAhead(MakeClaim()) > 0) {
+      gateway_->StartWaitingCalls(service_, now);
+    }
+  }
+  return TryPick(scope, now);
+}
+
+RoutedCall::PlacementResult RoutedCall::TryPick(PickScope scope, Instant now) {
   LoadBalancer::PickArgs args;
   args.service = service_;
   args.kind = route_->kind;
@@ -104,7 +130,8 @@
   if (may_wait && TryLastResort(now)) {
     return;
   }
-  const char* reason = may_wait                                    ? "no_room"
+  const char* reason = may_wait && is_above_share_                 ? "above_share"
+                       : may_wait                                  ? "no_room"
                        : placement == PlacementResult::kNoUpstream ? "no_upstream"
                                                                    : "no_retry_budget";
   if (step_without_retry == RetryPolicy::Step::kRefuse) {
@@ -122,13 +149,18 @@
       std::min(AdmissionQueue::MaxWait(route_->latency_objective, latency_estimate),
                deadline_ - now - latency_estimate) -
       (now - received_at_);
+  const auto claim = MakeClaim();
   const auto expected_wait =
-      gateway_->balancer().ExpectedWait(service_, queue.CountAhead(priority()), now);
+      gateway_->balancer().ExpectedWait(service_, queue.CountAhead(claim), now);
   if (max_wait <= Duration::zero() || expected_wait > max_wait) {
     return false;
   }
-  ticket_ = queue.Add(priority(), [this](Instant time) {
-    const auto placement = TryStart(PickScope::kInTime, time);
+  if (!queue.MayWait(claim)) {
+    is_above_share_ = true;
+    return false;
+  }
+  const auto start = [this](Instant time) {
+    const auto placement = TryPick(PickScope::kInTime, time);
     if (placement == PlacementResult::kNoRoom || placement == PlacementResult::kOnlySlowRoom) {
       return false;
     }
@@ -139,12 +171,32 @@
                          : RefuseUnplaced("no_upstream", time);
     }
     return true;
-  });
+  };
+  AdmissionQueue::RefuseFunction refuse;
+  if (!may_have_executed_) {
+    refuse = [this](Instant time) { OnDisplaced(time); };
+  }
+  ticket_ = queue.Add(claim, start, std::move(refuse), now + max_wait, now);
   wait_timer_.Start(max_wait);
+  if (claim.customer) {
+    gateway_->metrics().CountEvent("customer_call_waits");
+  }
+  if (claim.customer && queue.size() > 1) {
+    // A call that this one has pushed back too far is refused at once instead of at the end of its
+    // wait.
+    queue.DisplaceLast(*ticket_, gateway_->balancer().ExpectedWait(service_, queue.size() - 1, now),
+                       now);
+  }
   gateway_->ProbeForRoom(service_, now);
   return true;
 }
 
+void RoutedCall::OnDisplaced(Instant now) {
+  ticket_.reset();
+  wait_timer_.Cancel();
+  RefuseUnplaced("displaced", now);
+}
+
 void RoutedCall::OnWaitTimeout() {
   const auto now = EventLoop::Now();
   LeaveQueue();
@@ -173,8 +225,14 @@
 void RoutedCall::StartAttempt(std::shared_ptr<BalancedUpstream> upstream, Instant now) {
   const bool at_most_once = !IsIdempotent(route_->kind);
   tried_upstreams_.push_back(upstream->record().id);
-  UpstreamAttempt::Dependencies dependencies{gateway_->loop(), &gateway_->balancer(),
-                                             &gateway_->pool()};
+  UpstreamAttempt::Dependencies dependencies;
+  dependencies.loop = gateway_->loop();
+  dependencies.balancer = &gateway_->balancer();
+  dependencies.pool = &gateway_->pool();
+  if (routes_->customers() != nullptr) {
+    dependencies.queue = &gateway_->queue(service_);
+    dependencies.claim = MakeClaim();
+  }
   const auto reuse = request_id_.empty() ? ConnectionReuse::kNone
                      : at_most_once      ? ConnectionReuse::kRecentlyUsed
                                          : ConnectionReuse::kAny;
--- a/src/gateway/routed_call_responses.cc
+++ b/src/gateway/routed_call_responses.cc
@@ -7,6 +7,7 @@
 #include "primroseweir/base/random.h"
 #include "primroseweir/gateway/call_header_names.h"
 #include "primroseweir/gateway/gateway.h"
+#include "primroseweir/gateway/gateway_metrics.h"
 #include "primroseweir/gateway/routed_call.h"
 #include "primroseweir/gateway/serving_state.h"
 #include "primroseweir/gateway/upstream_attempt.h"
@@ -154,6 +155,18 @@
   head.fields.Add("Content-Type", "text/plain");
   LogCompletion(status, outcome, reason, now);
   gateway_->CountLocalReply(status);
+  if (status == kUnavailable && identity_.customer()) {
+    gateway_->metrics().CountCustomerRefusal(identity_.customer()->name.value(),
+                                             std::string(reason));
+    gateway_->log().WriteCall("customer_refused",
+                              {{"request", request_id_},
+                               {"customer", identity_.customer()->name.value()},
+                               {"priority", std::to_string(priority())},
+                               {"service", service_.value()},
+                               {"reason", reason},
+                               {"sends", std::to_string(attempts_sent_)}},
+                              now);
+  }
   auto* caller = caller_;
   const std::string body(reason);
   gateway_->Release(this);
--- a/src/gateway/upstream_attempt.cc
+++ b/src/gateway/upstream_attempt.cc
@@ -23,6 +23,9 @@
       connect_timer_(dependencies.loop, [this] { OnFailure(Failure::kConnect); }),
       overdue_timer_(dependencies.loop, [this] { OnOverdue(); }) {
   dependencies_.balancer->RecordStart(upstream_.get(), now);
+  if (dependencies_.queue != nullptr) {
+    dependencies_.queue->RecordAttempt(dependencies_.claim, now);
+  }
   stream_ = dependencies_.pool->Acquire(upstream_, reuse, now);
   if (!stream_->is_connected()) {
     connect_timer_.Start(kConnectTimeout);
@@ -56,6 +59,9 @@
   if (!std::exchange(is_finished_, true)) {
     overdue_timer_.Cancel();
     dependencies_.balancer->RecordEnd(upstream_.get(), outcome, started_at_, occupancy_, now);
+    if (dependencies_.queue != nullptr) {
+      dependencies_.queue->RecordEnd(dependencies_.claim);
+    }
   }
 }
 
--- a/tests/customers/customer_table_test.cc
+++ b/tests/customers/customer_table_test.cc
@@ -28,6 +28,22 @@
   CHECK((*table)->FindByKey("") == nullptr);
 }
 
+// Guards against customers without a quota that get no share, or all of it, beside those with one.
+TEST_CASE("a customer's share grows with the root of its rate", "[customers]") {
+  std::vector<CustomerTable::Entry> entries = {MakeEntry("a", {"key-1"}), MakeEntry("b", {"key-2"}),
+                                               MakeEntry("c", {"key-3"})};
+  entries[0].customer.rate = 100;
+  entries[1].customer.rate = 4;
+  const auto table = CustomerTable::Create(std::move(entries));
+  REQUIRE(table.ok());
+  CHECK((*table)->customers()[0].weight == Approx(10));
+  CHECK((*table)->customers()[1].weight == Approx(2));
+  CHECK((*table)->customers()[2].weight == Approx(6));
+  const auto without_quotas = CustomerTable::Create({MakeEntry("a", {"key-1"})});
+  REQUIRE(without_quotas.ok());
+  CHECK((*without_quotas)->customers()[0].weight == 1);
+}
+
 // Guards against a configuration in which a call could be charged to either of two customers, and
 // against a key in the reason, which is logged.
 TEST_CASE("a key of two customers is rejected without naming the key", "[customers]") {
--- /dev/null
+++ b/tests/gateway/customer_fairness_test.cc
@@ -0,0 +1,116 @@
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "gateway_fixture.h"
+
+namespace primroseweir::testing {
+namespace {
+
+// An upstream with one slot, and two customers.
+class FairnessFixture : public GatewayFixture {
+ public:
+  explicit FairnessFixture(Duration work = std::chrono::milliseconds(100)) {
+    upstream = &AddUpstream(
+        [this, work](const Request& r) {
+          order += r.head.fields.Get("X-Customer");
+          return Reply{FormatResponse(r, 200, "ok"), {}, work};
+        },
+        "here", 1);
+    std::vector<CustomerTable::Entry> entries(2);
+    entries[0].customer.name = CustomerName("a");
+    entries[0].keys = {"key-a"};
+    entries[1].customer.name = CustomerName("b");
+    entries[1].keys = {"key-b"};
+    customers = *CustomerTable::Create(std::move(entries));
+    latency_objective = std::chrono::seconds(4);
+    Apply(CallKind::kNonIdempotent);
+  }
+
+  // Sends a call and waits until the gateway has it.
+  LoopCaller* Send(const std::string& customer) {
+    const auto received = gateway().calls_received();
+    callers.push_back(StartCallWith("Authorization: Token key-" + customer + "\r\n"));
+    RunUntil(&loop(), [&] { return gateway().calls_received() > received; });
+    return callers.back().get();
+  }
+  void RunUntilEnd(LoopCaller* caller) {
+    RunUntil(&loop(), [&] { return caller->status() != 0 || caller->ended(); });
+  }
+
+  LoopServer* upstream = nullptr;
+  // The customers of the calls that the upstream got.
+  std::string order;
+  std::vector<std::unique_ptr<LoopCaller>> callers;
+};
+
+// Load: a busy customer fills the queue of a service, then another one sends a call. Guards against
+// a call that is refused, or waits for all others, because of a busy customer.
+TEST_CASE("a full queue of a busy customer doesn't keep others out", "[gateway]") {
+  FairnessFixture fixture(std::chrono::milliseconds(300));
+  std::vector<LoopCaller*> busy;
+  do {
+    busy.push_back(fixture.Send("a"));
+    REQUIRE(busy.size() < 100);
+    // The refusal, if any, arrives before the response to the first call.
+    RunUntil(&fixture.loop(), [&] {
+      return busy.back()->status() != 0 || fixture.gateway().calls() == busy.size();
+    });
+  } while (busy.back()->status() == 0);
+  CHECK(busy.back()->status() == 503);
+  busy.pop_back();
+  REQUIRE(busy.size() > 2);
+  auto* quiet = fixture.Send("b");
+  // The last call of the busy customer is refused in its place, before any other call has ended.
+  fixture.RunUntilEnd(busy.back());
+  CHECK(busy.back()->status() == 503);
+  CHECK(Contains(busy.back()->received(), "displaced"));
+  CHECK(Contains(busy.back()->received(), "Retry-After"));
+  CHECK(quiet->status() == 0);
+  fixture.RunUntilEnd(quiet);
+  CHECK(quiet->status() == 200);
+  CHECK(fixture.order.substr(0, 2) == "ab");
+}
+
+// Load: a busy customer always has a further call when a slot frees. Guards against a new call that
+// gets the slot although a call of another customer waits.
+TEST_CASE("a new call doesn't overtake a waiting one when a slot frees", "[gateway]") {
+  FairnessFixture fixture;
+  fixture.Send("a");
+  fixture.Send("a");
+  auto* quiet = fixture.Send("b");
+  while (quiet->status() == 0 && !quiet->ended()) {
+    REQUIRE(fixture.callers.size() < 100);
+    const auto served = fixture.order.size();
+    fixture.Send("a");
+    RunUntil(&fixture.loop(), [&] {
+      return quiet->status() != 0 || quiet->ended() || fixture.order.size() > served;
+    });
+  }
+  CHECK(quiet->status() == 200);
+  CHECK(fixture.order.substr(0, 2) == "ab");
+}
+
+// Load: as above, in a configuration without customers. Guards against an order that changes for
+// operators who configure no customers.
+TEST_CASE("without customers calls are served by arrival", "[gateway]") {
+  FairnessFixture fixture;
+  fixture.customers = nullptr;
+  fixture.order.clear();
+  fixture.Apply(CallKind::kNonIdempotent);
+  for (const char name : std::string("aaab")) {
+    fixture.callers.push_back(fixture.StartCallWith(std::string("X-Customer: ") + name + "\r\n"));
+    const auto count = fixture.callers.size();
+    RunUntil(&fixture.loop(), [&] { return fixture.gateway().calls_received() >= count; });
+  }
+  for (const auto& caller : fixture.callers) {
+    fixture.RunUntilEnd(caller.get());
+    CHECK(caller->status() == 200);
+  }
+  CHECK(fixture.order == "aaab");
+}
+
+}  // namespace
+}  // namespace primroseweir::testing
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -87,7 +87,7 @@
     route.targets = {{ServiceName("s"), 1}};
     route.kind = kind;
     route.timeout = timeout;
-    route.latency_objective = std::chrono::milliseconds(400);
+    route.latency_objective = latency_objective;
     route.max_attempts = 2;
     route.is_public = is_public;
     auto state = std::make_shared<ServingState>();
@@ -134,6 +134,7 @@
   Gateway& gateway() { return *gateway_; }
 
   Duration timeout = std::chrono::seconds(2);
+  Duration latency_objective = std::chrono::milliseconds(400);
   CallerLimits limits;
   // Null for a configuration without customers.
   std::shared_ptr<const CustomerTable> customers;
