Make the weights of customers relative to their mean, and bound them

A customer without a quota, or a caller of a public route, had a weight that depended on the unit of the others' rates. A customer with a very small rate would have waited for thousands of calls of others after each of its own.

--- a/include/primroseweir/customers/customer.h
+++ b/include/primroseweir/customers/customer.h
@@ -20,8 +20,8 @@
   double rate = 0;
   double burst = 0;
   // Share of scarce upstreams relative to that of other customers: the root of the rate, since
-  // shares in proportion to the rate starve small customers (docs/design/fairness.md). Without a
-  // rate, the mean weight of the customers with one. Set by CustomerTable::Create.
+  // shares in proportion to the rate starve small customers (docs/design/fairness.md). The mean is
+  // 1, which is also that of a customer without a rate. Set by CustomerTable::Create.
   double weight = 1;
 
   bool has_quota() const { return rate > 0; }
--- a/src/customers/customer_table.cc
+++ b/src/customers/customer_table.cc
@@ -1,5 +1,6 @@
 #include "primroseweir/customers/customer_table.h"
 
+#include <algorithm>
 #include <cmath>
 #include <unordered_set>
 #include <utility>
@@ -15,6 +16,11 @@
                    "customer " + customer.value() + ": " + reason);
 }
 
+// Bounds of the weights. A customer with a very small rate would otherwise wait for thousands of
+// calls of others after each of its own.
+constexpr double kMinWeight = 0.1;
+constexpr double kMaxWeight = 10;
+
 void SetWeights(std::vector<Customer>* customers) {
   double sum = 0;
   double count = 0;
@@ -22,9 +28,10 @@
     sum += customer.has_quota() ? std::sqrt(customer.rate) : 0;
     count += customer.has_quota() ? 1 : 0;
   }
-  const double mean = count > 0 ? sum / count : 1;
   for (auto& customer : *customers) {
-    customer.weight = customer.has_quota() ? std::sqrt(customer.rate) : mean;
+    customer.weight = customer.has_quota() ? std::clamp(std::sqrt(customer.rate) * count / sum,
+                                                        kMinWeight, kMaxWeight)
+                                           : 1;
   }
 }
 
