--- a/include/primroseweir/gateway/gateway_metrics.h
+++ b/include/primroseweir/gateway/gateway_metrics.h
@@ -1,6 +1,7 @@
 #ifndef PRIMROSEWEIR_GATEWAY_GATEWAY_METRICS_H_
 #define PRIMROSEWEIR_GATEWAY_GATEWAY_METRICS_H_
 
+#include <cstddef>
 #include <functional>
 #include <map>
 #include <memory>
@@ -40,6 +41,9 @@
   // Removes the counters of customers that the table does not contain, so that their number stays
   // bounded. `customers` is null if the configuration has none.
   void KeepCustomers(const CustomerTable* customers);
+  // Counts a call of a customer that was refused with 503, by reason. Customers beyond the first
+  // kMaxCustomers that were refused are counted together as "other".
+  void CountCustomerRefusal(const std::string& customer, const std::string& reason);
   // Counts an event by name, such as "probe", "repeat" or "store_call".
   void CountEvent(const std::string& event);
 
@@ -52,6 +56,8 @@
   // Returns all metrics as text. Linear in their number.
   std::string Text() const;
 
+  static constexpr std::size_t kMaxCustomers = 100;
+
  private:
   std::shared_ptr<prometheus::Registry> registry_;
   prometheus::Family<prometheus::Histogram>* responses_;
@@ -67,6 +73,9 @@
   prometheus::Family<prometheus::Counter>* quota_calls_;
   prometheus::Gauge* quota_share_;
   std::map<std::pair<std::string, QuotaEvent>, prometheus::Counter*> by_quota_event_;
+  prometheus::Family<prometheus::Counter>* customer_refusals_;
+  // By customer, then by reason.
+  std::map<std::string, std::map<std::string, prometheus::Counter*>> by_refused_customer_;
 };
 
 }  // namespace primroseweir
--- a/src/customers/customer_table.cc
+++ b/src/customers/customer_table.cc
@@ -1,6 +1,7 @@
 #include "primroseweir/customers/customer_table.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "primroseweir/base/error.h"
@@ -14,6 +15,25 @@
                    "customer " + customer.value() + ": " + reason);
 }
 
+// Bounds of the weights. A customer with a very small rate would otherwise wait for thousands of
+// calls of others after each of its own.
+constexpr double kMinWeight = 0.1;
+constexpr double kMaxWeight = 10;
+
+void SetWeights(std::vector<Customer>* customers) {
+  double sum = 0;
+  double count = 0;
+  for (const auto& customer : *customers) {
+    sum += customer.has_quota() ? std::sqrt(customer.rate) : 0;
+    count += customer.has_quota() ? 1 : 0;
+  }
+  for (auto& customer : *customers) {
+    customer.weight = customer.has_quota() ? std::clamp(std::sqrt(customer.rate) * count / sum,
+                                                        kMinWeight, kMaxWeight)
+                                           : 1;
+  }
+}
+
 }  // namespace
 
 absl::StatusOr<std::shared_ptr<const CustomerTable>> CustomerTable::Create(
@@ -39,6 +59,7 @@
     entry.customer.hash = StableHash(name.value());
     table->customers_.push_back(std::move(entry.customer));
   }
+  SetWeights(&table->customers_);
   return std::shared_ptr<const CustomerTable>(std::move(table));
 }
 
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -56,6 +56,10 @@
                       .Help("Share of the quotas that this instance may use")
                       .Register(*registry_)
                       .Add({});
+  customer_refusals_ = &prometheus::BuildCounter()
+                            .Name("primroseweir_customer_refusals_total")
+                            .Help("Calls refused with 503, by customer and reason")
+                            .Register(*registry_);
 }
 
 GatewayMetrics::~GatewayMetrics() = default;
@@ -106,6 +110,17 @@
   }
 }
 
+void GatewayMetrics::CountCustomerRefusal(const std::string& customer, const std::string& reason) {
+  const bool is_counted_alone =
+      by_refused_customer_.count(customer) != 0 || by_refused_customer_.size() < kMaxCustomers;
+  const std::string label = is_counted_alone ? customer : "other";
+  auto& counter = by_refused_customer_[label][reason];
+  if (counter == nullptr) {
+    counter = &customer_refusals_->Add({{"customer", label}, {"reason", reason}});
+  }
+  counter->Increment();
+}
+
 void GatewayMetrics::CountEvent(const std::string& event) {
   auto& counter = by_event_[event];
   if (counter == nullptr) {
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -77,6 +77,7 @@
     record.data_centre = DataCentre(data_centre);
     record.address = address;
     record.slots = slots;
+    record.warm_up_left = warm_up_left;
     upstreams_.push_back(record);
   }
 
@@ -87,7 +88,7 @@
     route.targets = {{ServiceName("s"), 1}};
     route.kind = kind;
     route.timeout = timeout;
-    route.latency_objective = std::chrono::milliseconds(400);
+    route.latency_objective = latency_objective;
     route.max_attempts = 2;
     route.is_public = is_public;
     std::vector<Route> routes = {route};
@@ -151,12 +152,15 @@
   Gateway& gateway() { return *gateway_; }
 
   Duration timeout = std::chrono::seconds(2);
+  Duration latency_objective = std::chrono::milliseconds(400);
   CallerLimits limits;
   // Null for a configuration without customers.
   std::shared_ptr<const CustomerTable> customers;
   bool is_public = false;
   // Further routes to the same service, and whether each is public.
   std::map<std::string, bool> nested_prefixes;
+  // Of the upstreams that are added from now on.
+  Duration warm_up_left{};
   ServiceSettings service_settings;
 
  private:
