Test that a queued call behind others is refused at once

The test with one queued call also passed without the check in Gateway::Apply, since the queue offers room to its first call at each change.

--- a/tests/gateway/withdrawn_key_test.cc
+++ b/tests/gateway/withdrawn_key_test.cc
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "key_fixture.h"
 
@@ -14,20 +15,32 @@
 constexpr char kKeyA[] = "Authorization: Token key-a\r\n";
 constexpr char kKeyB[] = "Authorization: Token key-b\r\n";
 
-// Guards against a call that waits in the admission queue and is sent with a withdrawn key, and
-// against a caller that has to wait for the refusal.
-TEST_CASE("a queued call whose key is withdrawn gets 401 at once", "[gateway][config-in-force]") {
-  KeyFixture fixture(milliseconds(100), 1);
-  const auto first = fixture.StartCallWith(kKeyB);
-  fixture.WaitForRequests(1);
-  const auto second = fixture.StartCallWith(kKeyA);
-  RunUntil(&fixture.loop(), [&] { return fixture.gateway().calls() == 2; });
+// Guards against calls that wait in the admission queue and are sent with a withdrawn key, and
+// against callers that wait for the refusal until the calls before them have started.
+TEST_CASE("queued calls whose key is withdrawn get 401 at once", "[gateway][config-in-force]") {
+  constexpr std::size_t kSlots = 4;
+  KeyFixture fixture(milliseconds(100), kSlots);
+  std::vector<std::unique_ptr<LoopCaller>> callers;
+  const auto start_call = [&](const char* key) {
+    callers.push_back(fixture.StartCallWith(key));
+    RunUntil(&fixture.loop(), [&] { return fixture.gateway().calls() == callers.size(); });
+    return callers.back().get();
+  };
+  for (std::size_t i = 0; i < kSlots; ++i) {
+    start_call(kKeyB);
+  }
+  fixture.WaitForRequests(kSlots);
+  const auto* first_in_queue = start_call(kKeyB);
+  const auto* second_in_queue = start_call(kKeyA);
   fixture.ApplyCustomers({{"b", "key-b"}});
-  CHECK(fixture.StatusOf(*second) == 401);
-  CHECK(first->status() == 0);
-  CHECK(fixture.StatusOf(*first) == 200);
-  CHECK(fixture.upstream->requests().size() == 1);
+  CHECK(fixture.StatusOf(*second_in_queue) == 401);
+  CHECK(callers[0]->status() == 0);
+  CHECK(fixture.StatusOf(*first_in_queue) == 200);
   CHECK(Contains(fixture.LogText(), "reason=key_withdrawn"));
+  REQUIRE(fixture.upstream->requests().size() == kSlots + 1);
+  for (const auto& request : fixture.upstream->requests()) {
+    CHECK(request.head.fields.Get("X-Customer") == "b");
+  }
 }
 
 // Guards against a queued call that reaches an upstream under a name that its key no longer has, or
--- a/tests/platform/soak_keys.h
+++ b/tests/platform/soak_keys.h
@@ -98,7 +98,7 @@
         violations.push_back("an upstream received the key of " + request);
       }
       if (customer != NameOf(use.customer)) {
-        violations.push_back("an upstream received the name " + customer + " with " + request);
+        violations.push_back("an upstream received the name of another customer with " + request);
       }
       if (use.kind == Kind::kUnknown) {
         violations.push_back("an upstream received " + request + ", whose key is unknown");
