--- a/include/primroseweir/gateway/gateway_metrics.h
+++ b/include/primroseweir/gateway/gateway_metrics.h
@@ -55,7 +55,8 @@
   std::map<int, prometheus::Counter*> by_status_;
   std::map<std::string, prometheus::Counter*> by_event_;
   // By the customer's name, then by outcome.
-  std::map<std::string, std::map<std::string, prometheus::Counter*, std::less<>>> by_customer_;
+  std::map<std::string, std::map<std::string, prometheus::Counter*, std::less<>>>
+      customer_call_counters_;
 };
 
 }  // namespace primroseweir
--- a/src/gateway/caller_identity.cc
+++ b/src/gateway/caller_identity.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "primroseweir/customers/customer_table.h"
 #include "primroseweir/gateway/call_header_names.h"
@@ -29,11 +30,15 @@
   return key == std::string_view::npos ? std::string_view() : text.substr(key);
 }
 
-// Returns `name` with dashes in place of underscores.
-std::string WithDashes(std::string_view name) {
-  std::string result(name);
-  std::replace(result.begin(), result.end(), '_', '-');
-  return result;
+// Whether the names are equal but for case and underscores in place of dashes.
+bool IsSpelledLike(std::string_view name, std::string_view other) {
+  return name.size() == other.size() &&
+         std::equal(name.begin(), name.end(), other.begin(), [](char a, char b) {
+           const auto with_dash = [](char c) { return c == '_' ? '-' : c; };
+           const char x = with_dash(a);
+           const char y = with_dash(b);
+           return EqualsIgnoreCase({&x, 1}, {&y, 1});
+         });
 }
 
 }  // namespace
@@ -62,15 +67,19 @@
   if (!has_customers_) {
     return;
   }
-  auto* all = fields->mutable_all();
-  const auto customer_field = WithDashes(names.customer);
-  all->erase(std::remove_if(all->begin(), all->end(),
-                            [&](const HeaderFields::Field& field) {
-                              return EqualsIgnoreCase(field.first, kKeyField) ||
-                                     (field.first.size() == customer_field.size() &&
-                                      EqualsIgnoreCase(WithDashes(field.first), customer_field));
-                            }),
-             all->end());
+  std::vector<std::string> spellings;
+  for (const auto& field : fields->all()) {
+    const bool is_new = std::none_of(
+        spellings.begin(), spellings.end(),
+        [&field](const auto& spelling) { return EqualsIgnoreCase(spelling, field.first); });
+    if (IsSpelledLike(field.first, names.customer) && is_new) {
+      spellings.emplace_back(field.first);
+    }
+  }
+  for (const auto& spelling : spellings) {
+    fields->Remove(spelling);
+  }
+  fields->Remove(kKeyField);
   if (customer_) {
     fields->Add(names.customer, customer_->name.value());
   }
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -61,7 +61,7 @@
                            .Help("Calls of each customer, by outcome")
                            .Register(*registry_);
   }
-  auto& by_outcome = by_customer_[customer.value()];
+  auto& by_outcome = customer_call_counters_[customer.value()];
   auto found = by_outcome.find(outcome);
   if (found == by_outcome.end()) {
     const std::string name(outcome);
@@ -72,7 +72,7 @@
 }
 
 void GatewayMetrics::KeepCustomers(const CustomerTable* customers) {
-  for (auto it = by_customer_.begin(); it != by_customer_.end();) {
+  for (auto it = customer_call_counters_.begin(); it != customer_call_counters_.end();) {
     if (customers != nullptr && customers->FindByName(it->first) != nullptr) {
       ++it;
       continue;
@@ -80,7 +80,7 @@
     for (const auto& [outcome, counter] : it->second) {
       customer_calls_->Remove(counter);
     }
-    it = by_customer_.erase(it);
+    it = customer_call_counters_.erase(it);
   }
 }
 
