--- a/include/primroseweir/gateway/gateway_metrics.h
+++ b/include/primroseweir/gateway/gateway_metrics.h
@@ -69,7 +69,8 @@
   std::map<int, prometheus::Counter*> by_status_;
   std::map<std::string, prometheus::Counter*> by_event_;
   // By the customer's name, then by outcome.
-  std::map<std::string, std::map<std::string, prometheus::Counter*, std::less<>>> by_customer_;
+  std::map<std::string, std::map<std::string, prometheus::Counter*, std::less<>>>
+      customer_call_counters_;
   prometheus::Family<prometheus::Counter>* quota_calls_;
   prometheus::Gauge* quota_share_;
   std::map<std::pair<std::string, QuotaEvent>, prometheus::Counter*> by_quota_event_;
