Test the quota at the gateway, and expect fewer instances to begin with a customer at once

An instance that hears all others refused the first calls of a customer with many active instances, since it took all of them to begin at the same moment.

--- a/src/customers/fleet_quota.cc
+++ b/src/customers/fleet_quota.cc
@@ -319,8 +319,7 @@
     const double all = std::max(serving, static_cast<double>(peak_fleet_size_));
     return std::cbrt(serving * all * all);
   }
-  // Until the others had time to report, any active instance may have calls of the customer.
-  if (now - state->first_asked_at < unconfirmed_period_ || IsSettling(now)) {
+  if (IsSettling(now)) {
     return active_instances_;
   }
   if (now - state->contenders_counted_at >= kSlotLength) {
@@ -335,7 +334,11 @@
     state->contenders_counted_at = now;
   }
   // As many of the silent instances may have such calls as of those that are heard.
-  return std::min(state->contenders / heard_share_, active_instances_);
+  const double contenders = std::min(state->contenders / heard_share_, active_instances_);
+  // Until the others had time to report, several active instances may have begun at this moment.
+  const bool is_first = now - state->first_asked_at < unconfirmed_period_;
+  return is_first ? std::max(contenders, std::cbrt(active_instances_ * active_instances_))
+                  : contenders;
 }
 
 double FleetQuota::usable_share(Instant now) {
--- a/tests/gateway/fleet_service_test.cc
+++ b/tests/gateway/fleet_service_test.cc
@@ -89,6 +89,7 @@
   EventLoop& loop() { return gateway_.loop(); }
   const std::string& ip() const { return ip_; }
   FleetService& service() { return *service_; }
+  GatewayFixture& gateway_fixture() { return gateway_; }
 
   std::uint32_t link_kilobytes_per_second = 125000;
   std::vector<std::string> seeds;
@@ -207,5 +208,48 @@
   CHECK(fixture.WaitUntil([&] { return server.ended() > 0; }));
 }
 
+// Guards against instances that each serve a whole quota because they don't learn of each other's
+// calls.
+TEST_CASE("instances report the calls of customers with quotas to each other", "[fleet]") {
+  ServiceFixture fixture;
+  auto& gateway = fixture.gateway_fixture();
+  gateway.AddUpstream([](const Request& r) { return Reply{FormatResponse(r, 200, "ok"), {}, {}}; });
+  CustomerTable::Entry entry;
+  entry.customer.name = CustomerName("a");
+  entry.customer.rate = 10;
+  entry.customer.burst = 10;
+  entry.keys = {"key-a"};
+  gateway.customers = *CustomerTable::Create({entry});
+  gateway.Apply(CallKind::kIdempotent);
+  const auto id = static_cast<std::uint32_t>(gateway.customers->customers()[0].hash);
+  fixture.Start();
+  auto& peer = fixture.AddPeer("there");
+  const auto call = [&] {
+    const auto caller = gateway.StartCallWith("Authorization: Token key-a\r\n");
+    RunUntil(&gateway.loop(), [&] { return caller->status() != 0 || caller->ended(); });
+    return caller->status();
+  };
+  FleetMessage message;
+  message.usage.emplace();
+  message.usage->customers = {{id, 100, 0}};
+  peer.Send(fixture.ip(), message);
+  REQUIRE(fixture.WaitUntil([&] { return fixture.service().has_received_from_peer(); }));
+  // The bucket of a new instance is empty at first.
+  REQUIRE(fixture.WaitUntil([&] {
+    peer.Send(fixture.ip(), message);
+    return call() == 200;
+  }));
+  CHECK(fixture.WaitUntil([&] {
+    return HasMessage(peer, [&](const auto& m) {
+      return m.usage && !m.usage->customers.empty() && m.usage->customers[0].customer == id &&
+             m.usage->customers[0].recently_admitted > 0;
+    });
+  }));
+  // The peer uses up the bucket.
+  message.usage->customers[0].admitted += 60;
+  peer.Send(fixture.ip(), message);
+  CHECK(fixture.WaitUntil([&] { return call() == 429; }, std::chrono::seconds(1)));
+}
+
 }  // namespace
 }  // namespace primroseweir::testing
