Let instances that callers are told to use serve a quota sooner after their start

An instance that SubsetPicker names now expects only the others that it names. A refusal before the instance knows the others gives the time by which it does.

--- a/include/primroseweir/customers/fleet_quota.h
+++ b/include/primroseweir/customers/fleet_quota.h
@@ -48,9 +48,11 @@
   void Apply(const CustomerTable* customers, Instant now);
   // Sets the highest number of instances that may be running, at least 1.
   void SetPeakFleetSize(std::size_t instances) { peak_fleet_size_ = instances; }
-  // Sets the number of live instances that callers use, this one included.
-  void SetServingInstances(std::size_t instances) {
+  // Sets the number of live instances that callers are told to use, and whether this is one of
+  // them. Others only have calls of callers that know old addresses.
+  void SetServingInstances(std::size_t instances, bool includes_self) {
     serving_instances_ = static_cast<double>(instances);
+    is_serving_ = includes_self;
   }
 
   // Acquires permission for one call. A customer without a quota is always admitted. `request`
@@ -215,6 +217,7 @@
   std::map<std::uint32_t, Peer> peers_;
   std::size_t peak_fleet_size_ = 1;
   double serving_instances_ = 1;
+  bool is_serving_ = false;
   std::optional<Instant> started_at_;
   // Since when this instance has had calls of customers with quotas without a long pause.
   Instant active_since_;
--- a/include/primroseweir/gateway/fleet_service.h
+++ b/include/primroseweir/gateway/fleet_service.h
@@ -128,6 +128,9 @@
   // Maximum size of a change that is included in its notification, so that peers need not fetch it.
   // It is bounded since a notification is sent to a whole data centre over one link.
   static constexpr std::size_t kMaxInlineChangeBytes = 4000;
+  // Time after the start by which an instance has heard of enough others to tell whether callers
+  // are told to use it.
+  static constexpr Duration kServingKnownTime = std::chrono::milliseconds(300);
   static constexpr char kSnapshotPath[] = "/published";
 
  private:
@@ -138,7 +141,8 @@
   // Sends the calls of customers with quotas to the instances that may be serving the same
   // customers, and schedules the next report while there is one.
   void SendUsageReport();
-  std::vector<std::string> FindUsageTargets(Instant now) const;
+  // Recomputes usage_targets_ if the configuration has customers. O(n log n).
+  void RefreshUsageTargets(Instant now);
   // Schedules a load report after kLoadReportInterval unless one is already scheduled.
   void ScheduleLoadReport();
   void Receive(const std::string& ip, std::string_view datagram);
--- a/src/customers/fleet_quota.cc
+++ b/src/customers/fleet_quota.cc
@@ -141,6 +141,13 @@
 Duration FleetQuota::GiveTurn(State* state, std::uint64_t request, double contenders,
                               Instant now) const {
   const double rate = std::max(state->limits.rate * share_ / contenders, kMinRate);
+  if (IsSettling(now) || IsNewlyActive(now)) {
+    // The share grows once the others are known, which is soon compared to a turn at this share.
+    const auto start = IsSettling(now) ? *started_at_ + kMinSettleTime : active_since_;
+    const auto known_at = std::max(now, start + ActivationTime());
+    return std::min<Duration>(known_at - now + FromSeconds(1 / std::max(state->limits.rate, 1.0)),
+                              kMaxRetryAfter);
+  }
   const double missing = std::max(0.0, 1 - state->level) / rate;
   double wait = std::max(missing, 1 / rate);
   if (!state->turns.empty()) {
@@ -286,9 +293,11 @@
     ++it;
   }
   const bool settling = IsSettling(now);
-  const double instances =
-      settling ? std::max(static_cast<double>(peak_fleet_size_), static_cast<double>(known))
-               : static_cast<double>(known);
+  double instances = static_cast<double>(known);
+  if (settling) {
+    instances = std::max(instances,
+                         is_serving_ ? serving_instances_ : static_cast<double>(peak_fleet_size_));
+  }
   const double heard_share = static_cast<double>(settling ? 1 : heard) / instances;
   const double share = std::min(1.0, kDividedFleetShare * heard_share);
   const bool first = refreshed_at_ == Instant();
@@ -317,7 +326,7 @@
   if (IsNewlyActive(now)) {
     const double serving = std::max(active_instances_, serving_instances_);
     const double all = std::max(serving, static_cast<double>(peak_fleet_size_));
-    return std::cbrt(serving * all * all);
+    return is_serving_ ? serving : std::cbrt(serving * all * all);
   }
   if (IsSettling(now)) {
     return active_instances_;
--- a/src/gateway/fleet_service.cc
+++ b/src/gateway/fleet_service.cc
@@ -17,6 +17,7 @@
 #include "primroseweir/loop/http_client_stream.h"
 #include "primroseweir/published/published_cache.h"
 #include "primroseweir/published/published_snapshot.h"
+#include "primroseweir/routes/route_table.h"
 
 namespace primroseweir {
 namespace {
@@ -109,7 +110,13 @@
     unsent_strikes_.push_back(strike);
     ScheduleLoadReport();
   });
-  gateway_->SetWakeListener([this] { ScheduleLoadReport(); });
+  gateway_->SetWakeListener([this] {
+    ScheduleLoadReport();
+    const auto now = clock_();
+    if (usage_targets_.empty() && now - started_at_ > kServingKnownTime) {
+      RefreshUsageTargets(now);
+    }
+  });
 }
 
 FleetService::~FleetService() {
@@ -341,8 +348,7 @@
   }
   usage_timer_.Start(FleetQuota::kReportInterval);
   if (usage_targets_.empty()) {
-    usage_targets_ = FindUsageTargets(now);
-    quota.SetServingInstances(usage_targets_.size() + 1);
+    RefreshUsageTargets(now);
     gateway_->metrics().SetQuotaShare(quota.usable_share(now));
   }
   FleetMessage message;
@@ -356,22 +362,28 @@
 }
 
 // Callers of any data centre may use the same customer's keys.
-std::vector<std::string> FleetService::FindUsageTargets(Instant now) const {
-  std::set<std::string> targets;
-  for (const auto address : gateway_->quota().ActivePeers(now)) {
-    targets.insert(AddressText(address));
+void FleetService::RefreshUsageTargets(Instant now) {
+  const auto& routes = gateway_->state().routes;
+  if (routes == nullptr || routes->customers() == nullptr) {
+    return;
   }
   auto fleet = table_.LivePeers(now);
   fleet.push_back(table_.self());
   std::set<DataCentre> data_centres;
+  std::set<std::string> targets;
   for (const auto& member : fleet) {
     if (data_centres.insert(member.data_centre).second) {
       const auto picked = SubsetPicker::Pick(fleet, member.data_centre);
       targets.insert(picked.begin(), picked.end());
     }
   }
+  const bool is_serving = targets.count(table_.self().ip) > 0;
+  gateway_->quota().SetServingInstances(targets.size(), is_serving);
+  for (const auto address : gateway_->quota().ActivePeers(now)) {
+    targets.insert(AddressText(address));
+  }
   targets.erase(table_.self().ip);
-  return {targets.begin(), targets.end()};
+  usage_targets_.assign(targets.begin(), targets.end());
 }
 
 void FleetService::ScheduleLoadReport() {
--- a/tests/customers/quota_fleet.h
+++ b/tests/customers/quota_fleet.h
@@ -53,7 +53,7 @@
     instance.is_running = true;
     instance.quota->SetOwnAddress(AddressOf(i));
     instance.quota->SetPeakFleetSize(instances_.size());
-    instance.quota->SetServingInstances(std::min(kSubset, instances_.size()));
+    instance.quota->SetServingInstances(std::min(kSubset, instances_.size()), i < kSubset);
     instance.quota->Apply(table_.get(), now_);
   }
   void Stop(std::size_t i) { instances_[i].is_running = false; }
@@ -90,7 +90,7 @@
       // Instances report at different times of the interval.
       if (instance.is_running && !instance.is_frozen && (ticks_ + i) % kTicksPerReport == 0) {
         instance.quota->SetPeakFleetSize(instances_.size());
-        instance.quota->SetServingInstances(std::min(kSubset, instances_.size()));
+        instance.quota->SetServingInstances(std::min(kSubset, instances_.size()), i < kSubset);
         Report(i);
       }
     }
