--- a/src/customers/fleet_quota.cc
+++ b/src/customers/fleet_quota.cc
@@ -141,6 +141,13 @@
 Duration FleetQuota::GiveTurn(State* state, std::uint64_t request, double contenders,
                               Instant now) const {
   const double rate = std::max(state->limits.rate * share_ / contenders, kMinRate);
+  if (IsSettling(now) || IsNewlyActive(now)) {
+    // The share grows once the others are known, which is soon compared to a turn at this share.
+    const auto start = IsSettling(now) ? *started_at_ + kMinSettleTime : active_since_;
+    const auto known_at = std::max(now, start + ActivationTime());
+    return std::min<Duration>(known_at - now + FromSeconds(1 / std::max(state->limits.rate, 1.0)),
+                              kMaxRetryAfter);
+  }
   const double missing = std::max(0.0, 1 - state->level) / rate;
   double wait = std::max(missing, 1 / rate);
   if (!state->turns.empty()) {
@@ -286,9 +293,11 @@
     ++it;
   }
   const bool settling = IsSettling(now);
-  const double instances =
-      settling ? std::max(static_cast<double>(peak_fleet_size_), static_cast<double>(known))
-               : static_cast<double>(known);
+  double instances = static_cast<double>(known);
+  if (settling) {
+    instances = std::max(instances,
+                         is_serving_ ? serving_instances_ : static_cast<double>(peak_fleet_size_));
+  }
   const double heard_share = static_cast<double>(settling ? 1 : heard) / instances;
   const double share = std::min(1.0, kDividedFleetShare * heard_share);
   const bool first = refreshed_at_ == Instant();
@@ -317,10 +326,9 @@
   if (IsNewlyActive(now)) {
     const double serving = std::max(active_instances_, serving_instances_);
     const double all = std::max(serving, static_cast<double>(peak_fleet_size_));
-    return std::cbrt(serving * all * all);
+    return is_serving_ ? serving : std::cbrt(serving * all * all);
   }
-  // Until the others had time to report, any active instance may have calls of the customer.
-  if (now - state->first_asked_at < unconfirmed_period_ || IsSettling(now)) {
+  if (IsSettling(now)) {
     return active_instances_;
   }
   if (now - state->contenders_counted_at >= kSlotLength) {
@@ -335,7 +343,11 @@
     state->contenders_counted_at = now;
   }
   // As many of the silent instances may have such calls as of those that are heard.
-  return std::min(state->contenders / heard_share_, active_instances_);
+  const double contenders = std::min(state->contenders / heard_share_, active_instances_);
+  // Until the others had time to report, several active instances may have begun at this moment.
+  const bool is_first = now - state->first_asked_at < unconfirmed_period_;
+  return is_first ? std::max(contenders, std::cbrt(active_instances_ * active_instances_))
+                  : contenders;
 }
 
 double FleetQuota::usable_share(Instant now) {
