--- a/include/primroseweir/gateway/routed_call.h
+++ b/include/primroseweir/gateway/routed_call.h
@@ -209,8 +209,8 @@
   // Whether a retry by the caller is as likely to succeed at once as later: the last upstream that
   // refused the call reported free slots, or this instance is stopping while others are not.
   bool retry_may_succeed_at_once_ = false;
-  // Whether the call was not queued since its customer has more than its share of the calls in
-  // flight.
+  // Whether the customer had more than its share of the calls in flight when the call was last to
+  // be queued.
   bool is_above_share_ = false;
   bool is_streaming_response_ = false;
   // Time at which a streamed response is aborted.
--- a/src/gateway/routed_call_placement.cc
+++ b/src/gateway/routed_call_placement.cc
@@ -152,11 +152,8 @@
   const auto claim = MakeClaim();
   const auto expected_wait =
       gateway_->balancer().ExpectedWait(service_, queue.CountAhead(claim), now);
-  if (max_wait <= Duration::zero() || expected_wait > max_wait) {
-    return false;
-  }
-  if (!queue.MayWait(claim)) {
-    is_above_share_ = true;
+  is_above_share_ = !queue.MayWait(claim);
+  if (max_wait <= Duration::zero() || expected_wait > max_wait || is_above_share_) {
     return false;
   }
   const auto start = [this](Instant time) {
--- a/tests/balance/fairness_table_test.cc
+++ b/tests/balance/fairness_table_test.cc
@@ -1,5 +1,8 @@
 #include <catch2/catch.hpp>
+#include <chrono>
+#include <cstdint>
 #include <cstdio>
+#include <ctime>
 #include <string>
 #include <utility>
 #include <vector>
@@ -53,5 +56,31 @@
   }
 }
 
+// Prints the processor time of what a call adds for its customer: looking for calls ahead, one
+// attempt and its end, with 79 customers of which a few have calls waiting.
+TEST_CASE("processor time of the customers' shares", "[.table]") {
+  AdmissionQueue queue;
+  const auto claim_of = [](std::uint64_t customer) {
+    return AdmissionQueue::Claim{1, customer * 0x9e3779b97f4a7c15U, 1.0 + customer % 7};
+  };
+  Instant now;
+  for (std::uint64_t customer = 0; customer < 5; ++customer) {
+    queue.Add(
+        claim_of(customer), [](Instant) { return false; }, nullptr, now, now);
+  }
+  constexpr int kCalls = 1000000;
+  std::size_t ahead = 0;
+  const auto started = std::clock();
+  for (int i = 0; i < kCalls; ++i) {
+    const auto claim = claim_of(static_cast<std::uint64_t>(i) % 79);
+    ahead += queue.CountAhead(claim) + (queue.MayWait(claim) ? 1 : 0);
+    queue.RecordAttempt(claim, now);
+    queue.RecordEnd(claim);
+    now += std::chrono::microseconds(100);
+  }
+  const double seconds = static_cast<double>(std::clock() - started) / CLOCKS_PER_SEC;
+  std::printf("%.0f ns a call (%zu)\n", seconds / kCalls * 1e9, ahead / kCalls);
+}
+
 }  // namespace
 }  // namespace primroseweir::testing
