--- a/tests/balance/fairness_table_test.cc
+++ b/tests/balance/fairness_table_test.cc
@@ -61,7 +61,8 @@
 TEST_CASE("processor time of the customers' shares", "[.table]") {
   AdmissionQueue queue;
   const auto claim_of = [](std::uint64_t customer) {
-    return AdmissionQueue::Claim{1, customer * 0x9e3779b97f4a7c15U, 1.0 + customer % 7};
+    return AdmissionQueue::Claim{1, customer * 0x9e3779b97f4a7c15U,
+                                 1 + static_cast<double>(customer % 7)};
   };
   Instant now;
   for (std::uint64_t customer = 0; customer < 5; ++customer) {
