--- a/include/primroseweir/gateway/routed_call.h
+++ b/include/primroseweir/gateway/routed_call.h
@@ -234,8 +234,8 @@
   // The customer from whose quota the call was taken, which a later configuration may not have.
   // Later attempts are not charged again.
   std::optional<Customer> charged_customer_;
-  // Whether the call was not queued since its customer has more than its share of the calls in
-  // flight.
+  // Whether the customer had more than its share of the calls in flight when the call was last to
+  // be queued.
   bool is_above_share_ = false;
   bool is_streaming_response_ = false;
   // Time at which a streamed response is aborted.
