--- a/tests/platform/platform_site.h
+++ b/tests/platform/platform_site.h
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "support/child_process.h"
@@ -24,8 +25,10 @@
   static constexpr Duration kCallTimeout = std::chrono::seconds(15);
   static constexpr int kStorePort = 7000;
 
-  // Instances connect to the store at `store_port`, where a test may listen with a relay.
-  explicit PlatformSite(int instances, int store_port = kStorePort) : store_port_(store_port) {
+  // Instances connect to the store at `store_port`, where a test may listen with a relay. `limits`
+  // are those of each instance's machine in its settings; without members, none are stated.
+  explicit PlatformSite(int instances, int store_port = kStorePort, Json limits = Json::object())
+      : store_port_(store_port), limits_(std::move(limits)) {
     const char* temporary = std::getenv("TMPDIR");
     folder_ = std::string(temporary == nullptr ? "/tmp" : temporary) + "/primroseweir-site-XXXXXX";
     if (mkdtemp(folder_.data()) == nullptr) {
@@ -210,11 +213,13 @@
               {"directory", at(8003)}}},
             {"portRange", {7540, 7555}},
             {"seeds", {network_.Host(10, 8002).ToString()}},
+            {"limits", limits_},
             {"contractBounds", {{"graceS", 3}, {"ttl_max_s", 5}, {"drainMs", 2000}}},
             {"platform", {{"address", network_.Host(1, store_port_).ToString()}}}};
   }
 
   const int store_port_;
+  const Json limits_;
   Network network_;
   std::string folder_;
   std::unique_ptr<ChildProcess> platform_;
