--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -50,16 +50,16 @@
       target_compile_definitions(${module}_test PRIVATE PRIMROSEWEIR_BUILD_FOLDER="${PROJECT_BINARY_DIR}")
       add_dependencies(${module}_test primroseweir-platform standin-platform)
     endif()
-    if(module STREQUAL crowds)
+    if(module MATCHES "crowds$")
       # One entry for each test case. They measure the memory of a process under load, so nothing else
       # runs beside them.
       foreach(source IN LISTS sources)
-        file(STRINGS ${source} lines REGEX "\\[crowd-[a-z-]+\\]")
+        file(STRINGS ${source} lines REGEX "\\[(entry-)?crowd-[a-z-]+\\]")
         foreach(line IN LISTS lines)
-          string(REGEX MATCH "crowd-[a-z-]+" tag "${line}")
-          add_test(NAME crowds.${tag} COMMAND ${module}_test "[${tag}]"
+          string(REGEX MATCH "(entry-)?crowd-[a-z-]+" tag "${line}")
+          add_test(NAME ${module}.${tag} COMMAND ${module}_test "[${tag}]"
                    WORKING_DIRECTORY ${PROJECT_SOURCE_DIR})
-          set_tests_properties(crowds.${tag} PROPERTIES TIMEOUT 120 RUN_SERIAL TRUE)
+          set_tests_properties(${module}.${tag} PROPERTIES TIMEOUT 120 RUN_SERIAL TRUE)
         endforeach()
       endforeach()
       continue()
