Close the connection that waits longest when an entry instance has no room

Change: the limit follows the process's descriptors. Above it, the connection whose caller has taken longest to send or to read is closed. While all are being served, a new one gets 503 as before. The test of the limit kept idle connections open and now holds both requests in service, which is the case that still gets 503; a new test covers idle ones.

--- a/include/primroseweir/http/server_connection.h
+++ b/include/primroseweir/http/server_connection.h
@@ -14,6 +14,7 @@
 #include "primroseweir/http/request_head.h"
 #include "primroseweir/http/response_head.h"
 #include "primroseweir/http/socket_stream.h"
+#include "primroseweir/http/wait_hooks.h"
 
 namespace primroseweir {
 
@@ -31,6 +32,11 @@
                    const std::atomic<bool>* server_stopping = nullptr);
   ~ServerConnection();
 
+  // Sets the hooks for waits within a request: for more of its body, counted from the arrival of
+  // its head, and for the caller to read, counted from the last byte that it accepted. A body whose
+  // wait ended with a closed connection counts as incomplete.
+  void SetWaitHooks(const WaitHooks& hooks);
+
   // ---- request ----
 
   // Waits until the next request's first byte or the end of the input is readable. Returns false
@@ -80,9 +86,14 @@
 
  private:
   void SendContinueIfExpected();
+  // Returns Unavailable if the connection was closed while it waited for more of a body.
+  absl::Status EndBodyWait();
 
   std::unique_ptr<detail::MessageStream> stream_;
   const std::atomic<bool>* const server_stopping_;
+  WaitHooks wait_hooks_;
+  Instant head_read_at_;
+  bool is_waiting_for_body_ = false;
   bool should_close_ = false;
   bool is_aborted_ = false;
   bool has_response_begun_ = false;
--- a/include/primroseweir/http/socket_stream.h
+++ b/include/primroseweir/http/socket_stream.h
@@ -10,9 +10,11 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "primroseweir/base/socket_address.h"
 #include "primroseweir/base/time.h"
+#include "primroseweir/http/wait_hooks.h"
 
 namespace cxxtools::net {
 class TcpSocket;
@@ -44,6 +46,9 @@
   // `idle_timeout` or `deadline` passes while it accepts none.
   absl::Status Write(std::string_view data, Instant deadline, Duration idle_timeout);
 
+  // Sets the hooks that Write calls around each wait for the peer.
+  void SetWriteWaitHooks(WaitHooks hooks) { write_wait_hooks_ = std::move(hooks); }
+
   // Blocks until the socket is readable.
   absl::Status WaitReadable(Instant deadline) const;
 
@@ -83,6 +88,7 @@
   std::unique_ptr<cxxtools::net::TcpSocket> socket_;
   int descriptor_ = -1;
   int watched_descriptor_ = -1;
+  WaitHooks write_wait_hooks_;
   bool stop_on_input_ = false;
   bool was_reset_ = false;
   std::uint64_t bytes_sent_ = 0;
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -4,11 +4,16 @@
 #include <cxxtools/net/tcpsocket.h>
 #include <pthread.h>
 #include <sys/eventfd.h>
+#include <sys/resource.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <atomic>
+#include <cerrno>
 #include <chrono>
 #include <condition_variable>
+#include <cstdint>
 #include <exception>
 #include <mutex>
 #include <optional>
@@ -18,6 +23,7 @@
 #include "primroseweir/base/random.h"
 #include "primroseweir/http/request_handler.h"
 #include "primroseweir/http/server_connection.h"
+#include "primroseweir/http/waiting_connections.h"
 
 namespace primroseweir {
 namespace {
@@ -26,10 +32,25 @@
 constexpr auto kAcceptRetryDelay = std::chrono::milliseconds(5);
 // Time for the first request on a connection that was accepted just before StopAccepting.
 constexpr auto kFirstRequestTimeout = std::chrono::seconds(1);
+// Descriptors of the process for everything else than this server's callers and their upstreams.
+constexpr std::size_t kReservedDescriptors = 200;
+// A connection needs a second descriptor while its request is at an upstream.
+constexpr std::size_t kDescriptorsPerConnection = 2;
+constexpr std::size_t kMinConnections = 16;
 constexpr int kMaxPortAttempts = 200;
 constexpr std::uint64_t kMinRandomPort = 20'000;
 constexpr std::uint64_t kRandomPortCount = 40'000;
 
+// Returns how many connections the process has descriptors for.
+std::size_t ConnectionsForDescriptors() {
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur == RLIM_INFINITY) {
+    return SIZE_MAX;
+  }
+  const auto available = std::max<std::size_t>(limit.rlim_cur, kReservedDescriptors);
+  return std::max((available - kReservedDescriptors) / kDescriptorsPerConnection, kMinConnections);
+}
+
 using ServerSocket = std::unique_ptr<cxxtools::net::TcpServer>;
 
 absl::StatusOr<ServerSocket> Bind(const SocketAddress& address) {
@@ -124,17 +145,23 @@
         return;
       } catch (const std::exception&) {
         // Out of descriptors, or the connection was aborted; the listening socket remains usable.
+        if (errno == EMFILE || errno == ENFILE) {
+          waiting_.CloseLongestWaiting();
+        }
         std::this_thread::sleep_for(kAcceptRetryDelay);
       }
     }
   }
 
-  // Starts the thread of a connection. Up to kMaxOverflowConnections connections above the limit
-  // get a thread too, which sends a response; further ones are closed at once.
+  // Starts the thread of a connection. Above the limit, the connection whose caller has taken
+  // longest is closed to make room. If all of them are being served, up to kMaxOverflowConnections
+  // connections above the limit get a thread too, which sends a response; further ones are closed
+  // at once.
   void StartConnectionThread(std::unique_ptr<cxxtools::net::TcpSocket> socket) {
     const auto open_connections = connections_.fetch_add(1) + 1;
-    const bool is_overflow = open_connections > options_.max_connections;
-    if (open_connections > options_.max_connections + kMaxOverflowConnections) {
+    const auto max_connections = std::min(options_.max_connections, ConnectionsForDescriptors());
+    const bool is_overflow = open_connections > max_connections && !waiting_.CloseLongestWaiting();
+    if (open_connections > max_connections + kMaxOverflowConnections) {
       ReleaseConnection();
       return;
     }
@@ -159,18 +186,26 @@
   }
 
   void Serve(std::unique_ptr<cxxtools::net::TcpSocket> socket, bool is_overflow) {
+    const int descriptor = socket->getFd();
+    const auto id = waiting_.Add([descriptor] { shutdown(descriptor, SHUT_RDWR); });
     ServerConnection connection(std::make_unique<SocketStream>(std::move(socket)), options_.limits,
                                 &is_stopping_);
+    connection.SetWaitHooks({[this, id](Instant since) { waiting_.StartWaiting(id, since); },
+                             [this, id] { return waiting_.StopWaiting(id); }});
     if (is_overflow) {
       connection.set_close_after_response();
       handler_->HandleOverflow(&connection);
     } else {
       bool is_first = true;
-      while (ServeRequest(&connection, is_first)) {
+      while (ServeRequest(&connection, id, is_first)) {
         is_first = false;
       }
     }
+    // A caller that does not read its last response, or keeps sending, may be closed too.
+    waiting_.StartWaiting(id, MonotonicNow());
     connection.Linger();
+    // The descriptor may be used again as soon as the connection is destroyed.
+    waiting_.Remove(id);
   }
 
   // Returns whether a request can be read. After StopAccepting, a request that has arrived is still
@@ -183,11 +218,16 @@
     return is_stopping_.load() && connection->socket()->WaitReadable(MonotonicNow() + timeout).ok();
   }
 
-  bool ServeRequest(ServerConnection* connection, bool is_first) {
+  bool ServeRequest(ServerConnection* connection, WaitingConnections::Id id, bool is_first) {
+    waiting_.StartWaiting(id, MonotonicNow());
     if (!WaitForNextRequest(connection, is_first)) {
+      waiting_.StopWaiting(id);
       return false;
     }
     auto status = connection->ReadHead();
+    if (!waiting_.StopWaiting(id)) {
+      return false;
+    }
     if (!status.ok()) {
       RespondToFault(connection, status);
       return false;
@@ -221,6 +261,7 @@
   std::atomic<bool> should_stop_accepting_{false};
   std::atomic<bool> is_stopping_{false};
   std::atomic<std::size_t> connections_{0};
+  WaitingConnections waiting_;
   std::mutex connections_mutex_;
   std::condition_variable connection_released_;
 };
--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -28,6 +28,11 @@
 
 ServerConnection::~ServerConnection() = default;
 
+void ServerConnection::SetWaitHooks(const WaitHooks& hooks) {
+  wait_hooks_ = hooks;
+  socket()->SetWriteWaitHooks(hooks);
+}
+
 // ---- request ----
 
 bool ServerConnection::WaitForRequest(int stop_event) {
@@ -43,7 +48,9 @@
 }
 
 absl::Status ServerConnection::ReadHead() {
-  return stream_->ReadHead(MonotonicNow() + stream_->limits().head_timeout);
+  auto status = stream_->ReadHead(MonotonicNow() + stream_->limits().head_timeout);
+  head_read_at_ = MonotonicNow();
+  return status;
 }
 
 RequestHead* ServerConnection::request() { return stream_->parser()->request(); }
@@ -60,13 +67,36 @@
 }
 
 absl::StatusOr<std::string_view> ServerConnection::ReadBody(Instant deadline) {
-  SendContinueIfExpected();
-  return stream_->ReadBody(deadline);
+  const auto available = TryReadBody();
+  if (!available.ok()) {
+    return available.status();
+  }
+  if (available->has_value()) {
+    return **available;
+  }
+  const auto piece = stream_->ReadBody(deadline);
+  const auto status = EndBodyWait();
+  return status.ok() ? piece : status;
 }
 
 absl::StatusOr<std::optional<std::string_view>> ServerConnection::TryReadBody() {
   SendContinueIfExpected();
-  return stream_->TryReadBody();
+  const auto piece = stream_->TryReadBody();
+  if (piece.ok() && !piece->has_value()) {
+    if (!std::exchange(is_waiting_for_body_, true)) {
+      wait_hooks_.on_start(head_read_at_);
+    }
+    return piece;
+  }
+  const auto status = EndBodyWait();
+  return status.ok() ? piece : status;
+}
+
+absl::Status ServerConnection::EndBodyWait() {
+  if (std::exchange(is_waiting_for_body_, false) && !wait_hooks_.on_end()) {
+    return absl::UnavailableError("the connection was closed to make room for others");
+  }
+  return absl::OkStatus();
 }
 
 bool ServerConnection::is_request_complete() const {
--- a/src/http/socket_stream.cc
+++ b/src/http/socket_stream.cc
@@ -104,7 +104,12 @@
       was_reset_ = errno == ECONNRESET || errno == EPIPE;
       return LastSocketError("send");
     }
-    auto status = WaitWritable(std::min(deadline, MonotonicNow() + idle_timeout));
+    const auto now = MonotonicNow();
+    write_wait_hooks_.on_start(now);
+    auto status = WaitWritable(std::min(deadline, now + idle_timeout));
+    if (!write_wait_hooks_.on_end()) {
+      return absl::UnavailableError("the connection was closed to make room for others");
+    }
     if (!status.ok()) {
       return status;
     }
--- a/tests/http/server_test.cc
+++ b/tests/http/server_test.cc
@@ -1,3 +1,4 @@
+#include <atomic>
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <functional>
@@ -220,16 +221,52 @@
 }
 
 // Guards against an unbounded number of threads, and against a connection above the limit that gets
-// no response.
+// no response while all others are being served.
 TEST_CASE("connections above the limit receive a 503 response") {
+  std::promise<void> responses_released;
+  const auto released = responses_released.get_future().share();
+  std::atomic<int> arrived{0};
+  TestServer server(
+      [&](ServerConnection* connection) {
+        ++arrived;
+        released.wait();
+        connection->Respond(ResponseHead(), "whole").IgnoreError();
+      },
+      2);
+  const auto first = server.Connect();
+  const auto second = server.Connect();
+  for (auto* connection : {first.get(), second.get()}) {
+    REQUIRE(connection->Send(Request("GET", "/"), "", TestDeadline()).ok());
+  }
+  const auto deadline = TestDeadline();
+  while (arrived < 2 && MonotonicNow() < deadline) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
+  REQUIRE(arrived == 2);
+  CHECK(Exchange(server.server.address(), "").substr(0, 12) == "HTTP/1.1 503");
+  responses_released.set_value();
+  for (auto* connection : {first.get(), second.get()}) {
+    REQUIRE(connection->ReadHead(TestDeadline()).ok());
+    CHECK(ReadAll(connection) == "whole");
+  }
+}
+
+// Guards against idle or stalled connections that keep new callers out.
+TEST_CASE("the connection that is idle longest is closed when a new one finds no room") {
   TestServer server(&Echo, 2);
   const auto first = server.Connect();
   const auto second = server.Connect();
   for (auto* connection : {first.get(), second.get()}) {
     REQUIRE(connection->Send(Request("GET", "/"), "", TestDeadline()).ok());
     REQUIRE(connection->ReadHead(TestDeadline()).ok());
+    ReadAll(connection);
   }
-  CHECK(Exchange(server.server.address(), "").substr(0, 12) == "HTTP/1.1 503");
+  const auto third = server.Connect();
+  REQUIRE(third->Send(Request("GET", "/"), "", TestDeadline()).ok());
+  CHECK(third->ReadHead(TestDeadline()).ok());
+  CHECK(first->socket()->WaitReadable(TestDeadline()).ok());
+  CHECK_FALSE(first->IsOpen());
+  CHECK(second->IsOpen());
 }
 
 // Guards against a stop that truncates a response in flight or waits for idle connections.
