Serve the peer port with our HTTP server, which limits heads and connections

Cause: cxxtools::http::Server buffers heads and targets without a limit; 100 connections took an entry instance to 224 MB.

--- a/src/peer/snapshot_server.cc
+++ b/src/peer/snapshot_server.cc
@@ -1,19 +1,36 @@
 #include "primroseweir/peer/snapshot_server.h"
 
 #include <charconv>
+#include <chrono>
+#include <cstddef>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
 #include <utility>
 
 #include "primroseweir/base/error.h"
-#include "primroseweir/peer/detail/json_rpc_server.h"
+#include "primroseweir/http/http_server.h"
+#include "primroseweir/http/request_handler.h"
+#include "primroseweir/http/response_head.h"
+#include "primroseweir/http/server_connection.h"
+#include "primroseweir/peer/detail/json_rpc_dispatcher.h"
 #include "primroseweir/peer/detail/snapshot_signing.h"
 #include "primroseweir/peer/snapshot_codec.h"
 
 namespace primroseweir {
 namespace {
 
+constexpr char kSignatureField[] = "Primroseweir-Signature";
+// A request holds a method name and a revision. Longer bodies are not buffered and are rejected.
+constexpr std::size_t kMaxRequestBytes = 4'096;
+// A new instance fetches one snapshot, so few of the fleet's connect at a time.
+constexpr std::size_t kMaxConnections = 64;
+constexpr auto kReadTimeout = std::chrono::seconds(2);
+constexpr auto kIdleTimeout = std::chrono::seconds(10);
+constexpr int kOk = 200;
+constexpr int kForbidden = 403;
+constexpr int kBodyTooLarge = 413;
+
 // Reads the parameter after_revision. Revisions are sent as decimal strings, because
 // libjsonrpccpp's integers have 32 bits.
 std::optional<Revision> ReadAfterRevision(const std::string& parameters) {
@@ -41,20 +58,68 @@
 
 }  // namespace
 
-class SnapshotServer::Implementation {
+class SnapshotServer::Implementation : public RequestHandler {
  public:
   Implementation(Providers providers, const MessageSigner* signer)
-      : server_(
-            [providers = std::move(providers)](const std::string& method,
-                                               const std::string& parameters) {
-              return Respond(providers, method, parameters);
-            },
-            detail::SnapshotSigning(signer)) {}
+      : signing_(detail::SnapshotSigning(signer)),
+        dispatcher_([providers = std::move(providers)](const std::string& method,
+                                                       const std::string& parameters) {
+          return Respond(providers, method, parameters);
+        }) {}
+
+  absl::Status Start(const SocketAddress& address) {
+    HttpServer::Options options;
+    options.address = address;
+    options.max_connections = kMaxConnections;
+    options.limits.head_timeout = kReadTimeout;
+    options.limits.body_idle_timeout = kReadTimeout;
+    options.limits.idle_timeout = kIdleTimeout;
+    server_ = std::make_unique<HttpServer>(options, this);
+    return server_->Start();
+  }
 
-  detail::JsonRpcServer& server() { return server_; }
+  void Stop() { server_.reset(); }
+
+  void Handle(ServerConnection* connection) override {
+    std::string body;
+    while (!connection->is_request_complete() || body.empty()) {
+      const auto piece = connection->ReadBody(MonotonicNow() + kReadTimeout);
+      if (!piece.ok()) {
+        HandleFault(connection, HttpStatusOfFault(piece.status()), piece.status());
+        return;
+      }
+      if (piece->empty()) {
+        break;
+      }
+      body.append(*piece);
+      if (body.size() > kMaxRequestBytes) {
+        SendResponse(connection, kBodyTooLarge, ResponseHead(), std::string());
+        return;
+      }
+    }
+    const auto signature = connection->request()->fields.Get(kSignatureField);
+    if (!signing_.verify_request(body, signature)) {
+      SendResponse(connection, kForbidden, ResponseHead(), std::string());
+      return;
+    }
+    const auto rpc_response = dispatcher_.Respond(body);
+    ResponseHead head;
+    head.fields.Add("Content-Type", "application/json");
+    head.fields.Add(kSignatureField, signing_.sign_response(signature, rpc_response));
+    SendResponse(connection, kOk, std::move(head), rpc_response);
+  }
 
  private:
-  detail::JsonRpcServer server_;
+  static void SendResponse(ServerConnection* connection, int status, ResponseHead head,
+                           const std::string& body) {
+    head.status = status;
+    // A failed write ends the connection, which the peer notices.
+    connection->Respond(std::move(head), body).IgnoreError();
+  }
+
+  const detail::JsonRpcSigning signing_;
+  detail::JsonRpcDispatcher dispatcher_;
+  std::unique_ptr<HttpServer> server_;
 };
 
 SnapshotServer::SnapshotServer(Providers providers, const MessageSigner* signer)
@@ -63,11 +128,12 @@
 SnapshotServer::~SnapshotServer() = default;
 
 absl::Status SnapshotServer::Start(const SocketAddress& address) {
-  const std::string error = implementation_->server().Start(address.ip, address.port);
-  if (error.empty()) return absl::OkStatus();
-  return MakeError(absl::StatusCode::kUnavailable, {"bind peer port", address.ToString()}, error);
+  const auto status = implementation_->Start(address);
+  if (status.ok()) return status;
+  return MakeError(absl::StatusCode::kUnavailable, {"bind peer port", address.ToString()},
+                   std::string(status.message()));
 }
 
-void SnapshotServer::Stop() { implementation_->server().Stop(); }
+void SnapshotServer::Stop() { implementation_->Stop(); }
 
 }  // namespace primroseweir
