Serve the admin port with our HTTP server, which limits heads and connections

Cause: as for the peer port; 100 connections took an entry instance to 225 MB, without the operators' token. Change: HttpService uses HttpServer. The admin port takes 64 connections and bodies of 4 KB.

--- a/include/primroseweir/admin/http_service.h
+++ b/include/primroseweir/admin/http_service.h
@@ -3,6 +3,7 @@
 
 #include <absl/status/statusor.h>
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 
@@ -11,9 +12,9 @@
 
 namespace primroseweir {
 
-// Serves HTTP requests with a handler function on cxxtools::http::Server, for the admin port and
-// the test servers in standins/. The call path does not use it. A handler that blocks occupies one
-// thread.
+// Serves HTTP requests with a handler function, for the admin port and the test servers in
+// standins/. Built on HttpServer, since cxxtools::http::Server limits neither the head of a request
+// nor the number of connections. A handler that blocks occupies one connection.
 class HttpService {
  public:
   using Handler = std::function<HttpServiceResponse(const HttpServiceRequest&)>;
@@ -21,8 +22,10 @@
   struct Options {
     // With port 0, a free port is chosen.
     SocketAddress address;
-    // Number of handlers that may run concurrently.
-    unsigned threads = 8;
+    // Number of connections, and so of handlers that may run concurrently.
+    std::size_t max_connections = 64;
+    // Larger bodies are rejected with 413. Limits memory, since a body is buffered completely.
+    std::size_t max_body_bytes = std::size_t{2} * 1024 * 1024;
   };
 
   // Binds the address and starts to serve. `handler` is called in several threads at the same time.
--- a/src/admin/admin_server.cc
+++ b/src/admin/admin_server.cc
@@ -15,7 +15,9 @@
 
 using nlohmann::json;
 
-constexpr unsigned kHandlerThreads = 4;
+constexpr std::size_t kMaxConnections = 64;
+// The port is read only, so its requests need no body.
+constexpr std::size_t kMaxBodyBytes = 4096;
 
 HttpServiceResponse JsonResponse(unsigned status, const json& body) {
   HttpServiceResponse response;
@@ -65,7 +67,7 @@
       new AdminServer(options.operator_token, std::move(providers)));
   const AdminServer* responder = server.get();
   auto service = HttpService::Start(
-      {options.address, kHandlerThreads},
+      {options.address, kMaxConnections, kMaxBodyBytes},
       [responder](const HttpServiceRequest& request) { return responder->Respond(request); });
   if (!service.ok()) return service.status();
   server->service_ = std::move(*service);
--- a/standins/configuration/configuration_service.cc
+++ b/standins/configuration/configuration_service.cc
@@ -10,8 +10,8 @@
 namespace {
 
 // Each waiting read occupies a thread, and tests run several hundred watches at a time.
-constexpr unsigned kReadThreads = 1024;
-constexpr unsigned kControlThreads = 4;
+constexpr std::size_t kMaxReadConnections = 1024;
+constexpr std::size_t kMaxControlConnections = 64;
 constexpr std::uint64_t kMaxWaitMilliseconds = 60'000;
 constexpr char kValuePrefix[] = "/v1/values/";
 
@@ -56,7 +56,7 @@
   absl::Status status = OpenReadPorts();
   if (!status.ok()) return status;
   auto control =
-      HttpService::Start({control_address, kControlThreads},
+      HttpService::Start({control_address, kMaxControlConnections},
                          [this](const HttpServiceRequest& request) { return Control(request); });
   if (!control.ok()) return control.status();
   control_port_ = std::move(*control);
@@ -69,7 +69,7 @@
   values_.SetDown(false);
   for (SocketAddress& address : read_addresses_) {
     auto service_address = std::make_shared<std::string>(address.ToString());
-    auto port = HttpService::Start({address, kReadThreads},
+    auto port = HttpService::Start({address, kMaxReadConnections},
                                    [this, service_address](const HttpServiceRequest& request) {
                                      return Read(request, *service_address);
                                    });
