Hold header fields in one buffer, and limit heads from callers by size only

Cause: a field took two strings (64 bytes and more), so a legal head of many short fields took over 256 KB, which is why the parser refused more than 100 fields although the operators limit only the size. Removing the fields named in Connection was quadratic in the number of fields. Change: HeaderFields keeps one buffer and 12 bytes per field; Find returns an optional view, all() a range. Hop-by-hop fields are removed in one pass. Connections from callers have no limit on fields below what the size of the head implies; responses of upstreams keep 100.

--- a/src/entry/probe_runner.cc
+++ b/src/entry/probe_runner.cc
@@ -85,7 +85,7 @@
   result.outcome = (*head)->status == 200 ? AttemptEnd::kResponded : AttemptEnd::kRefused;
   result.time_to_head = MonotonicNow() - started;
   result.report = detail::ParseLoadReport((*head)->fields.Get("X-Load"));
-  result.leaving = (*head)->fields.Find("X-Leaving") != nullptr;
+  result.leaving = (*head)->fields.Find("X-Leaving").has_value();
   if (!DiscardBody(connection->get(), deadline)) result.outcome = AttemptEnd::kConnectionLost;
   return result;
 }
--- a/src/filters/call_key_filter.cc
+++ b/src/filters/call_key_filter.cc
@@ -86,10 +86,11 @@
 }  // namespace
 
 CallOutcome CallKeyFilter::Handle(Call* call, const Next& next) {
-  const auto* key_text = call->request->fields.Find(kCallKeyField);
-  if (key_text == nullptr) {
+  const auto key_field = call->request->fields.Find(kCallKeyField);
+  if (!key_field) {
     return next(call);
   }
+  const std::string key_text(*key_field);
   if (call->request->fields.Count(kCallKeyField) > 1) {
     return CallOutcome::NotExecuted("call-key", "more than one call key", 400);
   }
@@ -97,11 +98,11 @@
     return CallOutcome::NotExecuted("call-key", "the body of a call with a call key exceeds 64 KB",
                                     413);
   }
-  const auto key = ParseCallKey(*key_text);
+  const auto key = ParseCallKey(key_text);
   if (!key.ok() || !issuer_->Verify(*key)) {
     return RefuseToStart(*call, "the call key is not valid");
   }
-  return issuer_->IsIssuedHere(*key) ? HandleAtIssuer(call, *key_text, *key, next)
+  return issuer_->IsIssuedHere(*key) ? HandleAtIssuer(call, key_text, *key, next)
                                      : ForwardToIssuer(call, *key);
 }
 
@@ -158,7 +159,7 @@
   }
   ResponseHead head;
   head.status = entry.response->http_status;
-  *head.fields.mutable_all() = entry.response->fields;
+  head.fields.Assign(entry.response->fields);
   head.fields.Set("Primroseweir-Request-Id", call->id.value());
   const auto& body = entry.response->body;
   head.body = {body.empty() ? BodyKind::kNone : BodyKind::kLength, body.size()};
@@ -173,7 +174,7 @@
 
 CallOutcome CallKeyFilter::ForwardToIssuer(Call* call, const CallKey& key) const {
   const auto address = fleet_->Find(key.issuer, key.incarnation);
-  if (!address || call->request->fields.Find(kForwardedField) != nullptr) {
+  if (!address || call->request->fields.Find(kForwardedField).has_value()) {
     return RefuseToStart(*call, "the issuer of the call key is not reachable");
   }
   auto connection =
--- a/src/filters/detail/response_relay.cc
+++ b/src/filters/detail/response_relay.cc
@@ -17,7 +17,7 @@
 
 bool IsResumable(const Call& call, const ResponseHead& head) {
   const auto etag = head.fields.Get("ETag");
-  return call.request->method == "GET" && call.request->fields.Find("Range") == nullptr &&
+  return call.request->method == "GET" && !call.request->fields.Find("Range").has_value() &&
          head.status == 200 && head.body.kind == BodyKind::kLength && etag.size() > 2 &&
          etag.front() == '"' && head.fields.HasToken("Accept-Ranges", "bytes");
 }
--- a/src/filters/recording_sink.cc
+++ b/src/filters/recording_sink.cc
@@ -7,7 +7,7 @@
 void RecordingSink::Begin(const ResponseHead& head) {
   response_ = std::make_shared<StoredResponse>();
   response_->http_status = head.status;
-  response_->fields = head.fields.all();
+  response_->fields = head.fields.Copies();
   next_->Begin(head);
 }
 
--- a/src/filters/route_filter.cc
+++ b/src/filters/route_filter.cc
@@ -21,14 +21,14 @@
 // not a number of at most 12 digits.
 std::optional<std::uint64_t> ParseNumber(const HeaderFields& fields, const char* name,
                                          std::uint64_t fallback) {
-  const auto* text = fields.Find(name);
-  if (text == nullptr) {
+  const auto text = fields.Find(name);
+  if (!text) {
     return fallback;
   }
   const bool is_number =
       !text->empty() && text->size() <= 12 &&
       std::all_of(text->begin(), text->end(), [](char c) { return c >= '0' && c <= '9'; });
-  return is_number ? std::optional<std::uint64_t>(std::stoull(*text)) : std::nullopt;
+  return is_number ? std::optional<std::uint64_t>(std::stoull(std::string(*text))) : std::nullopt;
 }
 
 bool IsReadMethod(const std::string& method) { return method == "GET" || method == "HEAD"; }
@@ -89,7 +89,7 @@
   const auto call_kind = service->second.call_kind;
   call->is_idempotent =
       (call_kind == ServiceCallKind::kIdempotent || IsReadMethod(call->request->method)) &&
-      fields.Find("Primroseweir-Call-Key") == nullptr;
+      !fields.Find("Primroseweir-Call-Key").has_value();
   if (call_kind == ServiceCallKind::kUploads) {
     call->body_idle_timeout = RouteFilter::kUploadIdleTimeout;
   }
--- a/src/gateway/caller_identity.cc
+++ b/src/gateway/caller_identity.cc
@@ -15,11 +15,11 @@
 
 // Returns the key in an Authorization field "SCHEME KEY"; empty if the field has another form.
 std::string_view KeyOf(const HeaderFields& fields, std::string_view scheme) {
-  const auto* value = fields.Count(kKeyField) == 1 ? fields.Find(kKeyField) : nullptr;
-  if (value == nullptr) {
+  const auto value = fields.Find(kKeyField);
+  if (!value || fields.Count(kKeyField) != 1) {
     return {};
   }
-  const std::string_view text(*value);
+  const auto text = *value;
   const auto space = text.find(' ');
   if (space == std::string_view::npos || !EqualsIgnoreCase(text.substr(0, space), scheme)) {
     return {};
--- a/src/gateway/routed_call.cc
+++ b/src/gateway/routed_call.cc
@@ -125,8 +125,8 @@
 
 void RoutedCall::SetDeadline(Instant now) {
   Duration time_left = kDefaultDeadline;
-  if (const auto* deadline_field = head_.fields.Find(gateway_->fields().deadline)) {
-    const std::int64_t milliseconds = std::atoll(deadline_field->c_str());
+  if (const auto deadline_field = head_.fields.Find(gateway_->fields().deadline)) {
+    const std::int64_t milliseconds = std::atoll(std::string(*deadline_field).c_str());
     time_left = std::chrono::milliseconds(
         std::clamp<std::int64_t>(milliseconds, 0, ToMilliseconds(kMaxDeadline)));
   }
@@ -212,13 +212,13 @@
   if (head->status != kMisdirected) {
     gateway_->RecordStatements(&upstream, *head, now);
   }
-  if (head->status != kMisdirected && head->fields.Find(fields.not_executed) != nullptr) {
+  if (head->status != kMisdirected && head->fields.Find(fields.not_executed).has_value()) {
     // A full upstream says nothing about the others, but room is likely to be scarce.
     retry_may_succeed_at_once_ = upstream.has_reported_room();
     FinishAttempt(attempt, AttemptEnd::kNotExecuted, UpstreamOutcome::kRefused, nullptr, {}, now);
   } else if (head->status >= kFirstServerError || RetryPolicy::IsNotExecutedStatus(head->status)) {
     FinishAttempt(attempt, AttemptEnd::kFailed, UpstreamOutcome::kFailed, head, piece, now);
-  } else if (IsSuccess(head->status) && head->fields.Find(fields.signature) == nullptr) {
+  } else if (IsSuccess(head->status) && !head->fields.Find(fields.signature).has_value()) {
     FinishAttempt(attempt, AttemptEnd::kNoResponse, UpstreamOutcome::kFailed, nullptr, {}, now);
   } else {
     Deliver(attempt, head, piece, is_complete, now);
@@ -228,7 +228,7 @@
 bool RoutedCall::IsFromOtherUpstream(const UpstreamAttempt& attempt,
                                      const ResponseHead& head) const {
   const auto& fields = gateway_->fields();
-  if (head.fields.Find(fields.request_id) != nullptr) {
+  if (head.fields.Find(fields.request_id).has_value()) {
     return true;
   }
   const auto responder = head.fields.Get(fields.upstream_id);
--- a/src/http/header_fields.cc
+++ b/src/http/header_fields.cc
@@ -5,6 +5,9 @@
 namespace primroseweir {
 namespace {
 
+// Heads of ordinary requests stay below this size, and are not copied again.
+constexpr std::size_t kMaxSpareBytes = 4096;
+
 char ToLower(char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c; }
 
 std::string_view Trim(std::string_view text) {
@@ -37,7 +40,10 @@
 }
 
 void HeaderFields::Add(std::string_view name, std::string_view value) {
-  fields_.emplace_back(std::string(name), std::string(value));
+  const auto begin = static_cast<std::uint32_t>(text_.size());
+  text_.append(name).append(value);
+  entries_.push_back(
+      {begin, static_cast<std::uint32_t>(name.size()), static_cast<std::uint32_t>(value.size())});
 }
 
 void HeaderFields::Set(std::string_view name, std::string_view value) {
@@ -46,33 +52,67 @@
 }
 
 void HeaderFields::Remove(std::string_view name) {
-  const auto has_name = [name](const Field& field) { return EqualsIgnoreCase(field.first, name); };
-  fields_.erase(std::remove_if(fields_.begin(), fields_.end(), has_name), fields_.end());
+  RemoveIf([name](std::string_view other) { return EqualsIgnoreCase(other, name); });
 }
 
-const std::string* HeaderFields::Find(std::string_view name) const {
-  for (const auto& field : fields_) {
-    if (EqualsIgnoreCase(field.first, name)) {
-      return &field.second;
+std::optional<std::string_view> HeaderFields::Find(std::string_view name) const {
+  for (const auto& entry : entries_) {
+    // The length is compared first: most fields differ in it.
+    if (entry.name_bytes == name.size()) {
+      const auto field = At(entry);
+      if (EqualsIgnoreCase(field.first, name)) {
+        return field.second;
+      }
     }
   }
-  return nullptr;
+  return std::nullopt;
 }
 
 std::string HeaderFields::Get(std::string_view name) const {
-  const auto* value = Find(name);
-  return value == nullptr ? std::string() : *value;
+  return std::string(Find(name).value_or(std::string_view()));
 }
 
 std::size_t HeaderFields::Count(std::string_view name) const {
-  const auto has_name = [name](const Field& field) { return EqualsIgnoreCase(field.first, name); };
-  return static_cast<std::size_t>(std::count_if(fields_.begin(), fields_.end(), has_name));
+  return static_cast<std::size_t>(
+      std::count_if(entries_.begin(), entries_.end(), [&](const Entry& entry) {
+        return entry.name_bytes == name.size() && EqualsIgnoreCase(At(entry).first, name);
+      }));
 }
 
 bool HeaderFields::HasToken(std::string_view name, std::string_view token) const {
-  return std::any_of(fields_.begin(), fields_.end(), [&](const Field& field) {
+  return std::any_of(entries_.begin(), entries_.end(), [&](const Entry& entry) {
+    const auto field = At(entry);
     return EqualsIgnoreCase(field.first, name) && ListHasToken(field.second, token);
   });
 }
 
+HeaderFields::FieldCopies HeaderFields::Copies() const {
+  FieldCopies copies;
+  copies.reserve(entries_.size());
+  for (const auto& [name, value] : all()) {
+    copies.emplace_back(name, value);
+  }
+  return copies;
+}
+
+void HeaderFields::Assign(const FieldCopies& copies) {
+  Clear();
+  for (const auto& [name, value] : copies) {
+    Add(name, value);
+  }
+}
+
+void HeaderFields::Clear() {
+  text_.clear();
+  entries_.clear();
+}
+
+void HeaderFields::ReleaseSpareMemory() {
+  const auto used_bytes = text_.size() + entries_.size() * sizeof(Entry);
+  if (allocated_bytes() > used_bytes + kMaxSpareBytes) {
+    text_.shrink_to_fit();
+    entries_.shrink_to_fit();
+  }
+}
+
 }  // namespace primroseweir
--- a/src/http/message_parser.cc
+++ b/src/http/message_parser.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <string>
+#include <string_view>
 
 #include "primroseweir/http/detail/chunk_scanner.h"
 
@@ -70,7 +71,7 @@
 };
 
 // Returns whether `text` is a decimal number of at most 18 digits, which fits 64 bits.
-bool IsDecimal(const std::string& text) {
+bool IsDecimal(std::string_view text) {
   return !text.empty() && text.size() <= 18 &&
          std::all_of(text.begin(), text.end(), [](char c) { return c >= '0' && c <= '9'; });
 }
@@ -98,7 +99,7 @@
   if (lengths == 0) {
     return BodyFraming{};
   }
-  const auto& text = *fields.Find("Content-Length");
+  const std::string text(*fields.Find("Content-Length"));
   if (!IsDecimal(text)) {
     return Malformed("Content-Length is not a number");
   }
@@ -278,6 +279,7 @@
   }
 
   absl::Status CompleteRequest() {
+    request_.fields.ReleaseSpareMemory();
     if (parser_.http_major != 1 || parser_.http_minor > 1) {
       return Malformed("HTTP version is neither 1.0 nor 1.1");
     }
--- a/src/http/message_writer.cc
+++ b/src/http/message_writer.cc
@@ -2,9 +2,12 @@
 
 #include <http_parser.h>
 
+#include <algorithm>
 #include <cstdio>
+#include <functional>
+#include <iterator>
+#include <set>
 #include <string_view>
-#include <vector>
 
 namespace primroseweir {
 namespace {
@@ -45,16 +48,26 @@
   }
 }
 
-std::vector<std::string> ConnectionTokens(const HeaderFields& fields) {
-  std::vector<std::string> tokens;
+std::string ToLower(std::string_view text) {
+  std::string result(text);
+  for (char& c : result) {
+    c = c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+  }
+  return result;
+}
+
+// Returns the tokens of all Connection fields in lower case.
+std::set<std::string, std::less<>> ConnectionTokens(const HeaderFields& fields) {
+  std::set<std::string, std::less<>> tokens;
   for (const auto& [name, value] : fields.all()) {
     if (!EqualsIgnoreCase(name, "Connection")) {
       continue;
     }
     std::string token;
-    for (const char c : value + ",") {
+    for (std::size_t i = 0; i <= value.size(); ++i) {
+      const char c = i == value.size() ? ',' : value[i];
       if (c == ',') {
-        tokens.push_back(token);
+        tokens.insert(ToLower(token));
         token.clear();
       } else if (c != ' ' && c != '\t') {
         token += c;
@@ -64,17 +77,21 @@
   return tokens;
 }
 
+bool IsHopByHopField(std::string_view name) {
+  return std::any_of(std::begin(kHopByHopFields), std::end(kHopByHopFields),
+                     [name](std::string_view other) { return EqualsIgnoreCase(name, other); });
+}
+
 }  // namespace
 
 void RemoveHopByHopFields(HeaderFields* fields) {
-  for (const auto& token : ConnectionTokens(*fields)) {
-    if (!IsFramingField(token) && !EqualsIgnoreCase(token, "Host")) {
-      fields->Remove(token);
-    }
-  }
-  for (const auto name : kHopByHopFields) {
-    fields->Remove(name);
-  }
+  // One pass: a head may name thousands of fields in Connection and contain as many.
+  const auto tokens = ConnectionTokens(*fields);
+  fields->RemoveIf([&tokens](std::string_view name) {
+    return IsHopByHopField(name) ||
+           (!tokens.empty() && !IsFramingField(name) && !EqualsIgnoreCase(name, "Host") &&
+            tokens.count(ToLower(name)) > 0);
+  });
 }
 
 std::string SerializeHead(const RequestHead& head) {
@@ -96,10 +113,10 @@
   out.append("HTTP/1.1 ").append(std::to_string(head.status)).append(" ");
   out.append(head.reason.empty() ? ReasonPhraseOf(head.status) : head.reason).append("\r\n");
   AppendFields(&out, head.fields);
-  const auto* length = head.fields.Find("Content-Length");
+  const auto length = head.fields.Find("Content-Length");
   if (head.body.kind != BodyKind::kNone) {
     AppendFraming(&out, head.body);
-  } else if ((is_response_to_head || head.status == 304) && length != nullptr) {
+  } else if ((is_response_to_head || head.status == 304) && length.has_value()) {
     AppendField(&out, "Content-Length", *length);
   } else if (!is_response_to_head && head.status >= 200 && head.status != 204 &&
              head.status != 304) {
--- a/src/loop/http_client_stream.cc
+++ b/src/loop/http_client_stream.cc
@@ -175,11 +175,11 @@
   if (echo_.field.empty()) {
     return true;
   }
-  const auto* value = parser_.response()->fields.Find(echo_.field);
+  const auto value = parser_.response()->fields.Find(echo_.field);
   if (echo_.value.empty()) {
-    return value == nullptr || value->empty();
+    return !value || value->empty();
   }
-  if (value == nullptr) {
+  if (!value) {
     // Another server at the address may not read the request, so it cannot echo the field. Only the
     // first response on a connection is no copy of an earlier one.
     return parser_.response()->status == kMisdirectedStatus && !may_receive_copies_;
@@ -189,7 +189,7 @@
 
 bool HttpClientStream::IsUnidentifiedError() {
   return !echo_.value.empty() && parser_.response()->status >= kFirstErrorStatus &&
-         parser_.response()->fields.Find(echo_.field) == nullptr;
+         !parser_.response()->fields.Find(echo_.field).has_value();
 }
 
 void HttpClientStream::Complete() {
--- a/src/loop/http_server_stream.cc
+++ b/src/loop/http_server_stream.cc
@@ -22,6 +22,9 @@
 MessageLimits ParserLimits(const CallerLimits& limits) {
   MessageLimits result;
   result.max_head_bytes = limits.max_head_bytes;
+  // The operators limit the size of a head only; a field has four bytes at least ("a:" and the end
+  // of the line).
+  result.max_fields = limits.max_head_bytes / 4;
   return result;
 }
 
