Account for all memory that peers make the process hold, and close those that hold most

Cause: the limit of 48 MB counted sizes of requests on one port, whatever the machine; capacity of strings, parsed heads, responses queued one write each, ended calls, page ports and upstream responses were not counted, and nothing ended a connection that held memory without progress. Change: MemoryAccount with a budget of three tenths of limits.memoryMb, charged by all ports and upstream connections on a loop. ConnectionRegistry closes connections by the rule in ConnectionEviction when memory or connections (five eighths of the sockets in limits.maxFds, at most 2,000) run short. Bodies of ordinary calls go on while they arrive above 960 KB. Pages read no body. Queued responses are joined into one write. Requests ahead yield after 16 in a turn. Strings grow by a quarter and are freed after use. AcceptPending goes on after EINTR and ECONNABORTED.

--- a/include/primroseweir/gateway/call_body.h
+++ b/include/primroseweir/gateway/call_body.h
@@ -6,6 +6,8 @@
 #include <string_view>
 #include <utility>
 
+#include "primroseweir/base/compact_append.h"
+
 namespace primroseweir {
 
 // Buffers the body of a call while it arrives from the caller. Bytes that were sent to an upstream
@@ -29,6 +31,7 @@
   std::size_t received_bytes() const { return discarded_ + buffered_.size(); }
   // Bytes that were received and not discarded.
   const std::string& buffered() const { return buffered_; }
+  std::size_t allocated_bytes() const { return AllocatedBytes(buffered_); }
   // Returns the received bytes from `offset` on, none of which may have been discarded.
   std::string BytesFrom(std::size_t offset) const { return buffered_.substr(offset - discarded_); }
 
--- a/include/primroseweir/gateway/gateway.h
+++ b/include/primroseweir/gateway/gateway.h
@@ -113,8 +113,8 @@
   // now refuses connections, so the request may have crashed it.
   void ConfirmCrash(const UpstreamId& upstream, Instant now);
   void ClearSuspectedCrashes(const UpstreamId& upstream) { suspected_crashes_.erase(upstream); }
-  // Whether the requests of all callers together exceed the memory limit.
-  bool IsOverMemoryLimit() const { return port_.IsOverMemoryLimit(); }
+  // Whether memory is too short to keep copies of bodies for a retry.
+  bool IsShortOfMemory() const;
   void CountResponse(const Route& route, Duration latency);
   void CountLocalReply(int status);
 
@@ -136,6 +136,7 @@
   // ---- requests ----
 
   bool ShouldStreamBody(const RequestHead& head) override;
+  std::size_t MaxHeldBodyBytes(const RequestHead& head) override;
   bool WillReject(const RequestHead& head) override;
   void OnRequest(HttpServerStream* stream, RequestHead* head, std::string body) override;
   void OnBodyPiece(HttpServerStream* stream, const std::string& piece, bool last) override;
@@ -149,6 +150,12 @@
   static constexpr Duration kTickInterval = std::chrono::milliseconds(100);
   static constexpr Duration kIdleTickInterval = std::chrono::milliseconds(500);
   static constexpr Duration kRoomProbeInterval = std::chrono::milliseconds(25);
+  // Bodies of uploads and of other calls are sent on while they arrive above these sizes. Those of
+  // other calls are usually complete before, so that a caller that stalls occupies no upstream.
+  static constexpr std::size_t kMaxHeldUploadBytes = std::size_t{64} * 1024;
+  static constexpr std::size_t kMaxHeldBodyBytes = std::size_t{960} * 1024;
+  // Ended calls that may wait for the next tick; thousands that end in one turn took 450 MB.
+  static constexpr std::size_t kMaxReleasedCalls = 32;
   // Maximum time from a lost connection until the upstream is found to refuse connections, for the
   // crash to be attributed to the request.
   static constexpr Duration kCrashWindow = std::chrono::seconds(2);
@@ -181,11 +188,13 @@
   std::map<ServiceName, WindowedRetryBudget> retry_budgets_;
   std::map<UpstreamId, std::vector<SuspectedCrash>> suspected_crashes_;
   std::unordered_map<HttpServerStream*, std::unique_ptr<RoutedCall>> calls_;
-  // Ended calls whose functions may still be on the stack; destroyed at the next tick.
+  // Ended calls whose functions may still be on the stack; destroyed at the next tick, or in the
+  // next turn of the loop if there are many.
   std::vector<std::unique_ptr<RoutedCall>> released_calls_;
   std::unique_ptr<UpstreamProber> prober_;
   HttpPort port_;
   Timer tick_timer_;
+  Timer release_timer_;
   Timer room_probe_timer_;
   bool probing_for_room_ = false;
   bool is_admitting_ = true;
--- a/include/primroseweir/gateway/page_server.h
+++ b/include/primroseweir/gateway/page_server.h
@@ -34,6 +34,8 @@
   absl::Status Listen(const SocketAddress& address) { return port_.Listen(address); }
   void StopAccepting() { port_.StopAccepting(); }
 
+  // Pages need no request body; one that follows is not read.
+  bool WillReject(const RequestHead& /*head*/) override { return true; }
   void OnRequest(HttpServerStream* stream, RequestHead* head, std::string body) override;
 
   // Parses a query string such as "a=1&b=2" and decodes percent-encoding and '+'.
--- a/include/primroseweir/loop/event_loop.h
+++ b/include/primroseweir/loop/event_loop.h
@@ -3,7 +3,10 @@
 
 #include <uv.h>
 
+#include <cstdint>
+
 #include "primroseweir/base/time.h"
+#include "primroseweir/loop/connection_registry.h"
 
 namespace primroseweir {
 
@@ -25,10 +28,25 @@
   // clock leaves out: deadlines and observations age during a suspension too.
   static Instant Now();
 
+  // The callers' connections of all ports on this loop, and the memory that peers make it hold.
+  ConnectionRegistry& connections() { return connections_; }
+  // Longest time between two waits for events since the last call; while a turn lasts, nothing else
+  // is served.
+  Duration TakeLongestTurn();
+
   uv_loop_t* uv() { return &loop_; }
 
  private:
+  void MeasureTurn();
+
   uv_loop_t loop_{};
+  uv_prepare_t prepare_{};
+  uv_check_t check_{};
+  ConnectionRegistry connections_;
+  // Time of the last wait for events, and the time spent waiting until then, in nanoseconds.
+  std::uint64_t turn_started_ = 0;
+  std::uint64_t idle_time_ = 0;
+  std::uint64_t longest_turn_ = 0;
 };
 
 }  // namespace primroseweir
--- a/include/primroseweir/loop/http_client_stream.h
+++ b/include/primroseweir/loop/http_client_stream.h
@@ -2,6 +2,7 @@
 #define PRIMROSEWEIR_LOOP_HTTP_CLIENT_STREAM_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <string>
 
@@ -94,8 +95,11 @@
   bool IsUnidentifiedError();
   void Write(std::string bytes);
   void Complete();
+  // Charges what this connection holds to the account of the process.
+  void UpdateCharge();
   void Fail(HttpClientCallbacks::Failure failure);
 
+  EventLoop* const loop_;
   const SocketAddress address_;
   std::unique_ptr<TcpStream> stream_;
   MessageParser parser_;
@@ -110,6 +114,7 @@
   bool is_request_chunked_ = false;
   int interim_responses_ = 0;
   std::size_t stray_bytes_ = 0;
+  std::int64_t charged_bytes_ = 0;
   bool is_connected_ = false;
   bool is_reusable_ = false;
   bool is_broken_ = false;
--- a/include/primroseweir/loop/http_port.h
+++ b/include/primroseweir/loop/http_port.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <memory>
 #include <unordered_map>
+#include <vector>
 
 #include "primroseweir/base/socket_address.h"
 #include "primroseweir/base/time.h"
@@ -24,7 +25,7 @@
 
 // An HTTP server port on an event loop. The sink receives complete requests, or the pieces of those
 // whose body it streams. Before that, requests that exceed the limits or violate HTTP framing are
-// rejected here with 400, 408, 413, 431, 501 or, above the memory limit, 503.
+// rejected here with 400, 408, 413, 431, 501 or, when memory runs short, 503.
 class HttpPort {
  public:
   // `sink` must outlive the port. `limits` is called for each use, since a new configuration may
@@ -54,25 +55,24 @@
   // Destroys `stream`. Called by the stream itself when its connection has ended.
   void Remove(HttpServerStream* stream);
 
+  // Lets `stream` parse the rest of its input in the next turn of the loop.
+  void ContinueNextTurn(HttpServerStream* stream);
+
   // Adds `change`, which may be negative, to the bytes of requests that are held in memory on all
   // connections.
   void UpdateBufferedBytes(std::int64_t change) { buffered_bytes_ += change; }
-  // Whether the requests on all connections together hold more than kMaxBufferedBytes.
-  bool IsOverMemoryLimit() const { return buffered_bytes_ > kMaxBufferedBytes; }
   std::int64_t buffered_bytes() const { return buffered_bytes_; }
-  // Connections closed at once because kMaxConnections were open.
+  // Whether peers make the process hold more memory than its budget, on all ports together.
+  bool IsOverMemoryLimit() const;
+  // Connections closed at once because there were too many.
   std::uint64_t rejected_connections() const { return rejected_connections_; }
 
-  // Half of the file descriptors available on the smallest machines; connections to upstreams need
-  // the rest.
-  static constexpr std::size_t kMaxConnections = 2000;
-  // Less than a third of the 160 MB of the smallest machine.
-  static constexpr std::int64_t kMaxBufferedBytes = std::int64_t{48} * 1024 * 1024;
   static constexpr Duration kTimeoutCheckInterval = std::chrono::milliseconds(500);
 
  private:
   void AddConnection(std::unique_ptr<TcpStream> stream);
   void CheckAllTimeouts();
+  void ContinueStreams();
 
   EventLoop* const loop_;
   RequestSink* const sink_;
@@ -82,7 +82,10 @@
   bool is_draining_ = false;
   std::int64_t buffered_bytes_ = 0;
   std::uint64_t rejected_connections_ = 0;
+  // Streams whose input waits for the next turn of the loop.
+  std::vector<HttpServerStream*> waiting_streams_;
   Timer timeout_check_timer_;
+  Timer continue_timer_;
 };
 
 }  // namespace primroseweir
--- a/include/primroseweir/loop/http_server_stream.h
+++ b/include/primroseweir/loop/http_server_stream.h
@@ -8,6 +8,7 @@
 #include "primroseweir/base/time.h"
 #include "primroseweir/http/message_parser.h"
 #include "primroseweir/http/response_head.h"
+#include "primroseweir/loop/connection_registry.h"
 #include "primroseweir/loop/stream_handler.h"
 
 namespace primroseweir {
@@ -17,7 +18,7 @@
 
 // A caller's connection to an HttpPort. Serves one request at a time; pipelined requests wait in a
 // bounded buffer.
-class HttpServerStream : public StreamHandler {
+class HttpServerStream : public StreamHandler, public ConnectionRegistry::Connection {
  public:
   HttpServerStream(HttpPort* port, std::unique_ptr<TcpStream> stream, Instant now);
   ~HttpServerStream() override;
@@ -46,7 +47,7 @@
   // Holds back the rest of the body until ResumeBody.
   void PauseBody();
   void ResumeBody();
-  // Sets how many bytes of the body the sink holds; they count towards the port's memory limit.
+  // Sets how many bytes the sink holds for the request; they count towards the memory limit.
   void SetSinkBufferedBytes(std::size_t bytes);
 
   // ---- port ----
@@ -59,6 +60,13 @@
   // Whether a request or response is under way, or the first request is expected.
   bool IsBusy(Instant now) const;
 
+  // Parses further input that waited for the next turn of the loop. Called by the port.
+  void ContinueParsing();
+
+  ConnectionLoad Load(Instant now) override;
+  void Evict(ConnectionRegistry::Shortage shortage) override;
+  void Continue() override;
+
   void OnData(const char* data, std::size_t size) override;
   void OnEnd(bool clean) override;
   void OnWriteDrained() override;
@@ -70,9 +78,17 @@
   // Maximum pause within a streamed body, which holds a slot of an upstream. The second
   // retransmission of a lost packet arrives within this time.
   static constexpr Duration kStreamedBodyIdleTimeout = std::chrono::seconds(2);
-  // Bodies of up to this size are delivered only when complete, so that a caller that stalls while
-  // sending one occupies no upstream.
-  static constexpr std::size_t kMinStreamedBodyBytes = std::size_t{64} * 1024;
+  // Further requests ahead on a connection wait for the next turn of the loop, so that others are
+  // served in between.
+  static constexpr int kMaxRequestsPerTurn = 16;
+  // Requests that announce at most this size are accepted from a reserve when memory runs short.
+  static constexpr std::size_t kMaxSmallBodyBytes = std::size_t{16} * 1024;
+  // True cost of a connection without input: this object, its parser, its handle in libuv and the
+  // entries in the port's and the registry's tables. Measured as 2.2 KB for each silent connection.
+  static constexpr std::size_t kConnectionBytes = std::size_t{2560};
+  // True cost of a call beside its head and body: RoutedCall with four timers, an attempt with two,
+  // and the connection to the upstream.
+  static constexpr std::size_t kCallBytes = std::size_t{6} * 1024;
   // Reading pauses when the input behind the current request exceeds this size.
   static constexpr std::size_t kMaxPipelinedBytes = std::size_t{64} * 1024;
   // The next pipelined request waits while more bytes of earlier responses are queued in this
@@ -93,12 +109,26 @@
   static constexpr Duration kMaxLingerTime = std::chrono::seconds(5);
 
  private:
+  // Pace of a new connection, before the first check.
+  static constexpr double kAssumedPace = 256 * 1024;
+
   enum class State { kIdle, kReading, kServing, kLingering };
 
+  // Parses the buffered input. May destroy this stream.
   void ParseInput();
+  // Parses `data` up to the first byte that has to wait, and returns how many bytes were parsed.
+  std::size_t Parse(const char* data, std::size_t size);
+  // Appends to the input that has to wait; pauses reading when there is much of it.
+  void KeepInput(const char* data, std::size_t size);
+  void DiscardInput();
+  bool has_input() const { return input_begin_ < input_.size(); }
+  void ResumeReading();
+  // Cuts off a response that the caller does not read.
+  void AbortUnreadResponse();
   // Whether input may be parsed now.
   bool ShouldRead() const;
-  // Reports to the port how many bytes this connection and the sink hold of its requests.
+  // Reports to the port how many bytes this connection and the sink hold of its requests, and
+  // charges what the connection costs to the process's account.
   void UpdateBufferedBytes();
   bool CheckRequestLimits();
   void DeliverRequest();
@@ -114,7 +144,9 @@
   HttpPort* const port_;
   std::unique_ptr<TcpStream> stream_;
   MessageParser parser_;
+  // Input from `input_begin_` on waits to be parsed.
   std::string input_;
+  std::size_t input_begin_ = 0;
   std::string body_;
   State state_ = State::kIdle;
   // Start of the current state or the last progress within it, for the limits on pauses.
@@ -128,6 +160,16 @@
   std::size_t last_unacked_bytes_ = 0;
   Instant write_progress_at_;
   std::size_t reported_bytes_ = 0;
+  std::int64_t charged_bytes_ = 0;
+  // Bytes received and responded on the connection; the part of them that the caller sent or
+  // accepted up to the last check, when that was, and the pace since the check before.
+  std::uint64_t received_bytes_ = 0;
+  std::uint64_t written_bytes_ = 0;
+  std::uint64_t last_progress_bytes_ = 0;
+  Instant last_progress_at_;
+  Instant last_check_at_;
+  double bytes_per_second_ = kAssumedPace;
+  std::uint32_t peer_address_ = 0;
   // Bytes of the current request that the sink holds, and bytes of its body forwarded to the sink.
   std::size_t sink_buffered_bytes_ = 0;
   std::size_t forwarded_bytes_ = 0;
@@ -139,6 +181,10 @@
   bool is_response_chunked_ = false;
   bool is_removal_pending_ = false;
   bool is_reading_paused_ = false;
+  // Input waits for the next turn of the loop.
+  bool is_yielding_ = false;
+  // Reading has stopped until memory is available again.
+  bool is_held_back_ = false;
   // ParseInput is running: a synchronous response must not start it again.
   bool is_parsing_ = false;
 };
--- a/include/primroseweir/loop/request_sink.h
+++ b/include/primroseweir/loop/request_sink.h
@@ -1,6 +1,7 @@
 #ifndef PRIMROSEWEIR_LOOP_REQUEST_SINK_H_
 #define PRIMROSEWEIR_LOOP_REQUEST_SINK_H_
 
+#include <cstddef>
 #include <string>
 
 namespace primroseweir {
@@ -16,6 +17,11 @@
   // Whether the sink takes a large body of this request in pieces, so that it need not be held
   // until it is complete.
   virtual bool ShouldStreamBody(const RequestHead& /*head*/) { return false; }
+  // Returns the size up to which such a body is held until it is complete, so that a caller that
+  // stalls while sending it occupies no upstream.
+  virtual std::size_t MaxHeldBodyBytes(const RequestHead& /*head*/) {
+    return std::size_t{64} * 1024;
+  }
   // Whether the sink rejects this request by its head alone. The request is then delivered without
   // the rest of its body, and the response ends the connection.
   virtual bool WillReject(const RequestHead& /*head*/) { return false; }
--- a/include/primroseweir/loop/tcp_stream.h
+++ b/include/primroseweir/loop/tcp_stream.h
@@ -38,6 +38,10 @@
   void Write(std::string data);
   // Returns how many bytes are queued in this process.
   std::size_t pending_bytes() const;
+  // Returns how many bytes are allocated for those.
+  std::size_t allocated_bytes() const;
+  // Returns the peer's IPv4 address; 0 if it is not known.
+  std::uint32_t peer_address() const;
   // Returns how many bytes the peer has not acknowledged: those queued in this process and those in
   // the socket.
   std::size_t unacked_bytes() const;
--- a/src/gateway/call_body.cc
+++ b/src/gateway/call_body.cc
@@ -3,7 +3,7 @@
 namespace primroseweir {
 
 void CallBody::Append(std::string_view piece, bool last) {
-  buffered_.append(piece);
+  AppendCompactly(&buffered_, piece);
   is_complete_ = last;
 }
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -37,6 +37,7 @@
           loop, this,
           [this] { return state_->routes == nullptr ? CallerLimits() : state_->routes->limits(); }),
       tick_timer_(loop, [this] { Tick(); }),
+      release_timer_(loop, [this] { released_calls_.clear(); }),
       room_probe_timer_(loop, [this] { StartAllWaitingCalls(); }) {}
 
 Gateway::~Gateway() {
@@ -82,6 +83,9 @@
   }
   released_calls_.push_back(std::move(found->second));
   calls_.erase(found);
+  if (released_calls_.size() == kMaxReleasedCalls) {
+    release_timer_.Start(Duration::zero());
+  }
   call->Stop();
   StartWaitingCalls(call->service(), EventLoop::Now());
 }
@@ -170,12 +174,20 @@
 // ---- requests ----
 
 bool Gateway::ShouldStreamBody(const RequestHead& head) {
+  return state_->routes != nullptr &&
+         state_->routes->Find(head.fields.Get("Host"), head.target) != nullptr;
+}
+
+std::size_t Gateway::MaxHeldBodyBytes(const RequestHead& head) {
   const auto* route = state_->routes == nullptr
                           ? nullptr
                           : state_->routes->Find(head.fields.Get("Host"), head.target);
-  return route != nullptr && route->kind == CallKind::kUpload;
+  return route != nullptr && route->kind == CallKind::kUpload ? kMaxHeldUploadBytes
+                                                              : kMaxHeldBodyBytes;
 }
 
+bool Gateway::IsShortOfMemory() const { return loop_->connections().memory().is_short(); }
+
 bool Gateway::WillReject(const RequestHead& head) {
   if (!is_admitting_ || state_->routes == nullptr) {
     return true;
--- a/src/gateway/routed_call_placement.cc
+++ b/src/gateway/routed_call_placement.cc
@@ -196,12 +196,15 @@
 // Starts a second attempt in parallel with one that takes unusually long; the first usable response
 // is forwarded. Calls in the admission queue take precedence.
 void RoutedCall::StartHedge() {
-  if (attempts_.size() != 1 || is_streaming_response_ || attempts_sent_ >= route_->max_attempts) {
+  // A body that is still arriving goes to one upstream only.
+  if (attempts_.size() != 1 || is_streaming_response_ || attempts_sent_ >= route_->max_attempts ||
+      !body_.is_replayable()) {
     return;
   }
   // A download without a second upstream in the local data centre is hedged in another one.
   const auto scope = hedge_attempts_++ == 0 ? PickScope::kInTime : PickScope::kAnyDataCentre;
-  const bool hedge_started = attempts_sent_ > 0 && gateway_->queue(service_).empty() &&
+  const bool hedge_started = attempts_sent_ > 0 && body_.is_complete() &&
+                             gateway_->queue(service_).empty() &&
                              TryStart(scope, EventLoop::Now()) == PlacementResult::kStarted;
   if (!hedge_started) {
     hedge_timer_.Start(kHedgeRetryDelay);
@@ -238,10 +241,12 @@
     is_body_end_sent_ = body_.is_complete();
   }
   const bool has_sent = attempt != nullptr && attempt->has_sent();
-  if (has_sent && (body_.buffered().size() > kMaxReplayBytes || gateway_->IsOverMemoryLimit())) {
+  if (has_sent && (!body_.is_replayable() || body_.buffered().size() > kMaxReplayBytes ||
+                   gateway_->IsShortOfMemory())) {
     body_.DiscardBefore(body_sent_);
   }
-  caller_->SetSinkBufferedBytes(body_.buffered().size());
+  caller_->SetSinkBufferedBytes(body_.allocated_bytes() +
+                                (attempt == nullptr ? 0 : attempt->pending_bytes()));
   const auto unsent_bytes = attempt == nullptr ? body_.buffered().size() : attempt->pending_bytes();
   if (unsent_bytes > kRequestHighWaterMark) {
     caller_->PauseBody();
--- a/src/http/message_parser.cc
+++ b/src/http/message_parser.cc
@@ -6,6 +6,7 @@
 #include <string>
 #include <string_view>
 
+#include "primroseweir/base/compact_append.h"
 #include "primroseweir/http/detail/chunk_scanner.h"
 
 namespace primroseweir {
@@ -324,7 +325,7 @@
   static int OnBody(http_parser* parser, const char* data, std::size_t size) {
     auto* self = Self(parser);
     if (self->body_ != nullptr) {
-      self->body_->append(data, size);
+      AppendCompactly(self->body_, {data, size});
     }
     return 0;
   }
--- a/src/loop/http_client_stream.cc
+++ b/src/loop/http_client_stream.cc
@@ -5,6 +5,7 @@
 #include <cstdlib>
 #include <utility>
 
+#include "primroseweir/base/compact_append.h"
 #include "primroseweir/http/message_writer.h"
 #include "primroseweir/http/request_head.h"
 #include "primroseweir/http/response_head.h"
@@ -32,11 +33,16 @@
 }  // namespace
 
 HttpClientStream::HttpClientStream(EventLoop* loop, const SocketAddress& address)
-    : address_(address), parser_(MessageParser::Kind::kResponse) {
+    : loop_(loop), address_(address), parser_(MessageParser::Kind::kResponse) {
   stream_ = TcpStream::Connect(loop, address, this);
 }
 
-HttpClientStream::~HttpClientStream() = default;
+HttpClientStream::~HttpClientStream() { loop_->connections().memory().Charge(-charged_bytes_); }
+
+void HttpClientStream::UpdateCharge() {
+  const auto bytes = static_cast<std::int64_t>(AllocatedBytes(input_) + AllocatedBytes(body_));
+  loop_->connections().memory().Charge(bytes - std::exchange(charged_bytes_, bytes));
+}
 
 void HttpClientStream::Send(const RequestHead& head, const std::string& body, Echo echo,
                             HttpClientCallbacks* callbacks) {
@@ -75,7 +81,7 @@
   if (is_connected_) {
     stream_->Write(std::move(bytes));
   } else {
-    unsent_ += bytes;
+    unsent_ = unsent_.empty() ? std::move(bytes) : unsent_ + bytes;
   }
 }
 
@@ -114,7 +120,7 @@
     return;
   }
   last_received_at_ = EventLoop::Now();
-  input_.append(data, size);
+  AppendCompactly(&input_, {data, size});
   while (!input_.empty() && ParseInput()) {
   }
 }
@@ -129,6 +135,7 @@
     return false;
   }
   input_.erase(0, *used);
+  UpdateCharge();
   if (!parser_.is_head_complete()) {
     return true;
   }
@@ -148,7 +155,9 @@
     return false;
   }
   if (body_.size() > kMaxBufferedBytes) {
-    callbacks_->OnResponse(parser_.response(), std::exchange(body_, std::string()), false);
+    auto piece = std::exchange(body_, std::string());
+    UpdateCharge();
+    callbacks_->OnResponse(parser_.response(), std::move(piece), false);
     return false;
   }
   return true;
@@ -202,7 +211,13 @@
   is_reusable_ = head->keep_alive && input_.empty() && !may_be_desynchronized_ && !is_broken_ &&
                  !is_sending_body_ && stream_->pending_bytes() == 0;
   auto* callbacks = std::exchange(callbacks_, nullptr);
-  callbacks->OnResponse(head, std::exchange(body_, std::string()), true);
+  auto body = std::exchange(body_, std::string());
+  if (input_.empty()) {
+    // An idle connection needs no buffer.
+    input_ = std::string();
+  }
+  UpdateCharge();
+  callbacks->OnResponse(head, std::move(body), true);
 }
 
 void HttpClientStream::Fail(HttpClientCallbacks::Failure failure) {
--- a/src/loop/http_port.cc
+++ b/src/loop/http_port.cc
@@ -16,7 +16,8 @@
     : loop_(loop),
       sink_(sink),
       limits_(std::move(limits)),
-      timeout_check_timer_(loop, [this] { CheckAllTimeouts(); }) {}
+      timeout_check_timer_(loop, [this] { CheckAllTimeouts(); }),
+      continue_timer_(loop, [this] { ContinueStreams(); }) {}
 
 HttpPort::~HttpPort() = default;
 
@@ -51,10 +52,35 @@
                      [now](const auto& entry) { return entry.second->IsBusy(now); });
 }
 
-void HttpPort::Remove(HttpServerStream* stream) { streams_.erase(stream); }
+bool HttpPort::IsOverMemoryLimit() const { return loop_->connections().memory().is_over(); }
+
+void HttpPort::Remove(HttpServerStream* stream) {
+  waiting_streams_.erase(std::remove(waiting_streams_.begin(), waiting_streams_.end(), stream),
+                         waiting_streams_.end());
+  streams_.erase(stream);
+}
+
+void HttpPort::ContinueNextTurn(HttpServerStream* stream) {
+  if (waiting_streams_.empty()) {
+    continue_timer_.Start(Duration::zero());
+  }
+  waiting_streams_.push_back(stream);
+}
+
+void HttpPort::ContinueStreams() {
+  // Streams that are not finished in this turn wait behind the others.
+  for (auto count = waiting_streams_.size(); count > 0 && !waiting_streams_.empty(); --count) {
+    auto* stream = waiting_streams_.front();
+    waiting_streams_.erase(waiting_streams_.begin());
+    stream->ContinueParsing();
+  }
+  if (!waiting_streams_.empty()) {
+    continue_timer_.Start(Duration::zero());
+  }
+}
 
 void HttpPort::AddConnection(std::unique_ptr<TcpStream> stream) {
-  if (streams_.size() >= kMaxConnections) {
+  if (!loop_->connections().MakeRoom(EventLoop::Now())) {
     ++rejected_connections_;
     return;
   }
--- a/src/loop/http_server_stream.cc
+++ b/src/loop/http_server_stream.cc
@@ -4,6 +4,7 @@
 #include <string_view>
 #include <utility>
 
+#include "primroseweir/base/compact_append.h"
 #include "primroseweir/http/message_writer.h"
 #include "primroseweir/http/request_handler.h"
 #include "primroseweir/loop/event_loop.h"
@@ -34,10 +35,18 @@
     : port_(port),
       stream_(std::move(stream)),
       parser_(MessageParser::Kind::kRequest, ParserLimits(port->limits())),
-      state_since_(now) {}
+      state_since_(now),
+      last_progress_at_(now),
+      last_check_at_(now) {
+  port_->loop()->connections().Add(this);
+  UpdateBufferedBytes();
+}
 
 HttpServerStream::~HttpServerStream() {
   port_->UpdateBufferedBytes(-static_cast<std::int64_t>(reported_bytes_));
+  auto& connections = port_->loop()->connections();
+  connections.memory().Charge(-charged_bytes_);
+  connections.Remove(this);
 }
 
 Instant HttpServerStream::Now() const { return EventLoop::Now(); }
@@ -45,15 +54,35 @@
 // ---- request ----
 
 void HttpServerStream::OnData(const char* data, std::size_t size) {
+  received_bytes_ += size;
   if (state_ == State::kLingering) {
     state_since_ = Now();
     return;
   }
-  input_.append(data, size);
+  const auto used = !has_input() && ShouldRead() ? Parse(data, size) : 0;
+  if (is_removal_pending_) {
+    RemoveFromPort();
+    return;
+  }
+  if (state_ != State::kLingering) {
+    KeepInput(data + used, size - used);
+  }
   UpdateBufferedBytes();
-  if (ShouldRead()) {
-    ParseInput();
-  } else if (input_.size() > kMaxPipelinedBytes && !is_reading_paused_) {
+  auto& connections = port_->loop()->connections();
+  if (connections.memory().is_over() && !is_held_back_) {
+    // One turn of the loop may read megabytes on each connection.
+    is_held_back_ = true;
+    stream_->PauseReading();
+    connections.HoldBack(this);
+  }
+}
+
+void HttpServerStream::KeepInput(const char* data, std::size_t size) {
+  if (size == 0) {
+    return;
+  }
+  AppendCompactly(&input_, {data, size});
+  if (input_.size() - input_begin_ > kMaxPipelinedBytes && !is_reading_paused_) {
     // Reading continues up to this size, since a disconnect of the caller is noticed only while
     // reading.
     stream_->PauseReading();
@@ -61,19 +90,43 @@
   }
 }
 
+void HttpServerStream::DiscardInput() {
+  input_ = std::string();
+  input_begin_ = 0;
+}
+
+void HttpServerStream::ResumeReading() {
+  if (std::exchange(is_reading_paused_, false) && !is_held_back_) {
+    stream_->ResumeReading();
+  }
+}
+
+void HttpServerStream::ContinueParsing() {
+  is_yielding_ = false;
+  ParseInput();
+}
+
 bool HttpServerStream::ShouldRead() const {
   if (is_receiving_body_) {
     return !is_body_paused_;
   }
-  return state_ == State::kReading ||
-         (state_ == State::kIdle && stream_->pending_bytes() <= kMaxPendingResponseBytes);
+  return !is_yielding_ &&
+         (state_ == State::kReading ||
+          (state_ == State::kIdle && stream_->pending_bytes() <= kMaxPendingResponseBytes));
 }
 
 void HttpServerStream::UpdateBufferedBytes() {
-  const auto bytes = input_.size() + body_.size() + sink_buffered_bytes_;
+  const auto bytes = input_.size() - input_begin_ + body_.size() + sink_buffered_bytes_;
   port_->UpdateBufferedBytes(static_cast<std::int64_t>(bytes) -
                              static_cast<std::int64_t>(reported_bytes_));
   reported_bytes_ = bytes;
+  // The sink has a copy of the head.
+  const auto head_bytes = parser_.request()->fields.allocated_bytes();
+  const auto call_bytes = state_ == State::kServing ? kCallBytes + head_bytes : 0;
+  const auto cost = static_cast<std::int64_t>(kConnectionBytes + AllocatedBytes(input_) +
+                                              AllocatedBytes(body_) + head_bytes + call_bytes +
+                                              sink_buffered_bytes_ + stream_->allocated_bytes());
+  port_->loop()->connections().memory().Charge(cost - std::exchange(charged_bytes_, cost));
 }
 
 void HttpServerStream::SetSinkBufferedBytes(std::size_t bytes) {
@@ -82,35 +135,54 @@
 }
 
 void HttpServerStream::ParseInput() {
+  const auto used = Parse(input_.data() + input_begin_, input_.size() - input_begin_);
+  if (is_removal_pending_) {
+    RemoveFromPort();
+    return;
+  }
+  input_begin_ = std::min(input_begin_ + used, input_.size());
+  if (!has_input()) {
+    DiscardInput();
+  } else if (input_begin_ > input_.size() / 2) {
+    // Removed bytes are at most as many as those that remain, which keeps the cost linear.
+    input_.erase(0, std::exchange(input_begin_, 0));
+  }
+  UpdateBufferedBytes();
+}
+
+std::size_t HttpServerStream::Parse(const char* data, std::size_t size) {
   is_parsing_ = true;
-  while (ShouldRead() && !input_.empty()) {
+  std::size_t position = 0;
+  int requests = 0;
+  while (ShouldRead() && position < size) {
     if (state_ == State::kIdle) {
       state_ = State::kReading;
       request_started_ = state_since_ = Now();
     }
-    const auto used = parser_.Feed(input_.data(), input_.size(), &body_);
+    const auto used = parser_.Feed(data + position, size - position, &body_);
     if (!used.ok()) {
       RejectRequest(HttpStatusOfFault(used.status()));
       break;
     }
-    input_.erase(0, *used);
+    position += *used;
     if (parser_.is_head_complete() && !CheckRequestLimits()) {
       break;
     }
     if (is_receiving_body_) {
       ForwardBodyPiece();
     } else if (parser_.is_message_complete() ||
-               (body_.size() > kMinStreamedBodyBytes &&
+               (parser_.is_head_complete() &&
+                body_.size() > port_->sink()->MaxHeldBodyBytes(*parser_.request()) &&
                 port_->sink()->ShouldStreamBody(*parser_.request()))) {
       DeliverRequest();
+      if (++requests >= kMaxRequestsPerTurn && state_ == State::kIdle && position < size) {
+        is_yielding_ = true;
+        port_->ContinueNextTurn(this);
+      }
     }
   }
   is_parsing_ = false;
-  if (is_removal_pending_) {
-    RemoveFromPort();
-    return;
-  }
-  UpdateBufferedBytes();
+  return position;
 }
 
 // Returns false if the request exceeds a limit, or if the sink rejects it by its head; it then has
@@ -126,7 +198,9 @@
   }
   if (!parser_.is_message_complete()) {
     state_since_ = Now();
-    if (!is_receiving_body_ && port_->IsOverMemoryLimit()) {
+    const auto& memory = port_->loop()->connections().memory();
+    const bool is_small = body.kind == BodyKind::kLength && body.length <= kMaxSmallBodyBytes;
+    if (!is_receiving_body_ && (is_small ? memory.is_exhausted() : memory.is_over())) {
       RejectRequest(kStatusUnavailable);
       return false;
     }
@@ -168,9 +242,7 @@
     return;
   }
   state_since_ = Now();
-  if (std::exchange(is_reading_paused_, false)) {
-    stream_->ResumeReading();
-  }
+  ResumeReading();
   if (!is_parsing_ && ShouldRead()) {
     ParseInput();
   }
@@ -200,6 +272,7 @@
   if (!is_response_to_head) {
     bytes += body;
   }
+  written_bytes_ += bytes.size();
   stream_->Write(std::move(bytes));
   FinishResponse();
 }
@@ -216,14 +289,18 @@
     head.body.kind = BodyKind::kChunked;
   }
   head.keep_alive = !close_after_response_;
-  stream_->Write(SerializeHead(head, false));
+  auto bytes = SerializeHead(head, false);
+  written_bytes_ += bytes.size();
+  stream_->Write(std::move(bytes));
 }
 
 void HttpServerStream::WritePiece(const std::string& piece) {
   if (piece.empty()) {
     return;
   }
+  written_bytes_ += piece.size();
   stream_->Write(is_response_chunked_ ? SerializeChunk(piece) : piece);
+  UpdateBufferedBytes();
 }
 
 void HttpServerStream::EndResponse() {
@@ -252,24 +329,22 @@
   sink_buffered_bytes_ = forwarded_bytes_ = 0;
   if (close_after_response_) {
     state_ = State::kLingering;
-    input_.clear();
-    body_.clear();
+    DiscardInput();
+    body_ = std::string();
+    // Neither the request nor the rest of its body is needed any more.
+    parser_.Reset();
     UpdateBufferedBytes();
     stream_->ShutdownWrite();
-    if (std::exchange(is_reading_paused_, false)) {
-      stream_->ResumeReading();
-    }
+    ResumeReading();
     return;
   }
   state_ = State::kIdle;
   parser_.Reset();
-  body_.clear();
+  body_ = std::string();
   UpdateBufferedBytes();
   is_head_checked_ = false;
-  if (std::exchange(is_reading_paused_, false)) {
-    stream_->ResumeReading();
-  }
-  if (!is_parsing_ && !input_.empty()) {
+  ResumeReading();
+  if (!is_parsing_ && has_input()) {
     ParseInput();
   }
 }
@@ -285,20 +360,30 @@
 }
 
 void HttpServerStream::OnWriteDrained() {
+  UpdateBufferedBytes();
   if (state_ == State::kServing) {
     port_->sink()->OnCallerWritable(this);
     return;
   }
   // Requests may have waited in the input for the caller to read the responses before them.
-  if (std::exchange(is_reading_paused_, false)) {
-    stream_->ResumeReading();
-  }
-  if (state_ == State::kIdle && !is_parsing_ && !input_.empty()) {
+  ResumeReading();
+  if (state_ == State::kIdle && !is_parsing_ && !is_yielding_ && has_input()) {
     ParseInput();
   }
 }
 
 void HttpServerStream::CheckTimeouts(Instant now) {
+  const auto progress_bytes = received_bytes_ + written_bytes_ -
+                              std::min<std::uint64_t>(stream_->pending_bytes(), written_bytes_);
+  const std::chrono::duration<double> seconds = now - last_check_at_;
+  bytes_per_second_ =
+      static_cast<double>(progress_bytes - std::min(last_progress_bytes_, progress_bytes)) /
+      std::max(seconds.count(), 0.1);
+  if (progress_bytes != std::exchange(last_progress_bytes_, progress_bytes)) {
+    last_progress_at_ = now;
+  }
+  last_check_at_ = now;
+  UpdateBufferedBytes();
   const auto limits = port_->limits();
   switch (state_) {
     case State::kIdle:
@@ -371,4 +456,50 @@
   port_->Remove(this);
 }
 
+// ---- shortage ----
+
+ConnectionLoad HttpServerStream::Load(Instant now) {
+  if (peer_address_ == 0) {
+    peer_address_ = stream_->peer_address();
+  }
+  ConnectionLoad load;
+  load.held_bytes = static_cast<std::uint64_t>(charged_bytes_);
+  load.bytes_per_second = bytes_per_second_;
+  load.stalled_for = now - last_progress_at_;
+  load.address = peer_address_;
+  load.waits_for_caller = state_ != State::kServing || (is_receiving_body_ && !is_body_paused_) ||
+                          stream_->pending_bytes() > 0;
+  load.has_been_served = has_served_request_;
+  return load;
+}
+
+void HttpServerStream::Evict(ConnectionRegistry::Shortage shortage) {
+  const bool needs_connection = shortage == ConnectionRegistry::Shortage::kConnections;
+  if (needs_connection && state_ == State::kServing) {
+    AbortUnreadResponse();
+  } else if (!needs_connection &&
+             (is_receiving_body_ || (state_ == State::kReading && is_head_checked_))) {
+    RejectRequest(kStatusUnavailable);
+  } else if (state_ == State::kServing || stream_->pending_bytes() > 0) {
+    AbortUnreadResponse();
+  } else {
+    RemoveFromPort();
+  }
+}
+
+void HttpServerStream::AbortUnreadResponse() {
+  if (std::exchange(state_, State::kLingering) == State::kServing) {
+    port_->sink()->OnCallerDisconnected(this);
+  }
+  // A reset shows the caller that the response is not complete.
+  stream_->Reset();
+  RemoveFromPort();
+}
+
+void HttpServerStream::Continue() {
+  if (std::exchange(is_held_back_, false) && !is_reading_paused_) {
+    stream_->ResumeReading();
+  }
+}
+
 }  // namespace primroseweir
--- a/src/loop/tcp_listener.cc
+++ b/src/loop/tcp_listener.cc
@@ -7,6 +7,7 @@
 #include <uv.h>
 
 #include <array>
+#include <cerrno>
 #include <utility>
 
 #include "primroseweir/base/error.h"
@@ -69,8 +70,13 @@
   }
   for (;;) {
     const int accepted = accept4(descriptor, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (accepted < 0 && (errno == EINTR || errno == ECONNABORTED || errno == EPROTO)) {
+      // That connection failed before it was accepted; others may be pending behind it.
+      continue;
+    }
     if (accepted < 0) {
-      // The usual reason is that no further connection is pending.
+      // The usual reason is that no further connection is pending. Without a free descriptor, the
+      // others are refused when the listener closes.
       return;
     }
     auto* handle = new TcpStream::Handle;
--- a/src/loop/tcp_stream.cc
+++ b/src/loop/tcp_stream.cc
@@ -10,6 +10,7 @@
 #include <array>
 #include <utility>
 
+#include "primroseweir/base/compact_append.h"
 #include "primroseweir/loop/event_loop.h"
 #include "primroseweir/loop/stream_handler.h"
 #include "stream_handle.h"
@@ -115,37 +116,58 @@
     return;
   }
   SetUnackedTimeout(data.size());
+  if (handle_->is_writing) {
+    if (handle_->backlog.empty()) {
+      handle_->backlog = std::move(data);
+    } else {
+      AppendCompactly(&handle_->backlog, data);
+    }
+    return;
+  }
   auto buffer = uv_buf_init(data.data(), static_cast<unsigned>(data.size()));
   const int sent = uv_try_write(handle_->stream(), &buffer, 1);
   if (sent == static_cast<int>(data.size())) {
     return;
   }
   // Errors other than a full socket buffer recur at the queued write, which reports them.
+  handle_->StartWrite(std::move(data), sent > 0 ? static_cast<std::size_t>(sent) : 0);
+}
+
+void TcpStream::Handle::StartWrite(std::string data, std::size_t offset) {
   auto* pending_write = new PendingWrite;
   pending_write->data = std::move(data);
-  if (sent > 0) {
-    pending_write->data.erase(0, static_cast<std::size_t>(sent));
-  }
   pending_write->request.data = pending_write;
-  buffer =
-      uv_buf_init(pending_write->data.data(), static_cast<unsigned>(pending_write->data.size()));
-  uv_write(&pending_write->request, handle_->stream(), &buffer, 1,
-           [](uv_write_t* request, int status) {
-             const std::unique_ptr<PendingWrite> done(static_cast<PendingWrite*>(request->data));
-             auto* self = static_cast<Handle*>(request->handle->data);
-             if (self->handler == nullptr) {
-               return;
-             }
-             if (status != 0) {
-               self->NotifyEnd(false);
-             } else if (uv_stream_get_write_queue_size(self->stream()) == 0) {
-               self->handler->OnWriteDrained();
-             }
-           });
+  is_writing = true;
+  writing_bytes = AllocatedBytes(pending_write->data);
+  auto buffer = uv_buf_init(pending_write->data.data() + offset,
+                            static_cast<unsigned>(pending_write->data.size() - offset));
+  uv_write(&pending_write->request, stream(), &buffer, 1, [](uv_write_t* request, int status) {
+    const std::unique_ptr<PendingWrite> done(static_cast<PendingWrite*>(request->data));
+    auto* self = static_cast<Handle*>(request->handle->data);
+    self->is_writing = false;
+    self->writing_bytes = 0;
+    if (self->handler == nullptr) {
+      return;
+    }
+    if (status != 0) {
+      self->NotifyEnd(false);
+    } else if (!self->backlog.empty()) {
+      self->StartWrite(std::exchange(self->backlog, std::string()), 0);
+      if (std::exchange(self->shuts_down, false)) {
+        self->StartShutdown();
+      }
+    } else {
+      self->handler->OnWriteDrained();
+    }
+  });
 }
 
 std::size_t TcpStream::pending_bytes() const {
-  return uv_stream_get_write_queue_size(handle_->stream());
+  return uv_stream_get_write_queue_size(handle_->stream()) + handle_->backlog.size();
+}
+
+std::size_t TcpStream::allocated_bytes() const {
+  return handle_->writing_bytes + AllocatedBytes(handle_->backlog);
 }
 
 std::size_t TcpStream::unacked_bytes() const {
@@ -168,9 +190,17 @@
 }
 
 void TcpStream::ShutdownWrite() {
+  if (handle_->backlog.empty()) {
+    handle_->StartShutdown();
+  } else {
+    handle_->shuts_down = true;
+  }
+}
+
+void TcpStream::Handle::StartShutdown() {
   auto* request = new uv_shutdown_t;
   const auto delete_request = [](uv_shutdown_t* finished, int /*status*/) { delete finished; };
-  if (uv_shutdown(request, handle_->stream(), delete_request) != 0) {
+  if (uv_shutdown(request, stream(), delete_request) != 0) {
     delete request;
   }
 }
@@ -185,6 +215,14 @@
   }
 }
 
+std::uint32_t TcpStream::peer_address() const {
+  sockaddr_in peer{};
+  int size = sizeof peer;
+  return uv_tcp_getpeername(&handle_->uv, reinterpret_cast<sockaddr*>(&peer), &size) == 0
+             ? peer.sin_addr.s_addr
+             : 0;
+}
+
 void TcpStream::SetOptions() {
   uv_tcp_nodelay(&handle_->uv, 1);
   uv_tcp_keepalive(&handle_->uv, 1, kKeepAliveIntervalSeconds);
