Give each connection with requests ahead a bounded part of a turn of the loop

Cause: a Timer without delay that restarts itself runs again in the same turn of libuv, so connections with thousands of requests ahead kept the loop from sockets and from freeing closed handles; the readiness page got no answer and 175,000 ended calls took 177 MB. A new connection was closed for lack of memory once only calls at upstreams were left that hold more. Change: NextTurn (an idle handle of libuv) continues the input in the next turn. Reading stops while input waits for that. Input behind a request pauses above 16 KB (was 64 KB), and a connection above that may be closed when memory is short; none that holds less than half of the mean is. Gauges for memory, connections, calls and the longest turn; log line connections_evicted. The crowd tests observe the bounds for a second longer, since the process may still be busy with what the crowd sent. The bound of 256 KB in the test of pipelined input is now a number of its own: it was stated as four times a constant that has become smaller.

--- a/include/primroseweir/gateway/gateway.h
+++ b/include/primroseweir/gateway/gateway.h
@@ -24,6 +24,7 @@
 #include "primroseweir/gateway/upstream_connection_pool.h"
 #include "primroseweir/limits/crash_guard.h"
 #include "primroseweir/loop/http_port.h"
+#include "primroseweir/loop/next_turn.h"
 #include "primroseweir/loop/request_sink.h"
 #include "primroseweir/loop/timer.h"
 #include "primroseweir/routes/weighted_service_picker.h"
@@ -80,6 +81,9 @@
   std::size_t calls() const { return calls_.size(); }
   // Whether any caller is still sending a request or waiting for the rest of a response.
   bool IsBusy(Instant now) const { return !calls_.empty() || port_.IsBusy(now); }
+  // Sets the gauges of memory, connections and the longest turn of the loop, before metrics are
+  // read.
+  void UpdateGauges();
   // Bytes of requests buffered in memory.
   std::int64_t buffered_bytes() const { return port_.buffered_bytes(); }
   // Sets the callback that is invoked when a call arrives while no other call is in progress.
@@ -167,6 +171,8 @@
   };
 
   void Tick();
+  // Logs evictions since the last call, and counts them.
+  void ReportEvictions(Instant now);
   void Wake();
   void StartAllWaitingCalls();
   void ProbePossiblyFree(const ServiceName& service, Instant now);
@@ -194,12 +200,15 @@
   std::unique_ptr<UpstreamProber> prober_;
   HttpPort port_;
   Timer tick_timer_;
-  Timer release_timer_;
+  NextTurn release_turn_;
   Timer room_probe_timer_;
   bool probing_for_room_ = false;
   bool is_admitting_ = true;
   std::function<void()> on_wake_ = [] {};
   std::uint64_t rejected_connections_logged_ = 0;
+  // Evictions reported so far.
+  std::uint64_t evicted_for_memory_logged_ = 0;
+  std::uint64_t evicted_for_connections_logged_ = 0;
 };
 
 }  // namespace primroseweir
--- a/include/primroseweir/gateway/gateway_metrics.h
+++ b/include/primroseweir/gateway/gateway_metrics.h
@@ -9,6 +9,7 @@
 
 namespace prometheus {
 class Counter;
+class Gauge;
 class Histogram;
 class Registry;
 template <typename T>
@@ -29,7 +30,10 @@
   // Counts a call to which the gateway itself responded.
   void CountLocalReply(int status);
   // Counts an event by name, such as "probe", "repeat" or "store_call".
-  void CountEvent(const std::string& event);
+  void CountEvent(const std::string& event, double count = 1);
+
+  // Sets the gauge primroseweir_NAME, such as "peer_memory_bytes".
+  void SetGauge(const std::string& name, double value);
 
   // Returns all metrics as text. Linear in their number.
   std::string Text() const;
@@ -42,6 +46,7 @@
   std::map<std::string, prometheus::Histogram*> histograms_;
   std::map<int, prometheus::Counter*> by_status_;
   std::map<std::string, prometheus::Counter*> by_event_;
+  std::map<std::string, prometheus::Gauge*> gauges_;
 };
 
 }  // namespace primroseweir
--- a/include/primroseweir/loop/connection_eviction.h
+++ b/include/primroseweir/loop/connection_eviction.h
@@ -16,7 +16,8 @@
 //
 // in byte seconds, that is the memory that it is expected to occupy and for how long. The share is
 // that of the caller's address in all held bytes. A connection that was never served counts
-// kUnservedFactor times. Connections that wait for an upstream are never chosen.
+// kUnservedFactor times. Connections that wait for an upstream are never chosen, and for the sake
+// of memory none that holds less than half of the mean.
 class ConnectionEviction {
  public:
   // Returns indexes of `loads`, worst first, until the chosen ones hold `bytes` and are as many as
--- a/include/primroseweir/loop/http_port.h
+++ b/include/primroseweir/loop/http_port.h
@@ -12,6 +12,7 @@
 
 #include "primroseweir/base/socket_address.h"
 #include "primroseweir/base/time.h"
+#include "primroseweir/loop/next_turn.h"
 #include "primroseweir/loop/timer.h"
 #include "primroseweir/routes/caller_limits.h"
 
@@ -85,7 +86,7 @@
   // Streams whose input waits for the next turn of the loop.
   std::vector<HttpServerStream*> waiting_streams_;
   Timer timeout_check_timer_;
-  Timer continue_timer_;
+  NextTurn continue_turn_;
 };
 
 }  // namespace primroseweir
--- a/include/primroseweir/loop/http_server_stream.h
+++ b/include/primroseweir/loop/http_server_stream.h
@@ -89,8 +89,9 @@
   // True cost of a call beside its head and body: RoutedCall with four timers, an attempt with two,
   // and the connection to the upstream.
   static constexpr std::size_t kCallBytes = std::size_t{6} * 1024;
-  // Reading pauses when the input behind the current request exceeds this size.
-  static constexpr std::size_t kMaxPipelinedBytes = std::size_t{64} * 1024;
+  // Reading pauses when the input behind the current request exceeds this size: dozens of requests.
+  // A read of the socket may bring kReadBufferBytes of TcpStream more.
+  static constexpr std::size_t kMaxPipelinedBytes = std::size_t{16} * 1024;
   // The next pipelined request waits while more bytes of earlier responses are queued in this
   // process, so that a caller that does not read cannot fill its memory.
   static constexpr std::size_t kMaxPendingResponseBytes = std::size_t{256} * 1024;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -1,5 +1,7 @@
 #include "primroseweir/gateway/gateway.h"
 
+#include <chrono>
+#include <string>
 #include <utility>
 
 #include "primroseweir/base/line_log.h"
@@ -37,7 +39,7 @@
           loop, this,
           [this] { return state_->routes == nullptr ? CallerLimits() : state_->routes->limits(); }),
       tick_timer_(loop, [this] { Tick(); }),
-      release_timer_(loop, [this] { released_calls_.clear(); }),
+      release_turn_(loop, [this] { released_calls_.clear(); }),
       room_probe_timer_(loop, [this] { StartAllWaitingCalls(); }) {}
 
 Gateway::~Gateway() {
@@ -84,7 +86,7 @@
   released_calls_.push_back(std::move(found->second));
   calls_.erase(found);
   if (released_calls_.size() == kMaxReleasedCalls) {
-    release_timer_.Start(Duration::zero());
+    release_turn_.Start();
   }
   call->Stop();
   StartWaitingCalls(call->service(), EventLoop::Now());
@@ -253,9 +255,43 @@
         now);
     rejected_connections_logged_ = port_.rejected_connections();
   }
+  ReportEvictions(now);
   tick_timer_.Start(calls_.empty() ? kIdleTickInterval : kTickInterval);
 }
 
+void Gateway::ReportEvictions(Instant now) {
+  const auto& connections = loop_->connections();
+  const auto report = [&](const char* shortage, std::uint64_t total, std::uint64_t* logged) {
+    const auto count = total - std::exchange(*logged, total);
+    if (count == 0) {
+      return;
+    }
+    metrics_->CountEvent(std::string("evicted_for_") + shortage, static_cast<double>(count));
+    log_->Write("connections_evicted",
+                {{"shortage", shortage},
+                 {"count", std::to_string(count)},
+                 {"connections", std::to_string(connections.size())},
+                 {"held_kb", std::to_string(connections.memory().held_bytes() / 1024)},
+                 {"budget_kb", std::to_string(connections.memory().budget_bytes() / 1024)}},
+                now);
+  };
+  report("memory", connections.evicted_for_memory(), &evicted_for_memory_logged_);
+  report("connections", connections.evicted_for_connections(), &evicted_for_connections_logged_);
+}
+
+void Gateway::UpdateGauges() {
+  const auto& connections = loop_->connections();
+  metrics_->SetGauge("peer_memory_bytes", static_cast<double>(connections.memory().held_bytes()));
+  metrics_->SetGauge("peer_memory_peak_bytes",
+                     static_cast<double>(connections.memory().peak_bytes()));
+  metrics_->SetGauge("peer_memory_budget_bytes",
+                     static_cast<double>(connections.memory().budget_bytes()));
+  metrics_->SetGauge("caller_connections", static_cast<double>(connections.size()));
+  metrics_->SetGauge("calls", static_cast<double>(calls_.size()));
+  metrics_->SetGauge("longest_turn_seconds",
+                     std::chrono::duration<double>(loop_->TakeLongestTurn()).count());
+}
+
 void Gateway::Wake() {
   tick_timer_.Start(kTickInterval);
   on_wake_();
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -1,6 +1,7 @@
 #include "primroseweir/gateway/gateway_metrics.h"
 
 #include <prometheus/counter.h>
+#include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
@@ -52,12 +53,20 @@
   counter->Increment();
 }
 
-void GatewayMetrics::CountEvent(const std::string& event) {
+void GatewayMetrics::CountEvent(const std::string& event, double count) {
   auto& counter = by_event_[event];
   if (counter == nullptr) {
     counter = &events_->Add({{"event", event}});
   }
-  counter->Increment();
+  counter->Increment(count);
+}
+
+void GatewayMetrics::SetGauge(const std::string& name, double value) {
+  auto& gauge = gauges_[name];
+  if (gauge == nullptr) {
+    gauge = &prometheus::BuildGauge().Name("primroseweir_" + name).Register(*registry_).Add({});
+  }
+  gauge->Set(value);
 }
 
 std::string GatewayMetrics::Text() const {
--- a/src/loop/connection_eviction.cc
+++ b/src/loop/connection_eviction.cc
@@ -22,9 +22,11 @@
     held_by_address[load.address] += load.held_bytes;
     held_bytes += load.held_bytes;
   }
+  // Ordinary callers hold little, so that closing them would not release memory.
+  const auto min_held_bytes = bytes == 0 || loads.empty() ? 0 : held_bytes / loads.size() / 2;
   std::vector<std::pair<double, std::size_t>> candidates;
   for (std::size_t i = 0; i < loads.size(); ++i) {
-    if (loads[i].waits_for_caller) {
+    if (loads[i].waits_for_caller && loads[i].held_bytes >= min_held_bytes) {
       const auto share = static_cast<double>(held_by_address[loads[i].address]) /
                          static_cast<double>(std::max<std::uint64_t>(held_bytes, 1));
       candidates.emplace_back(Score(loads[i], share), i);
--- a/src/loop/http_port.cc
+++ b/src/loop/http_port.cc
@@ -17,7 +17,7 @@
       sink_(sink),
       limits_(std::move(limits)),
       timeout_check_timer_(loop, [this] { CheckAllTimeouts(); }),
-      continue_timer_(loop, [this] { ContinueStreams(); }) {}
+      continue_turn_(loop, [this] { ContinueStreams(); }) {}
 
 HttpPort::~HttpPort() = default;
 
@@ -62,7 +62,7 @@
 
 void HttpPort::ContinueNextTurn(HttpServerStream* stream) {
   if (waiting_streams_.empty()) {
-    continue_timer_.Start(Duration::zero());
+    continue_turn_.Start();
   }
   waiting_streams_.push_back(stream);
 }
@@ -75,7 +75,7 @@
     stream->ContinueParsing();
   }
   if (!waiting_streams_.empty()) {
-    continue_timer_.Start(Duration::zero());
+    continue_turn_.Start();
   }
 }
 
--- a/src/loop/http_server_stream.cc
+++ b/src/loop/http_server_stream.cc
@@ -82,9 +82,9 @@
     return;
   }
   AppendCompactly(&input_, {data, size});
-  if (input_.size() - input_begin_ > kMaxPipelinedBytes && !is_reading_paused_) {
-    // Reading continues up to this size, since a disconnect of the caller is noticed only while
-    // reading.
+  if ((is_yielding_ || input_.size() - input_begin_ > kMaxPipelinedBytes) && !is_reading_paused_) {
+    // While a request is served, reading continues up to this size, since a disconnect of the
+    // caller is noticed only while reading.
     stream_->PauseReading();
     is_reading_paused_ = true;
   }
@@ -103,6 +103,7 @@
 
 void HttpServerStream::ContinueParsing() {
   is_yielding_ = false;
+  ResumeReading();
   ParseInput();
 }
 
@@ -468,7 +469,8 @@
   load.stalled_for = now - last_progress_at_;
   load.address = peer_address_;
   load.waits_for_caller = state_ != State::kServing || (is_receiving_body_ && !is_body_paused_) ||
-                          stream_->pending_bytes() > 0;
+                          stream_->pending_bytes() > 0 ||
+                          input_.size() - input_begin_ > kMaxPipelinedBytes;
   load.has_been_served = has_served_request_;
   return load;
 }
--- a/tests/crowds/crowded_site.h
+++ b/tests/crowds/crowded_site.h
@@ -9,6 +9,7 @@
 #include <iterator>
 #include <list>
 #include <string>
+#include <thread>
 #include <utility>
 
 #include "draining_upstream.h"
@@ -54,7 +55,8 @@
   }
 
   // Checks the bounds and that an ordinary caller is served while the crowd stays, and prints what
-  // was measured.
+  // was measured. The bounds are checked again after a further second, since the process may still
+  // be busy with what the crowd has sent.
   void CheckHolds() {
     Observe();
     const bool is_alive = Instance(0).Running();
@@ -62,7 +64,10 @@
     const auto readiness =
         standins::Get(ReadinessAddress(0), "/primroseweir/readiness", kCallTimeout);
     const int ready_status = readiness.ok() ? readiness->head.status : 0;
-    Observe();
+    for (int i = 0; i < 100; ++i) {
+      Observe();
+      std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
     std::cout << "crowd: alive=" << is_alive << " ordinary=" << status << " ready=" << ready_status
               << " calm_mb=" << calm_bytes_ / kMegabyte << " peak_mb=" << peak_bytes_ / kMegabyte
               << " bound_mb=" << limits_.memory_megabytes << " descriptors=" << max_descriptors_
--- a/tests/loop/endless_input_test.cc
+++ b/tests/loop/endless_input_test.cc
@@ -209,7 +209,7 @@
   RunUntil(
       &fixture.loop(), [] { return false; }, std::chrono::seconds(1));
   CHECK(fixture.request_count == 1);
-  CHECK(fixture.port().buffered_bytes() < 4 * std::int64_t{HttpServerStream::kMaxPipelinedBytes});
+  CHECK(fixture.port().buffered_bytes() < std::int64_t{256} * 1024);
 }
 
 }  // namespace
