--- a/include/primroseweir/base/compact_append.h
+++ b/include/primroseweir/base/compact_append.h
@@ -12,7 +12,7 @@
 // in reserve(), so that up to half of what a peer makes a process hold would be unused. Amortised
 // linear, as doubling is.
 inline void AppendCompactly(std::string* text, std::string_view piece) {
-  constexpr std::size_t kMinCompactBytes = 16 * 1024;
+  constexpr std::size_t kMinCompactBytes = std::size_t{16} * 1024;
   const auto size = text->size() + piece.size();
   if (size > text->capacity() && size > kMinCompactBytes) {
     std::string larger;
--- a/include/primroseweir/loop/connection_registry.h
+++ b/include/primroseweir/loop/connection_registry.h
@@ -1,6 +1,7 @@
 #ifndef PRIMROSEWEIR_LOOP_CONNECTION_REGISTRY_H_
 #define PRIMROSEWEIR_LOOP_CONNECTION_REGISTRY_H_
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <unordered_set>
@@ -56,6 +57,9 @@
   static std::size_t MaxConnectionsFor(std::size_t descriptors);
   // Half of the descriptors of the machines that most users have.
   static constexpr std::size_t kMaxConnections = 2000;
+  // If no connection may be closed for the sake of memory, the choice among all of them, which
+  // takes a part of a millisecond, is not repeated in each turn of the loop.
+  static constexpr Duration kEvictionRetryDelay = std::chrono::milliseconds(10);
 
  private:
   // Evicts connections that together hold `bytes` and are as many as `connections`. Returns how
@@ -65,6 +69,7 @@
   MemoryAccount memory_;
   std::unordered_set<Connection*> connections_;
   std::unordered_set<Connection*> held_back_;
+  Instant next_eviction_at_;
   std::size_t max_connections_ = kMaxConnections;
   std::uint64_t evicted_for_memory_ = 0;
   std::uint64_t evicted_for_connections_ = 0;
--- a/src/loop/connection_registry.cc
+++ b/src/loop/connection_registry.cc
@@ -34,9 +34,13 @@
 }
 
 void ConnectionRegistry::RelieveMemory(Instant now) {
-  if (const auto excess_bytes = memory_.excess_bytes(); excess_bytes > 0) {
-    evicted_for_memory_ +=
-        Evict(static_cast<std::uint64_t>(excess_bytes), 0, Shortage::kMemory, now);
+  const auto excess_bytes = memory_.excess_bytes();
+  if (excess_bytes > 0 && now >= next_eviction_at_) {
+    const auto count = Evict(static_cast<std::uint64_t>(excess_bytes), 0, Shortage::kMemory, now);
+    evicted_for_memory_ += count;
+    if (count == 0) {
+      next_eviction_at_ = now + kEvictionRetryDelay;
+    }
   }
   if (!memory_.is_over() && !held_back_.empty()) {
     const auto held_back = std::exchange(held_back_, {});
