--- a/include/primroseweir/gateway/gateway_metrics.h
+++ b/include/primroseweir/gateway/gateway_metrics.h
@@ -45,7 +45,10 @@
   // kMaxCustomers that were refused are counted together as "other".
   void CountCustomerRefusal(const std::string& customer, const std::string& reason);
   // Counts an event by name, such as "probe", "repeat" or "store_call".
-  void CountEvent(const std::string& event);
+  void CountEvent(const std::string& event, double count = 1);
+
+  // Sets the gauge primroseweir_NAME, such as "peer_memory_bytes".
+  void SetGauge(const std::string& name, double value);
 
   // What became of a call of a customer with a quota. A refunded call was admitted before.
   enum class QuotaEvent { kAdmitted, kRefused, kRefunded };
@@ -77,6 +80,7 @@
   prometheus::Family<prometheus::Counter>* customer_refusals_;
   // By customer, then by reason.
   std::map<std::string, std::map<std::string, prometheus::Counter*>> by_refused_customer_;
+  std::map<std::string, prometheus::Gauge*> gauges_;
 };
 
 }  // namespace primroseweir
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -108,6 +108,14 @@
     }
     it = customer_call_counters_.erase(it);
   }
+  for (auto it = by_quota_event_.begin(); it != by_quota_event_.end();) {
+    if (customers != nullptr && customers->FindByName(it->first.first) != nullptr) {
+      ++it;
+      continue;
+    }
+    quota_calls_->Remove(it->second);
+    it = by_quota_event_.erase(it);
+  }
 }
 
 void GatewayMetrics::CountCustomerRefusal(const std::string& customer, const std::string& reason) {
@@ -121,12 +129,20 @@
   counter->Increment();
 }
 
-void GatewayMetrics::CountEvent(const std::string& event) {
+void GatewayMetrics::CountEvent(const std::string& event, double count) {
   auto& counter = by_event_[event];
   if (counter == nullptr) {
     counter = &events_->Add({{"event", event}});
   }
-  counter->Increment();
+  counter->Increment(count);
+}
+
+void GatewayMetrics::SetGauge(const std::string& name, double value) {
+  auto& gauge = gauges_[name];
+  if (gauge == nullptr) {
+    gauge = &prometheus::BuildGauge().Name("primroseweir_" + name).Register(*registry_).Add({});
+  }
+  gauge->Set(value);
 }
 
 void GatewayMetrics::CountQuota(const std::string& customer, QuotaEvent event) {
