--- a/standins/platform/platform_upstream.cc
+++ b/standins/platform/platform_upstream.cc
@@ -86,12 +86,12 @@
 }
 
 void PlatformUpstream::RecordCaller(const std::string& request, const RequestHead& head) {
-  const auto* customer = head.fields.Find("X-Tenant");
-  const auto* authorization = head.fields.Find("Authorization");
-  if (customer != nullptr || authorization != nullptr) {
+  const auto customer = head.fields.Find("X-Tenant");
+  const auto authorization = head.fields.Find("Authorization");
+  if (customer || authorization) {
     caller_lines_->push_back((request.empty() ? "-" : request) + " " +
-                             (customer == nullptr ? "-" : *customer) + " " +
-                             (authorization == nullptr ? "-" : *authorization));
+                             std::string(customer.value_or("-")) + " " +
+                             std::string(authorization.value_or("-")));
   }
 }
 
