--- a/include/primroseweir/customers/fleet_quota.h
+++ b/include/primroseweir/customers/fleet_quota.h
@@ -109,6 +109,10 @@
   // Calls that all active instances together may admit above the bucket within the delay of
   // reports, so that a small customer is served at each of a few instances. The debt is paid back.
   static constexpr double kFleetAllowance = 12;
+  // Calls of a customer that the instances which callers use may admit together right after a
+  // start, before their buckets refill. Half of what the operators accept above a quota in any
+  // case.
+  static constexpr double kStartAllowance = 10;
   // Limit on the customers in a report; those with the most recent calls.
   static constexpr std::size_t kMaxReportedCustomers = 256;
   // A state without calls anywhere is kept this long; a peer's counts are dropped earlier than the
--- a/src/customers/fleet_quota.cc
+++ b/src/customers/fleet_quota.cc
@@ -197,6 +197,9 @@
   // Starts above all values that it may have had before.
   state.admitted = total_admitted_;
   state.newest_slot = now.time_since_epoch() / kSlotLength;
+  if (IsSettling(now) && is_serving_) {
+    state.level = std::min(limits->second.burst, kStartAllowance / serving_instances_);
+  }
   Refill(&state, now);
   return &state;
 }
@@ -251,7 +254,9 @@
 }
 
 bool FleetQuota::IsSettling(Instant now) const {
-  return now - *started_at_ < SettleTime(static_cast<double>(peak_fleet_size_));
+  const auto settle_time =
+      is_serving_ ? kMinSettleTime : SettleTime(static_cast<double>(peak_fleet_size_));
+  return now - *started_at_ < settle_time;
 }
 
 Duration FleetQuota::ActivationTime() const {
--- a/src/gateway/fleet_service.cc
+++ b/src/gateway/fleet_service.cc
@@ -369,6 +369,10 @@
   }
   auto fleet = table_.LivePeers(now);
   fleet.push_back(table_.self());
+  for (auto& member : fleet) {
+    // After a power failure, callers use these instances as soon as they have a configuration.
+    member.leaving = false;
+  }
   std::set<DataCentre> data_centres;
   std::set<std::string> targets;
   for (const auto& member : fleet) {
