Count the instances that are heard when a share is set right after a start

Cause: for half a second an instance took only itself to be heard, so its share was a fortieth after a power failure although it received the reports of the others.

--- a/src/customers/fleet_quota.cc
+++ b/src/customers/fleet_quota.cc
@@ -303,7 +303,7 @@
     instances = std::max(instances,
                          is_serving_ ? serving_instances_ : static_cast<double>(peak_fleet_size_));
   }
-  const double heard_share = static_cast<double>(settling ? 1 : heard) / instances;
+  const double heard_share = static_cast<double>(heard) / instances;
   const double share = std::min(1.0, kDividedFleetShare * heard_share);
   const bool first = refreshed_at_ == Instant();
   if (!first && share < share_) {
