--- a/tests/customers/customer_table_test.cc
+++ b/tests/customers/customer_table_test.cc
@@ -28,6 +28,19 @@
   CHECK((*table)->FindByKey("") == nullptr);
 }
 
+// Guards against a key that is found by a part of it, or cut at its length, and against a removed
+// customer that is still known by its name.
+TEST_CASE("only a whole key or name finds its customer", "[customers]") {
+  const auto table = CustomerTable::Create({MakeEntry("a", {"key", "key-longest"})});
+  REQUIRE(table.ok());
+  CHECK((*table)->FindByKey("key-longest") != nullptr);
+  for (const char* key : {"ke", "key-", "key-longes", "key-longest ", "key-longestx", "KEY"}) {
+    CHECK((*table)->FindByKey(key) == nullptr);
+  }
+  CHECK((*table)->FindByName("a") != nullptr);
+  CHECK((*table)->FindByName("b") == nullptr);
+}
+
 // Guards against a configuration in which a call could be charged to either of two customers, and
 // against a key in the reason, which is logged.
 TEST_CASE("a key of two customers is rejected without naming the key", "[customers]") {
