Read less from each connection while memory is short

Cause: a thousand connections that are ready in one turn of the loop each bring a read of 64 KB before any can be closed. Change: reads of 16 KB when memory is short, of 2 KB above the budget.

--- a/src/loop/event_loop.cc
+++ b/src/loop/event_loop.cc
@@ -9,7 +9,7 @@
 EventLoop::EventLoop() {
   uv_loop_init(&loop_);
   uv_loop_configure(&loop_, UV_METRICS_IDLE_TIME);
-  prepare_.data = check_.data = this;
+  loop_.data = prepare_.data = check_.data = this;
   uv_prepare_init(&loop_, &prepare_);
   uv_prepare_start(&prepare_, [](uv_prepare_t* handle) {
     static_cast<EventLoop*>(handle->data)->MeasureTurn();
--- a/src/loop/tcp_stream.cc
+++ b/src/loop/tcp_stream.cc
@@ -22,10 +22,19 @@
 constexpr int kMaxKeepAliveProbes = 2;
 constexpr std::size_t kReadBufferBytes = std::size_t{64} * 1024;
 
+// Size of a read when memory is short, and when peers hold more than the budget. A thousand
+// connections that are ready in the same turn would otherwise bring 64 MB before any can be closed.
+constexpr std::size_t kShortReadBytes = std::size_t{16} * 1024;
+constexpr std::size_t kMinReadBytes = std::size_t{2} * 1024;
+
 // Provides one read buffer for all streams: libuv hands over each piece before it reads the next.
-void Allocate(uv_handle_t* /*handle*/, std::size_t /*suggested*/, uv_buf_t* buffer) {
+void Allocate(uv_handle_t* handle, std::size_t /*suggested*/, uv_buf_t* buffer) {
   static std::array<char, kReadBufferBytes> storage;
-  *buffer = uv_buf_init(storage.data(), storage.size());
+  const auto& memory = static_cast<EventLoop*>(handle->loop->data)->connections().memory();
+  const auto size = memory.is_over()    ? kMinReadBytes
+                    : memory.is_short() ? kShortReadBytes
+                                        : storage.size();
+  *buffer = uv_buf_init(storage.data(), static_cast<unsigned>(size));
 }
 
 struct PendingWrite {
