Serve requests that callers send ahead at the same time

Cause: callers that send several idempotent requests without waiting for responses had them served one after the other, so that the second was late by the whole latency of the first.

Change: HttpServerStream delivers up to six plain GET requests behind the one in progress to the sink, if the sink allows it (idempotent routes). PipelinedExchange holds their responses until their turn. A response that ends the connection is the last one: a stop answers what was passed on and reads nothing behind it. The sink's interface is now HttpServerExchange, of which HttpServerStream is one.

--- a/include/primroseweir/gateway/gateway.h
+++ b/include/primroseweir/gateway/gateway.h
@@ -137,11 +137,14 @@
 
   bool ShouldStreamBody(const RequestHead& head) override;
   bool WillReject(const RequestHead& head) override;
-  void OnRequest(HttpServerStream* stream, RequestHead* head, std::string body) override;
-  void OnBodyPiece(HttpServerStream* stream, const std::string& piece, bool last) override;
-  void OnBodyError(HttpServerStream* stream, int status) override;
-  void OnCallerDisconnected(HttpServerStream* stream) override;
-  void OnCallerWritable(HttpServerStream* stream) override;
+  // Only calls that may be repeated, without large responses, are served ahead of their turn: the
+  // caller sends them again if an earlier response ends the connection.
+  bool MayServeAhead(const RequestHead& head) override;
+  void OnRequest(HttpServerExchange* stream, RequestHead* head, std::string body) override;
+  void OnBodyPiece(HttpServerExchange* stream, const std::string& piece, bool last) override;
+  void OnBodyError(HttpServerExchange* stream, int status) override;
+  void OnCallerDisconnected(HttpServerExchange* stream) override;
+  void OnCallerWritable(HttpServerExchange* stream) override;
 
   // Interval of maintenance with and without calls in progress, and of probes for room while calls
   // are queued. The idle interval is longer since each wake-up is billed and most instances of a
@@ -180,7 +183,7 @@
   std::map<ServiceName, AdmissionQueue> queues_;
   std::map<ServiceName, WindowedRetryBudget> retry_budgets_;
   std::map<UpstreamId, std::vector<SuspectedCrash>> suspected_crashes_;
-  std::unordered_map<HttpServerStream*, std::unique_ptr<RoutedCall>> calls_;
+  std::unordered_map<HttpServerExchange*, std::unique_ptr<RoutedCall>> calls_;
   // Ended calls whose functions may still be on the stack; destroyed at the next tick.
   std::vector<std::unique_ptr<RoutedCall>> released_calls_;
   std::unique_ptr<UpstreamProber> prober_;
--- a/include/primroseweir/gateway/page_server.h
+++ b/include/primroseweir/gateway/page_server.h
@@ -34,7 +34,7 @@
   absl::Status Listen(const SocketAddress& address) { return port_.Listen(address); }
   void StopAccepting() { port_.StopAccepting(); }
 
-  void OnRequest(HttpServerStream* stream, RequestHead* head, std::string body) override;
+  void OnRequest(HttpServerExchange* stream, RequestHead* head, std::string body) override;
 
   // Parses a query string such as "a=1&b=2" and decodes percent-encoding and '+'.
   static Query ParseQuery(const std::string& text);
--- a/include/primroseweir/gateway/routed_call.h
+++ b/include/primroseweir/gateway/routed_call.h
@@ -25,7 +25,7 @@
 namespace primroseweir {
 
 class Gateway;
-class HttpServerStream;
+class HttpServerExchange;
 class RouteTable;
 class UpstreamAttempt;
 
@@ -35,7 +35,7 @@
 class RoutedCall {
  public:
   // `body` is the complete body, or the first part of a body that the gateway streams.
-  RoutedCall(Gateway* gateway, HttpServerStream* caller, RequestHead head, std::string body,
+  RoutedCall(Gateway* gateway, HttpServerExchange* caller, RequestHead head, std::string body,
              Instant now);
   ~RoutedCall();
 
@@ -67,7 +67,7 @@
   void OnProbeCompleted(Instant now);
   bool is_probing() const { return is_probing_; }
 
-  HttpServerStream* caller() const { return caller_; }
+  HttpServerExchange* caller() const { return caller_; }
   const ServiceName& service() const { return service_; }
   // Priority in the admission queue: that of the customer, or else of the route.
   std::uint32_t priority() const { return identity_.PriorityOr(route_->priority); }
@@ -178,7 +178,7 @@
                      Instant now) const;
 
   Gateway* const gateway_;
-  HttpServerStream* const caller_;
+  HttpServerExchange* const caller_;
   const RequestHead head_;
   CallBody body_;
   // Bytes of the body that were sent on the current attempt, and whether its end was.
--- a/include/primroseweir/loop/http_port.h
+++ b/include/primroseweir/loop/http_port.h
@@ -60,6 +60,11 @@
   // Whether the requests on all connections together hold more than kMaxBufferedBytes.
   bool IsOverMemoryLimit() const { return buffered_bytes_ > kMaxBufferedBytes; }
   std::int64_t buffered_bytes() const { return buffered_bytes_; }
+  // Adds `change` to the bytes of responses that are held until their turn on their connection.
+  void UpdateBytesAhead(std::int64_t change) { bytes_ahead_ += change; }
+  // Whether further requests may be served ahead of their turn: responses that wait for their turn
+  // hold at most kMaxBytesAhead.
+  bool HasRoomAhead() const { return bytes_ahead_ <= kMaxBytesAhead && !IsOverMemoryLimit(); }
   // Connections closed at once because kMaxConnections were open.
   std::uint64_t rejected_connections() const { return rejected_connections_; }
 
@@ -68,6 +73,8 @@
   static constexpr std::size_t kMaxConnections = 2000;
   // Less than a third of the 160 MB of the smallest machine.
   static constexpr std::int64_t kMaxBufferedBytes = std::int64_t{48} * 1024 * 1024;
+  // A twentieth of the memory of the smallest machine. Responses that arrive later may exceed it.
+  static constexpr std::int64_t kMaxBytesAhead = std::int64_t{8} * 1024 * 1024;
   static constexpr Duration kTimeoutCheckInterval = std::chrono::milliseconds(500);
 
  private:
@@ -81,6 +88,7 @@
   std::unordered_map<HttpServerStream*, std::unique_ptr<HttpServerStream>> streams_;
   bool is_draining_ = false;
   std::int64_t buffered_bytes_ = 0;
+  std::int64_t bytes_ahead_ = 0;
   std::uint64_t rejected_connections_ = 0;
   Timer timeout_check_timer_;
 };
--- a/include/primroseweir/loop/http_server_stream.h
+++ b/include/primroseweir/loop/http_server_stream.h
@@ -2,52 +2,43 @@
 #define PRIMROSEWEIR_LOOP_HTTP_SERVER_STREAM_H_
 
 #include <cstddef>
+#include <deque>
 #include <memory>
 #include <string>
 
 #include "primroseweir/base/time.h"
 #include "primroseweir/http/message_parser.h"
 #include "primroseweir/http/response_head.h"
+#include "primroseweir/loop/http_server_exchange.h"
 #include "primroseweir/loop/stream_handler.h"
 
 namespace primroseweir {
 
 class HttpPort;
+class PipelinedExchange;
 class TcpStream;
 
-// A caller's connection to an HttpPort. Serves one request at a time; pipelined requests wait in a
-// bounded buffer.
-class HttpServerStream : public StreamHandler {
+// A caller's connection to an HttpPort, and the exchange of the request that it serves. Requests
+// behind that one wait in a bounded buffer, except those that the sink serves ahead of their turn.
+class HttpServerStream : public StreamHandler, public HttpServerExchange {
  public:
   HttpServerStream(HttpPort* port, std::unique_ptr<TcpStream> stream, Instant now);
   ~HttpServerStream() override;
 
-  // ---- response ----
-
-  // Sends a complete response.
-  void Respond(ResponseHead head, const std::string& body);
-  // Sends a response in pieces: BeginResponse, any number of WritePiece, EndResponse. A body of
-  // unknown length is sent chunked, or up to the end of the connection to HTTP/1.0 callers.
-  void BeginResponse(ResponseHead head);
-  void WritePiece(const std::string& piece);
-  void EndResponse();
-  // Resets the connection during a response, so that the caller cannot take it for complete.
-  void Abort();
-  // Returns how many bytes of the response have not left this process yet.
-  std::size_t pending_bytes() const;
-  // Returns how many bytes of the response the caller has not acknowledged yet.
-  std::size_t unacked_bytes() const;
-
-  // ---- streamed body ----
-
-  // Whether more of the current request's body follows. A response sent meanwhile ends the
-  // connection, since the rest of the body would come before the next request.
-  bool is_receiving_body() const { return is_receiving_body_; }
-  // Holds back the rest of the body until ResumeBody.
-  void PauseBody();
-  void ResumeBody();
-  // Sets how many bytes of the body the sink holds; they count towards the port's memory limit.
-  void SetSinkBufferedBytes(std::size_t bytes);
+  // ---- exchange ----
+
+  void Respond(ResponseHead head, const std::string& body) override;
+  void BeginResponse(ResponseHead head) override;
+  void WritePiece(const std::string& piece) override;
+  void EndResponse() override;
+  // Resets the connection.
+  void Abort() override;
+  std::size_t pending_bytes() const override;
+  std::size_t unacked_bytes() const override;
+  bool is_receiving_body() const override { return is_receiving_body_; }
+  void PauseBody() override;
+  void ResumeBody() override;
+  void SetSinkBufferedBytes(std::size_t bytes) override;
 
   // ---- port ----
 
@@ -75,6 +66,11 @@
   static constexpr std::size_t kMinStreamedBodyBytes = std::size_t{64} * 1024;
   // Reading pauses when the input behind the current request exceeds this size.
   static constexpr std::size_t kMaxPipelinedBytes = std::size_t{64} * 1024;
+  // Requests of one connection that are served ahead of their turn at a time. Bounds what one
+  // caller can occupy; a browser opens about as many connections.
+  static constexpr std::size_t kMaxRequestsAhead = 6;
+  // Longest head of a request that is served ahead of its turn. Bounds the search for its end.
+  static constexpr std::size_t kMaxHeadBytesAhead = std::size_t{8} * 1024;
   // The next pipelined request waits while more bytes of earlier responses are queued in this
   // process, so that a caller that does not read cannot fill its memory.
   static constexpr std::size_t kMaxPendingResponseBytes = std::size_t{256} * 1024;
@@ -103,7 +99,25 @@
   bool CheckRequestLimits();
   void DeliverRequest();
   void ForwardBodyPiece();
+  // ---- requests ahead of their turn ----
+  // Whether the next request in the input may be served while the current one is in progress.
+  bool MayReadAhead() const;
+  // Delivers the next request of the input if it is complete and may be served ahead. Returns
+  // whether it did.
+  bool DeliverAhead();
+  // Whether a request may be served ahead of its turn, or others ahead while it is in progress: it
+  // has no body, and its response neither ends the connection nor depends on the method or version.
+  bool IsPlainGet(const RequestHead& head) const;
+  // Starts the turn of the next request that is served ahead.
+  void StartNextTurn();
+  // Tells the sink that the caller of the requests ahead of their turn has disconnected.
+  void DropRequestsAhead();
+  // The exchange under which the sink knows the request whose response is next.
+  HttpServerExchange* current();
+
   void RejectRequest(int status);
+  // Decides whether the response that begins now ends the connection.
+  void DecideClose();
   void FinishResponse();
   // Whether the caller has not received the whole of the last response and is within the time
   // limits for that. Records its progress, so it must be called regularly.
@@ -139,6 +153,11 @@
   bool is_response_chunked_ = false;
   bool is_removal_pending_ = false;
   bool is_reading_paused_ = false;
+  // Whether the next request in the input can only be served in its turn.
+  bool is_next_blocked_ = false;
+  // The exchange of the current request if it was served ahead, and those behind it in order.
+  std::unique_ptr<PipelinedExchange> current_ahead_;
+  std::deque<std::unique_ptr<PipelinedExchange>> ahead_;
   // ParseInput is running: a synchronous response must not start it again.
   bool is_parsing_ = false;
 };
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -10,7 +10,7 @@
 #include "primroseweir/http/request_head.h"
 #include "primroseweir/http/response_head.h"
 #include "primroseweir/loop/event_loop.h"
-#include "primroseweir/loop/http_server_stream.h"
+#include "primroseweir/loop/http_server_exchange.h"
 #include "primroseweir/routes/route_table.h"
 
 namespace primroseweir {
@@ -186,21 +186,28 @@
               .is_allowed();
 }
 
-void Gateway::OnBodyPiece(HttpServerStream* stream, const std::string& piece, bool last) {
+bool Gateway::MayServeAhead(const RequestHead& head) {
+  const auto* route = state_->routes == nullptr
+                          ? nullptr
+                          : state_->routes->Find(head.fields.Get("Host"), head.target);
+  return is_admitting_ && route != nullptr && route->kind == CallKind::kIdempotent;
+}
+
+void Gateway::OnBodyPiece(HttpServerExchange* stream, const std::string& piece, bool last) {
   const auto found = calls_.find(stream);
   if (found != calls_.end()) {
     found->second->OnBodyPiece(piece, last);
   }
 }
 
-void Gateway::OnBodyError(HttpServerStream* stream, int status) {
+void Gateway::OnBodyError(HttpServerExchange* stream, int status) {
   const auto found = calls_.find(stream);
   if (found != calls_.end()) {
     found->second->OnBodyError(status, EventLoop::Now());
   }
 }
 
-void Gateway::OnRequest(HttpServerStream* stream, RequestHead* head, std::string body) {
+void Gateway::OnRequest(HttpServerExchange* stream, RequestHead* head, std::string body) {
   const auto now = EventLoop::Now();
   ++calls_received_;
   if (calls_.empty()) {
@@ -212,14 +219,14 @@
   new_call->Start(now);
 }
 
-void Gateway::OnCallerDisconnected(HttpServerStream* stream) {
+void Gateway::OnCallerDisconnected(HttpServerExchange* stream) {
   const auto found = calls_.find(stream);
   if (found != calls_.end()) {
     found->second->OnCallerDisconnected(EventLoop::Now());
   }
 }
 
-void Gateway::OnCallerWritable(HttpServerStream* stream) {
+void Gateway::OnCallerWritable(HttpServerExchange* stream) {
   const auto found = calls_.find(stream);
   if (found != calls_.end()) {
     found->second->OnCallerWritable();
--- a/src/gateway/page_server.cc
+++ b/src/gateway/page_server.cc
@@ -5,7 +5,7 @@
 
 #include "primroseweir/http/request_head.h"
 #include "primroseweir/http/response_head.h"
-#include "primroseweir/loop/http_server_stream.h"
+#include "primroseweir/loop/http_server_exchange.h"
 
 namespace primroseweir {
 namespace {
@@ -34,7 +34,7 @@
   pages_[path] = std::move(factory);
 }
 
-void PageServer::OnRequest(HttpServerStream* stream, RequestHead* head, std::string /*body*/) {
+void PageServer::OnRequest(HttpServerExchange* stream, RequestHead* head, std::string /*body*/) {
   const auto query_mark = head->target.find('?');
   const auto page_entry = pages_.find(head->target.substr(0, query_mark));
   Page page;
--- a/src/gateway/routed_call.cc
+++ b/src/gateway/routed_call.cc
@@ -18,7 +18,7 @@
 #include "primroseweir/limits/crash_guard.h"
 #include "primroseweir/loop/event_loop.h"
 #include "primroseweir/loop/http_client_stream.h"
-#include "primroseweir/loop/http_server_stream.h"
+#include "primroseweir/loop/http_server_exchange.h"
 #include "primroseweir/routes/route_table.h"
 #include "primroseweir/routes/weighted_service_picker.h"
 
@@ -50,7 +50,7 @@
 
 }  // namespace
 
-RoutedCall::RoutedCall(Gateway* gateway, HttpServerStream* caller, RequestHead head,
+RoutedCall::RoutedCall(Gateway* gateway, HttpServerExchange* caller, RequestHead head,
                        std::string body, Instant now)
     : gateway_(gateway),
       caller_(caller),
--- a/src/gateway/routed_call_placement.cc
+++ b/src/gateway/routed_call_placement.cc
@@ -13,7 +13,7 @@
 #include "primroseweir/gateway/upstream_prober.h"
 #include "primroseweir/http/message_writer.h"
 #include "primroseweir/loop/event_loop.h"
-#include "primroseweir/loop/http_server_stream.h"
+#include "primroseweir/loop/http_server_exchange.h"
 #include "primroseweir/routes/route_table.h"
 
 namespace primroseweir {
--- a/src/loop/http_server_stream.cc
+++ b/src/loop/http_server_stream.cc
@@ -8,6 +8,7 @@
 #include "primroseweir/http/request_handler.h"
 #include "primroseweir/loop/event_loop.h"
 #include "primroseweir/loop/http_port.h"
+#include "primroseweir/loop/pipelined_exchange.h"
 #include "primroseweir/loop/request_sink.h"
 #include "primroseweir/loop/tcp_stream.h"
 
@@ -48,7 +49,7 @@
   }
   input_.append(data, size);
   UpdateBufferedBytes();
-  if (ShouldRead()) {
+  if (ShouldRead() || MayReadAhead()) {
     ParseInput();
   } else if (input_.size() > kMaxPipelinedBytes && !is_reading_paused_) {
     // Reading continues up to this size, since a disconnect of the caller is noticed only while
@@ -80,7 +81,13 @@
 
 void HttpServerStream::ParseInput() {
   is_parsing_ = true;
-  while (ShouldRead() && !input_.empty()) {
+  while (!input_.empty()) {
+    if (!ShouldRead()) {
+      if (!DeliverAhead()) {
+        break;
+      }
+      continue;
+    }
     if (state_ == State::kIdle) {
       state_ = State::kReading;
       request_started_ = state_since_ = Now();
@@ -185,11 +192,82 @@
   Respond(std::move(head), std::string());
 }
 
+// ---- requests ahead of their turn ----
+
+bool HttpServerStream::IsPlainGet(const RequestHead& head) const {
+  return head.method == "GET" && head.minor_version >= 1 && head.keep_alive &&
+         head.body.kind == BodyKind::kNone && port_->sink()->MayServeAhead(head);
+}
+
+bool HttpServerStream::MayReadAhead() const {
+  return state_ == State::kServing && !is_next_blocked_ && !is_receiving_body_ &&
+         !close_after_response_ && ahead_.size() < kMaxRequestsAhead && !port_->is_draining() &&
+         port_->HasRoomAhead() && stream_->pending_bytes() <= kMaxPendingResponseBytes;
+}
+
+bool HttpServerStream::DeliverAhead() {
+  constexpr std::string_view kEndOfHead = "\r\n\r\n";
+  if (!MayReadAhead()) {
+    return false;
+  }
+  const auto end = input_.find(kEndOfHead);
+  if (end == std::string::npos) {
+    is_next_blocked_ = input_.size() > kMaxHeadBytesAhead;
+    return false;
+  }
+  if (current_ahead_ == nullptr && !IsPlainGet(*parser_.request())) {
+    is_next_blocked_ = true;
+    return false;
+  }
+  // The head is parsed from a copy: one that may not be served ahead stays in the input until its
+  // turn.
+  MessageParser parser(MessageParser::Kind::kRequest, ParserLimits(port_->limits()));
+  std::string body;
+  const auto used = parser.Feed(input_.data(), end + kEndOfHead.size(), &body);
+  if (!used.ok() || !parser.is_message_complete() || !IsPlainGet(*parser.request())) {
+    is_next_blocked_ = true;
+    return false;
+  }
+  input_.erase(0, *used);
+  ahead_.push_back(std::make_unique<PipelinedExchange>(
+      this, std::move(*parser.request()),
+      [port = port_](std::int64_t change) { port->UpdateBytesAhead(change); }));
+  auto* exchange = ahead_.back().get();
+  port_->sink()->OnRequest(exchange, exchange->head(), std::string());
+  return true;
+}
+
+void HttpServerStream::StartNextTurn() {
+  current_ahead_ = std::move(ahead_.front());
+  ahead_.pop_front();
+  state_ = State::kServing;
+  // The response may be complete already, which ends the turn at once.
+  current_ahead_->StartTurn();
+}
+
+void HttpServerStream::DropRequestsAhead() {
+  for (const auto& exchange : ahead_) {
+    port_->sink()->OnCallerDisconnected(exchange.get());
+  }
+  ahead_.clear();
+}
+
+HttpServerExchange* HttpServerStream::current() {
+  return current_ahead_ != nullptr ? static_cast<HttpServerExchange*>(current_ahead_.get()) : this;
+}
+
 // ---- response ----
 
+// A response that ends the connection must be the last one: requests that are served ahead keep it
+// open.
+void HttpServerStream::DecideClose() {
+  close_after_response_ =
+      close_after_response_ || is_receiving_body_ || (port_->is_draining() && ahead_.empty());
+}
+
 void HttpServerStream::Respond(ResponseHead head, const std::string& body) {
   head.body = {body.empty() ? BodyKind::kNone : BodyKind::kLength, body.size()};
-  close_after_response_ = close_after_response_ || is_receiving_body_ || port_->is_draining();
+  DecideClose();
   head.keep_alive = !close_after_response_;
   const bool is_response_to_head =
       parser_.is_head_complete() && parser_.request()->method == "HEAD";
@@ -202,7 +280,7 @@
 }
 
 void HttpServerStream::BeginResponse(ResponseHead head) {
-  close_after_response_ = close_after_response_ || is_receiving_body_ || port_->is_draining();
+  DecideClose();
   is_response_chunked_ =
       head.body.kind == BodyKind::kChunked || head.body.kind == BodyKind::kUntilClose;
   if (is_response_chunked_ && parser_.request()->minor_version == 0) {
@@ -235,6 +313,7 @@
   stream_->Reset();
   state_ = State::kLingering;
   is_receiving_body_ = false;
+  DropRequestsAhead();
   RemoveFromPort();
 }
 
@@ -245,10 +324,12 @@
 void HttpServerStream::FinishResponse() {
   request_started_ = state_since_ = lingering_since_ = Now();
   last_unacked_bytes_ = 0;
-  is_receiving_body_ = is_body_paused_ = false;
+  current_ahead_.reset();
+  is_receiving_body_ = is_body_paused_ = is_next_blocked_ = false;
   sink_buffered_bytes_ = forwarded_bytes_ = 0;
   if (close_after_response_) {
     state_ = State::kLingering;
+    DropRequestsAhead();
     input_.clear();
     body_.clear();
     UpdateBufferedBytes();
@@ -258,11 +339,15 @@
     }
     return;
   }
-  state_ = State::kIdle;
-  parser_.Reset();
-  body_.clear();
-  UpdateBufferedBytes();
-  is_head_checked_ = false;
+  if (!ahead_.empty()) {
+    StartNextTurn();
+  } else {
+    state_ = State::kIdle;
+    parser_.Reset();
+    body_.clear();
+    UpdateBufferedBytes();
+    is_head_checked_ = false;
+  }
   if (std::exchange(is_reading_paused_, false)) {
     stream_->ResumeReading();
   }
@@ -276,14 +361,15 @@
 void HttpServerStream::OnEnd(bool /*clean*/) {
   if (state_ == State::kServing) {
     state_ = State::kLingering;
-    port_->sink()->OnCallerDisconnected(this);
+    port_->sink()->OnCallerDisconnected(current());
+    DropRequestsAhead();
   }
   RemoveFromPort();
 }
 
 void HttpServerStream::OnWriteDrained() {
   if (state_ == State::kServing) {
-    port_->sink()->OnCallerWritable(this);
+    port_->sink()->OnCallerWritable(current());
     return;
   }
   // Requests may have waited in the input for the caller to read the responses before them.
--- a/standins/platform/platform_store.cc
+++ b/standins/platform/platform_store.cc
@@ -11,7 +11,7 @@
 #include "primroseweir/http/request_head.h"
 #include "primroseweir/http/response_head.h"
 #include "primroseweir/loop/event_loop.h"
-#include "primroseweir/loop/http_server_stream.h"
+#include "primroseweir/loop/http_server_exchange.h"
 
 namespace primroseweir::standin {
 namespace {
@@ -32,13 +32,13 @@
   return text;
 }
 
-void RespondWithStatus(HttpServerStream* stream, int status) {
+void RespondWithStatus(HttpServerExchange* stream, int status) {
   ResponseHead head;
   head.status = status;
   stream->Respond(std::move(head), "");
 }
 
-void RespondWithJson(HttpServerStream* stream, const Json& json) {
+void RespondWithJson(HttpServerExchange* stream, const Json& json) {
   ResponseHead head;
   head.fields.Add("Content-Type", "application/json");
   stream->Respond(std::move(head), json.dump());
@@ -88,7 +88,7 @@
 
 // ---- requests ----
 
-void PlatformStore::OnRequest(HttpServerStream* stream, RequestHead* head, std::string /*body*/) {
+void PlatformStore::OnRequest(HttpServerExchange* stream, RequestHead* head, std::string /*body*/) {
   ++calls_;
   const auto query_start = head->target.find('?');
   const auto path = head->target.substr(0, query_start);
@@ -109,11 +109,11 @@
   }
 }
 
-void PlatformStore::OnCallerDisconnected(HttpServerStream* stream) {
+void PlatformStore::OnCallerDisconnected(HttpServerExchange* stream) {
   watches_.remove_if([stream](const Watch& watch) { return watch.stream == stream; });
 }
 
-void PlatformStore::RespondToRange(HttpServerStream* stream, const Snapshot& snapshot,
+void PlatformStore::RespondToRange(HttpServerExchange* stream, const Snapshot& snapshot,
                                    const std::string& prefix, const std::string& after) {
   auto rows = Json::array();
   bool has_more = false;
@@ -134,7 +134,7 @@
        {"at", snapshot.revision}});
 }
 
-void PlatformStore::StartWatch(HttpServerStream* stream, const std::string& prefix,
+void PlatformStore::StartWatch(HttpServerExchange* stream, const std::string& prefix,
                                std::uint64_t after, Duration wait) {
   Watch watch{stream, prefix, after, nullptr};
   if (RespondToWatch(watch, false)) {
--- a/standins/platform/platform_store.h
+++ b/standins/platform/platform_store.h
@@ -37,8 +37,8 @@
   void SetDown(bool down);
   std::uint64_t calls() const { return calls_; }
 
-  void OnRequest(HttpServerStream* stream, RequestHead* head, std::string body) override;
-  void OnCallerDisconnected(HttpServerStream* stream) override;
+  void OnRequest(HttpServerExchange* stream, RequestHead* head, std::string body) override;
+  void OnCallerDisconnected(HttpServerExchange* stream) override;
 
   // Small, so that tests read in several pages.
   static constexpr std::size_t kPageItems = 3;
@@ -55,7 +55,7 @@
     std::string value;
   };
   struct Watch {
-    HttpServerStream* stream = nullptr;
+    HttpServerExchange* stream = nullptr;
     std::string prefix;
     std::uint64_t after = 0;
     std::unique_ptr<Timer> timer;
@@ -65,9 +65,9 @@
     std::map<std::string, Item> items;
     std::uint64_t revision = 0;
   };
-  void RespondToRange(HttpServerStream* stream, const Snapshot& snapshot, const std::string& prefix,
-                      const std::string& after);
-  void StartWatch(HttpServerStream* stream, const std::string& prefix, std::uint64_t after,
+  void RespondToRange(HttpServerExchange* stream, const Snapshot& snapshot,
+                      const std::string& prefix, const std::string& after);
+  void StartWatch(HttpServerExchange* stream, const std::string& prefix, std::uint64_t after,
                   Duration wait);
   // Responds to the watch if there are events or an error to report, or if it has timed out.
   // Returns whether it responded.
--- a/standins/platform/platform_upstream.cc
+++ b/standins/platform/platform_upstream.cc
@@ -6,7 +6,7 @@
 #include "primroseweir/http/request_head.h"
 #include "primroseweir/http/response_head.h"
 #include "primroseweir/loop/event_loop.h"
-#include "primroseweir/loop/http_server_stream.h"
+#include "primroseweir/loop/http_server_exchange.h"
 
 namespace primroseweir::standin {
 namespace {
@@ -54,7 +54,7 @@
   return std::to_string(in_flight_.size()) + ",0," + std::to_string(kSlots) + ",100";
 }
 
-void PlatformUpstream::OnRequest(HttpServerStream* stream, RequestHead* head, std::string body) {
+void PlatformUpstream::OnRequest(HttpServerExchange* stream, RequestHead* head, std::string body) {
   ++requests_;
   const auto request = head->fields.Get("X-Request-Id");
   if (mode_ == "pause") {
@@ -83,7 +83,7 @@
   }
 }
 
-void PlatformUpstream::Execute(HttpServerStream* stream, const std::string& request,
+void PlatformUpstream::Execute(HttpServerExchange* stream, const std::string& request,
                                const std::string& body) {
   ++executions_;
   ++(*execution_counts_)[request];
@@ -99,7 +99,7 @@
   in_flight_.back().timer->Start(options_.execution_time);
 }
 
-void PlatformUpstream::Finish(HttpServerStream* stream) {
+void PlatformUpstream::Finish(HttpServerExchange* stream) {
   for (auto it = in_flight_.begin(); it != in_flight_.end(); ++it) {
     if (it->stream == stream) {
       auto response = MakeHead(mode_ == "fail" ? kInternalError : 200, it->request);
@@ -113,7 +113,7 @@
   }
 }
 
-void PlatformUpstream::OnCallerDisconnected(HttpServerStream* stream) {
+void PlatformUpstream::OnCallerDisconnected(HttpServerExchange* stream) {
   in_flight_.remove_if([stream](const Execution& entry) { return entry.stream == stream; });
 }
 
--- a/standins/platform/platform_upstream.h
+++ b/standins/platform/platform_upstream.h
@@ -60,19 +60,19 @@
 
   static constexpr int kPauseSeconds = 2;
 
-  void OnRequest(HttpServerStream* stream, RequestHead* head, std::string body) override;
-  void OnCallerDisconnected(HttpServerStream* stream) override;
+  void OnRequest(HttpServerExchange* stream, RequestHead* head, std::string body) override;
+  void OnCallerDisconnected(HttpServerExchange* stream) override;
 
  private:
   struct Execution {
-    HttpServerStream* stream = nullptr;
+    HttpServerExchange* stream = nullptr;
     std::string request;
     std::string body;
     std::unique_ptr<Timer> timer;
   };
 
-  void Execute(HttpServerStream* stream, const std::string& request, const std::string& body);
-  void Finish(HttpServerStream* stream);
+  void Execute(HttpServerExchange* stream, const std::string& request, const std::string& body);
+  void Finish(HttpServerExchange* stream);
   std::string LoadReport() const;
   ResponseHead MakeHead(int status, const std::string& request) const;
 
--- a/tests/loop/endless_input_test.cc
+++ b/tests/loop/endless_input_test.cc
@@ -10,6 +10,7 @@
 #include "primroseweir/http/request_head.h"
 #include "primroseweir/http/response_head.h"
 #include "primroseweir/loop/http_client_stream.h"
+#include "primroseweir/loop/http_server_stream.h"
 #include "support/flood_server.h"
 
 namespace primroseweir::testing {
--- a/tests/loop/http_port_test.cc
+++ b/tests/loop/http_port_test.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "port_fixture.h"
+#include "primroseweir/loop/http_server_stream.h"
 #include "primroseweir/loop/tcp_stream.h"
 #include "wire/socket.h"
 
--- a/tests/loop/port_fixture.h
+++ b/tests/loop/port_fixture.h
@@ -7,7 +7,7 @@
 
 #include "primroseweir/http/request_head.h"
 #include "primroseweir/loop/http_port.h"
-#include "primroseweir/loop/http_server_stream.h"
+#include "primroseweir/loop/http_server_exchange.h"
 #include "primroseweir/loop/request_sink.h"
 #include "support/loop_server.h"
 
@@ -21,7 +21,7 @@
     REQUIRE(port_.Listen(RandomLoopback()).ok());
   }
 
-  void OnRequest(HttpServerStream* stream, RequestHead* head, std::string body) override {
+  void OnRequest(HttpServerExchange* stream, RequestHead* head, std::string body) override {
     ++request_count;
     if (hold_requests) {
       held_stream = stream;
@@ -31,7 +31,7 @@
                                         ? head->method + " " + head->target + " " + body
                                         : response_body);
   }
-  void OnCallerDisconnected(HttpServerStream*) override { ++disconnect_count; }
+  void OnCallerDisconnected(HttpServerExchange*) override { ++disconnect_count; }
 
   // Sends `bytes` on a new connection and returns what was received when that contains `expected`
   // or the connection has ended.
@@ -52,7 +52,7 @@
   int disconnect_count = 0;
   std::string response_body;
   bool hold_requests = false;
-  HttpServerStream* held_stream = nullptr;
+  HttpServerExchange* held_stream = nullptr;
 
  private:
   EventLoop loop_;
