Keep upstreams below the knee and calls in their data centre while there is room

The limit compared the latency at any occupancy above the knee with the throughput of all slots; a pick did not see that the next call slows the others down; and instances knew only of the calls of their own data centre, though two thirds of the calls went to others.

Change: LatencyEstimator counts the calls that were there above the knee, over more responses and with a margin, and states the slowdown above it, which a pick adds to the cost. A call goes to another data centre when that is faster by a share of the latency (kRemoteLatencyFraction). A hedge leaves a slot free for first attempts. While a service is short of room (ServicePressure), load reports also go to the instances that callers of the other data centres use.

--- a/include/primroseweir/balance/latency_estimator.h
+++ b/include/primroseweir/balance/latency_estimator.h
@@ -25,18 +25,31 @@
   // slots, or only those below the knee when filling the rest lowers the throughput.
   std::uint32_t ConcurrencyLimit(std::uint32_t slots) const;
 
+  // Returns the factor by which the latency at an upstream with `occupancy` calls exceeds the
+  // latency estimate because of these calls: 1 below the knee.
+  double LoadFactor(double occupancy, std::uint32_t slots) const;
+
   // Fraction of the slots that lies below the knee.
   static constexpr double kKneeUtilization = 0.8;
   // Latency estimate before the first response.
   static constexpr Duration kInitialLatencyEstimate = std::chrono::milliseconds(100);
 
  private:
+  // Running averages over the responses of one kind, in seconds and calls, and their number.
+  struct Averages {
+    void Add(double sample_latency, double sample_occupancy);
+
+    double latency = 0;
+    double occupancy = 0;
+    std::uint32_t responses = 0;
+  };
+
+  // Whether both averages have enough responses to be compared.
+  bool KnowsKnee() const;
+
   Duration latency_estimate_ = kInitialLatencyEstimate;
-  // Running averages in seconds below and above the knee, and their numbers of samples.
-  double mean_below_knee_ = 0;
-  double mean_above_knee_ = 0;
-  std::uint32_t responses_below_knee_ = 0;
-  std::uint32_t responses_above_knee_ = 0;
+  Averages below_knee_;
+  Averages above_knee_;
 };
 
 }  // namespace primroseweir
--- a/include/primroseweir/balance/load_balancer.h
+++ b/include/primroseweir/balance/load_balancer.h
@@ -12,6 +12,7 @@
 
 #include "primroseweir/balance/balanced_upstream.h"
 #include "primroseweir/balance/latency_estimator.h"
+#include "primroseweir/balance/service_pressure.h"
 #include "primroseweir/base/ids.h"
 #include "primroseweir/base/random.h"
 #include "primroseweir/base/socket_address.h"
@@ -52,6 +53,9 @@
     // Treats upstreams of other data centres as full while the local one has a usable upstream that
     // is not suspect.
     bool local_only = false;
+    // The call is a second attempt beside one in progress: it gets only a slot that leaves another
+    // one free for first attempts.
+    bool is_hedge = false;
     // The call can wait for probes of suspect upstreams when none can be picked.
     bool may_probe = false;
   };
@@ -124,6 +128,10 @@
   // Returns when the first pause of an upstream of the service ends, if all its usable upstreams
   // asked for one. Returns no value otherwise.
   std::optional<Instant> EndOfPauses(const ServiceName& service, Instant now) const;
+  // Measures how much of each service's room is taken. Linear in the number of upstreams.
+  void MeasurePressure(Instant now);
+  // Returns whether any service is short of room, by the last measurement.
+  bool IsAnyServiceTight() const;
   // Returns the latency estimate of the service.
   Duration LatencyEstimate(const ServiceName& service) const;
 
@@ -169,6 +177,10 @@
   static constexpr double kNewConnectionLatencyFraction = 0.2;
   // Large responses and request bodies are expensive between data centres.
   static constexpr Duration kLargeTransferRemotePenalty = std::chrono::milliseconds(300);
+  // Cost of a call to another data centre as a fraction of the latency estimate. Calls stay local
+  // as long as the load there lengthens them by less than a caller notices; what does not fit goes
+  // to other data centres.
+  static constexpr double kRemoteLatencyFraction = 0.15;
   // Cost of a failed attempt, which requires a second one.
   static constexpr Duration kFailurePenalty = std::chrono::milliseconds(400);
 
@@ -176,6 +188,7 @@
   struct ServiceEntry {
     std::vector<std::shared_ptr<BalancedUpstream>> upstreams;
     LatencyEstimator latency_estimator;
+    ServicePressure pressure;
     // When an upstream was last requested for a call.
     Instant last_requested;
   };
--- a/include/primroseweir/gateway/fleet_service.h
+++ b/include/primroseweir/gateway/fleet_service.h
@@ -154,6 +154,8 @@
   // Records that an instance became live, according to a message from `reported_by`.
   void RecordLive(const std::string& ip, const std::string& reported_by, Instant now);
   void ReceiveLoadReport(const std::string& ip, const PeerLoadReport& load, Instant now);
+  // Returns the addresses of the instances that callers of the other data centres use.
+  std::set<std::string> RemoteCallerSubset(Instant now) const;
   void CatchUpWithPeers(Instant now);
   void RecordLostPeers(Instant now);
   void MeasureLoad(Instant now);
@@ -189,6 +191,8 @@
   // IP addresses of the instances that callers of the local data centre use. Computed on demand and
   // cleared at each heartbeat.
   std::vector<std::string> caller_subset_;
+  // Those that callers of the other data centres use; filled while a service is short of room.
+  std::set<std::string> remote_caller_subset_;
   std::vector<CrashStrike> unsent_strikes_;
   // Time since which a peer has had a newer revision than this instance.
   Instant behind_since_ = Instant::max();
--- a/src/balance/latency_estimator.cc
+++ b/src/balance/latency_estimator.cc
@@ -9,40 +9,58 @@
 
 // Responses that each average needs before the two are compared.
 constexpr std::uint32_t kMinResponses = 15;
-constexpr double kSampleWeight = 0.05;
+// About 50 responses: latencies of one service differ by a factor of five.
+constexpr double kSampleWeight = 0.02;
+// Throughput above the knee relative to that below it, from which the slots above the knee are
+// used. The first calls above it overstate the gain: they ran partly before the upstream was full.
+constexpr double kMinThroughputGain = 1.1;
+// Occupancies are estimates with fractions.
+constexpr double kOccupancyTolerance = 0.5;
 
 std::uint32_t SlotsBelowKnee(std::uint32_t slots) {
   return std::max<std::uint32_t>(
       1, static_cast<std::uint32_t>(std::floor(LatencyEstimator::kKneeUtilization * slots)));
 }
 
-// Updates a running average: the first samples count equally, later ones by kSampleWeight.
-void UpdateAverage(double* average, std::uint32_t* count, double sample) {
-  ++*count;
-  *average += (sample - *average) * std::max(kSampleWeight, 1.0 / *count);
-}
-
 }  // namespace
 
+// The first samples count equally, later ones by kSampleWeight.
+void LatencyEstimator::Averages::Add(double sample_latency, double sample_occupancy) {
+  const double weight = std::max(kSampleWeight, 1.0 / ++responses);
+  latency += (sample_latency - latency) * weight;
+  occupancy += (sample_occupancy - occupancy) * weight;
+}
+
 void LatencyEstimator::RecordResponse(Duration latency, double occupancy, std::uint32_t slots) {
   const double seconds = std::chrono::duration<double>(latency).count();
   if (occupancy <= SlotsBelowKnee(slots)) {
-    UpdateAverage(&mean_below_knee_, &responses_below_knee_, seconds);
+    below_knee_.Add(seconds, occupancy);
     latency_estimate_ =
-        std::chrono::duration_cast<Duration>(std::chrono::duration<double>(mean_below_knee_));
+        std::chrono::duration_cast<Duration>(std::chrono::duration<double>(below_knee_.latency));
   } else if (occupancy <= slots) {
-    UpdateAverage(&mean_above_knee_, &responses_above_knee_, seconds);
+    above_knee_.Add(seconds, occupancy);
+  }
+}
+
+bool LatencyEstimator::KnowsKnee() const {
+  return below_knee_.responses >= kMinResponses && above_knee_.responses >= kMinResponses;
+}
+
+double LatencyEstimator::LoadFactor(double occupancy, std::uint32_t slots) const {
+  if (!KnowsKnee() || occupancy <= SlotsBelowKnee(slots) + kOccupancyTolerance) {
+    return 1;
   }
+  return std::max(1.0, above_knee_.latency / below_knee_.latency);
 }
 
 std::uint32_t LatencyEstimator::ConcurrencyLimit(std::uint32_t slots) const {
   const auto knee = SlotsBelowKnee(slots);
-  if (responses_below_knee_ < kMinResponses || responses_above_knee_ < kMinResponses) {
+  if (!KnowsKnee()) {
     return slots;
   }
-  const double throughput_below = knee / mean_below_knee_;
-  const double throughput_above = slots / mean_above_knee_;
-  return throughput_below > throughput_above ? knee : slots;
+  const double throughput_below = knee / below_knee_.latency;
+  const double throughput_above = above_knee_.occupancy / above_knee_.latency;
+  return throughput_above > throughput_below * kMinThroughputGain ? slots : knee;
 }
 
 }  // namespace primroseweir
--- a/src/balance/load_balancer.cc
+++ b/src/balance/load_balancer.cc
@@ -148,13 +148,14 @@
       continue;
     }
     const auto limit = service.latency_estimator.ConcurrencyLimit(upstream->record().slots);
+    const std::uint32_t reserved_slots = args.is_hedge && limit > 1 ? 1 : 0;
     const bool is_returning = upstream->in_flight() >= upstream->pause().MaxInFlight(limit, now);
     const bool must_wait_for_pacer = upstream->is_cold(now) && !upstream->pacer().IsReady(now);
     const double expected_latency =
         Seconds(service.latency_estimator.latency_estimate()) * upstream->slowness(now);
     const bool is_full = upstream->is_suspect() || must_wait_for_pacer || is_returning ||
                          (local_only && !IsLocal(*upstream)) ||
-                         upstream->occupancy(now) + 0.5 >= limit;
+                         upstream->occupancy(now) + 0.5 + reserved_slots >= limit;
     if (expected_latency > Seconds(args.latency_limit)) {
       if (pick.failure == PickFailure::kNoUpstream) {
         pick.failure = is_full ? PickFailure::kFull : PickFailure::kOnlySlowRoom;
@@ -206,8 +207,10 @@
 double LoadBalancer::Cost(const BalancedUpstream& upstream, const ServiceEntry& service,
                           CallKind kind, std::uint32_t limit, Instant now) const {
   const double utilization = (upstream.occupancy(now) + 1) / limit;
-  double cost = Seconds(service.latency_estimator.latency_estimate()) * upstream.slowness(now) *
-                (1 + kLoadCostFactor * utilization);
+  double cost =
+      Seconds(service.latency_estimator.latency_estimate()) * upstream.slowness(now) *
+      (1 + kLoadCostFactor * utilization) *
+      service.latency_estimator.LoadFactor(upstream.occupancy(now) + 1, upstream.record().slots);
   cost += upstream.failure_rate(now) * Seconds(kFailurePenalty);
   if (upstream.is_cold(now)) {
     cost *= kColdCostFactor;
@@ -220,7 +223,9 @@
         kNewConnectionLatencyFraction * Seconds(service.latency_estimator.latency_estimate()));
   }
   if (!IsLocal(upstream)) {
-    cost += Seconds(IsLargeTransfer(kind) ? kLargeTransferRemotePenalty : kRemotePenalty);
+    cost +=
+        std::max(Seconds(IsLargeTransfer(kind) ? kLargeTransferRemotePenalty : kRemotePenalty),
+                 kRemoteLatencyFraction * Seconds(service.latency_estimator.latency_estimate()));
   }
   return cost;
 }
@@ -332,6 +337,25 @@
   return first_end;
 }
 
+void LoadBalancer::MeasurePressure(Instant now) {
+  for (auto& [name, service] : services_) {
+    double calls = 0;
+    double room = 0;
+    for (const auto& upstream : service.upstreams) {
+      if (upstream->is_available(now) && !upstream->is_suspect()) {
+        calls += upstream->occupancy(now);
+        room += service.latency_estimator.ConcurrencyLimit(upstream->record().slots);
+      }
+    }
+    service.pressure.Update(calls, room);
+  }
+}
+
+bool LoadBalancer::IsAnyServiceTight() const {
+  return std::any_of(services_.begin(), services_.end(),
+                     [](const auto& entry) { return entry.second.pressure.is_tight(); });
+}
+
 Duration LoadBalancer::LatencyEstimate(const ServiceName& service) const {
   const auto found = services_.find(service);
   return found == services_.end() ? LatencyEstimator::kInitialLatencyEstimate
--- a/src/gateway/fleet_service.cc
+++ b/src/gateway/fleet_service.cc
@@ -206,6 +206,7 @@
     SendHeartbeats(ip, table_.HeartbeatsFor(data_centre, now), now);
   }
   caller_subset_.clear();
+  remote_caller_subset_.clear();
   CatchUpWithPeers(now);
 }
 
@@ -276,10 +277,12 @@
 }
 
 // Sends the load report to the instances that callers of the local data centre use, since those
-// share its upstreams. A report with crash strikes is sent to all live peers.
+// share its upstreams, and while a service is short of room to those of all data centres. A report
+// with crash strikes is sent to all live peers.
 void FleetService::SendLoadReport() {
   const auto now = clock_();
   load_report_scheduled_ = false;
+  gateway_->balancer().MeasurePressure(now);
   FleetMessage message;
   for (const auto& [id, upstream] : gateway_->balancer().upstreams()) {
     const auto age = now - upstream->reported_at();
@@ -316,6 +319,12 @@
       caller_subset_ = AddressesFor(table_.self().data_centre);
     }
     targets.insert(caller_subset_.begin(), caller_subset_.end());
+    if (gateway_->balancer().IsAnyServiceTight()) {
+      if (remote_caller_subset_.empty()) {
+        remote_caller_subset_ = RemoteCallerSubset(now);
+      }
+      targets.insert(remote_caller_subset_.begin(), remote_caller_subset_.end());
+    }
   }
   targets.erase(table_.self().ip);
   for (const auto& ip : targets) {
@@ -378,6 +387,21 @@
   return table_.MostUpToDatePeer(now).has_value();
 }
 
+std::set<std::string> FleetService::RemoteCallerSubset(Instant now) const {
+  std::set<DataCentre> data_centres;
+  for (const auto& peer : table_.LivePeers(now)) {
+    if (!table_.IsLocal(peer)) {
+      data_centres.insert(peer.data_centre);
+    }
+  }
+  std::set<std::string> subset;
+  for (const auto& data_centre : data_centres) {
+    const auto addresses = AddressesFor(data_centre);
+    subset.insert(addresses.begin(), addresses.end());
+  }
+  return subset;
+}
+
 std::vector<std::string> FleetService::AddressesFor(const DataCentre& caller) const {
   auto fleet = table_.LivePeers(clock_());
   fleet.push_back(table_.self());
--- a/src/gateway/routed_call_placement.cc
+++ b/src/gateway/routed_call_placement.cc
@@ -48,6 +48,7 @@
   args.local_only = IsLargeTransfer(route_->kind) && scope <= PickScope::kInTime;
   args.latency_limit = scope == PickScope::kAnyLatency ? Duration::max() : LatencyLimit(now);
   args.may_probe = scope == PickScope::kProbeFirst;
+  args.is_hedge = !attempts_.empty();
   auto pick = gateway_->balancer().Pick(args, now);
   if (args.may_probe && !pick.to_probe.empty()) {
     for (const auto& upstream : pick.to_probe) {
--- a/tests/balance/load_balancer_test.cc
+++ b/tests/balance/load_balancer_test.cc
@@ -405,5 +405,53 @@
   CHECK(fixture.PickId() == "a");
 }
 
+// Guards against calls that cross data centres although the local one is as fast for the caller.
+TEST_CASE("calls stay local until the load there lengthens them", "[balance]") {
+  BalanceFixture fixture;
+  fixture.Add("near");
+  fixture.Add("far", "there");
+  fixture.Apply();
+  fixture.At("near").SetConnected(true);
+  fixture.At("far").SetConnected(true);
+  fixture.Report("far", 0, 1);
+  fixture.Report("near", 1, 1);
+  CHECK(fixture.PickId() == "near");
+  fixture.Report("near", 4, 1);
+  CHECK(fixture.PickId() == "far");
+  fixture.Report("near", 0, 2);
+  CHECK(fixture.PickId() == "far");
+}
+
+// Guards against second attempts that take the room of first ones while it is short.
+TEST_CASE("a hedge leaves a slot of its upstream free", "[balance]") {
+  BalanceFixture fixture;
+  fixture.Add("a");
+  fixture.Apply();
+  fixture.Report("a", 3, 1);
+  LoadBalancer::PickArgs args;
+  args.service = ServiceName("s");
+  CHECK(fixture.balancer.Pick(args, fixture.now).upstream != nullptr);
+  args.is_hedge = true;
+  CHECK(fixture.balancer.Pick(args, fixture.now).failure == LoadBalancer::PickFailure::kFull);
+  fixture.Report("a", 2, 1);
+  CHECK(fixture.balancer.Pick(args, fixture.now).upstream != nullptr);
+}
+
+TEST_CASE("the pressure counts the calls of all instances at usable upstreams", "[balance]") {
+  BalanceFixture fixture;
+  fixture.Add("a");
+  fixture.Add("b");
+  fixture.Apply();
+  fixture.balancer.MeasurePressure(fixture.now);
+  CHECK_FALSE(fixture.balancer.IsAnyServiceTight());
+  fixture.At("a").SetPeerInFlight(4);
+  fixture.balancer.MeasurePressure(fixture.now);
+  CHECK(fixture.balancer.IsAnyServiceTight());
+  // An upstream that is lost takes its calls along.
+  fixture.At("a").MarkSuspect(BalancedUpstream::SuspectCause::kConnectionLost, fixture.now);
+  fixture.balancer.MeasurePressure(fixture.now);
+  CHECK_FALSE(fixture.balancer.IsAnyServiceTight());
+}
+
 }  // namespace
 }  // namespace primroseweir
--- a/tests/balance/policies_test.cc
+++ b/tests/balance/policies_test.cc
@@ -155,5 +155,28 @@
   CHECK(with_knee.latency_estimate() == milliseconds(90));
 }
 
+// Guards against an overload that outlasts the burst that caused it: upstreams with five of six
+// slots taken served fewer calls than with four, but were taken to serve as many as with six.
+TEST_CASE("the throughput above the knee counts the calls that were there", "[balance]") {
+  LatencyEstimator estimator;
+  for (int i = 0; i < 30; ++i) {
+    estimator.RecordResponse(milliseconds(90), 3, 6);
+    estimator.RecordResponse(milliseconds(130), 5, 6);
+  }
+  CHECK(estimator.ConcurrencyLimit(6) == 4);
+}
+
+// Guards against calls that slow an upstream down for all of its calls while others have room.
+TEST_CASE("the load factor states the slowdown above the knee", "[balance]") {
+  LatencyEstimator estimator;
+  CHECK(estimator.LoadFactor(6, 6) == 1);
+  for (int i = 0; i < 30; ++i) {
+    estimator.RecordResponse(milliseconds(100), 3, 6);
+    estimator.RecordResponse(milliseconds(170), 6, 6);
+  }
+  CHECK(estimator.LoadFactor(4, 6) == 1);
+  CHECK(estimator.LoadFactor(5, 6) == Approx(1.7));
+}
+
 }  // namespace
 }  // namespace primroseweir
--- a/tests/gateway/fleet_service_test.cc
+++ b/tests/gateway/fleet_service_test.cc
@@ -89,6 +89,7 @@
   EventLoop& loop() { return gateway_.loop(); }
   const std::string& ip() const { return ip_; }
   FleetService& service() { return *service_; }
+  GatewayFixture& gateway() { return gateway_; }
 
   std::uint32_t link_kilobytes_per_second = 125000;
   std::vector<std::string> seeds;
@@ -157,6 +158,28 @@
   }));
 }
 
+// Guards against instances of several data centres that fill the same upstreams, each without
+// knowing of the others' calls.
+TEST_CASE("load reports reach other data centres only while a service is short of room",
+          "[fleet]") {
+  const std::uint32_t slots = GENERATE(1, 8);
+  ServiceFixture fixture;
+  fixture.gateway().AddUpstream([](const Request&) { return Reply{}; }, "here", slots);
+  fixture.gateway().Apply(CallKind::kIdempotent);
+  fixture.Start();
+  auto& local_peer = fixture.AddPeer("here");
+  auto& remote_peer = fixture.AddPeer("there");
+  local_peer.Send(fixture.ip());
+  remote_peer.Send(fixture.ip());
+  REQUIRE(fixture.WaitUntil([&] { return !remote_peer.messages().empty(); }));
+  const auto call = fixture.gateway().StartCall();
+  const auto has_load = [](const FleetMessage& m) { return !m.load.upstream_loads.empty(); };
+  REQUIRE(fixture.WaitUntil([&] { return HasMessage(local_peer, has_load); }));
+  const bool is_tight = slots == 1;
+  CHECK(fixture.WaitUntil([&] { return HasMessage(remote_peer, has_load); },
+                          std::chrono::milliseconds(300)) == is_tight);
+}
+
 // Guards against hundreds of instances that all read the store after a power failure: the responses
 // filled the store's link for half a second, which delayed the instances that callers use (incident
 // inc-b6b9: the median instance had the state in force 191 ms after the start).
