Refuse less urgent calls at once while their service is short of room

Cause: the queue of one instance holds a few calls, so that priority decided little: a less urgent call at one instance took the slot that an urgent one waited for at another.

Change: PriorityAdmission derives a shortage from the share of recent calls that found no room. While the calls of all instances show that the service is short of room (ServicePressure), the least urgent priority in use is refused first, up to three quarters of its calls, then the next one; the most urgent one is never refused. The shortage decays within 0.3 s, so that an instance that is cut off or restarted serves. Calls also stay in their data centre up to the knee (kRemoteLatencyFraction 0.28 instead of 0.15).

--- a/include/primroseweir/balance/load_balancer.h
+++ b/include/primroseweir/balance/load_balancer.h
@@ -132,6 +132,8 @@
   void MeasurePressure(Instant now);
   // Returns whether any service is short of room, by the last measurement.
   bool IsAnyServiceTight() const;
+  // Returns whether that service is.
+  bool IsTight(const ServiceName& service) const;
   // Returns the latency estimate of the service.
   Duration LatencyEstimate(const ServiceName& service) const;
 
@@ -177,10 +179,10 @@
   static constexpr double kNewConnectionLatencyFraction = 0.2;
   // Large responses and request bodies are expensive between data centres.
   static constexpr Duration kLargeTransferRemotePenalty = std::chrono::milliseconds(300);
-  // Cost of a call to another data centre as a fraction of the latency estimate. Calls stay local
-  // as long as the load there lengthens them by less than a caller notices; what does not fit goes
-  // to other data centres.
-  static constexpr double kRemoteLatencyFraction = 0.15;
+  // Cost of a call to another data centre as a fraction of the latency estimate: the cost of load
+  // up to the knee, below which calls are as fast in a busy data centre as in an idle one. What
+  // does not fit goes to other data centres.
+  static constexpr double kRemoteLatencyFraction = 0.28;
   // Cost of a failed attempt, which requires a second one.
   static constexpr Duration kFailurePenalty = std::chrono::milliseconds(400);
 
--- a/include/primroseweir/gateway/gateway.h
+++ b/include/primroseweir/gateway/gateway.h
@@ -15,6 +15,7 @@
 
 #include "primroseweir/balance/admission_queue.h"
 #include "primroseweir/balance/load_balancer.h"
+#include "primroseweir/balance/priority_admission.h"
 #include "primroseweir/balance/windowed_retry_budget.h"
 #include "primroseweir/base/ids.h"
 #include "primroseweir/base/random.h"
@@ -126,6 +127,7 @@
   LoadBalancer& balancer() { return balancer_; }
   UpstreamConnectionPool& pool() { return pool_; }
   AdmissionQueue& queue(const ServiceName& service) { return queues_[service]; }
+  PriorityAdmission& admission(const ServiceName& service) { return admissions_[service]; }
   WindowedRetryBudget& retry_budget(const ServiceName& service);
   WeightedServicePicker& service_picker() { return service_picker_; }
   CrashGuard& crash_guard() { return crash_guard_; }
@@ -165,6 +167,7 @@
   void Tick();
   void Wake();
   void StartAllWaitingCalls();
+  void LogShortages(Instant now);
   void ProbePossiblyFree(const ServiceName& service, Instant now);
 
   EventLoop* const loop_;
@@ -181,6 +184,7 @@
   WeightedServicePicker service_picker_;
   CrashGuard crash_guard_;
   std::map<ServiceName, AdmissionQueue> queues_;
+  std::map<ServiceName, PriorityAdmission> admissions_;
   std::map<ServiceName, WindowedRetryBudget> retry_budgets_;
   std::map<UpstreamId, std::vector<SuspectedCrash>> suspected_crashes_;
   std::unordered_map<HttpServerExchange*, std::unique_ptr<RoutedCall>> calls_;
--- a/include/primroseweir/gateway/routed_call.h
+++ b/include/primroseweir/gateway/routed_call.h
@@ -119,6 +119,10 @@
   void SetDeadline(Instant now);
 
   // ---- placement ----
+  // Whether the call is refused at once, since its service is short of room for more urgent calls.
+  bool IsRefusedForUrgentCalls(Instant now);
+  // Records once whether the call found room at its first placement.
+  void RecordPlacement(bool found_room, Instant now);
   static PlacementResult PlacementResultOf(LoadBalancer::PickFailure failure);
   PlacementResult TryStart(PickScope scope, Instant now);
   // Sends the call to an upstream, waits for probes, queues the call, or ends it: refused if
@@ -207,6 +211,7 @@
   Instant stream_deadline_;
   // Bytes of a streamed response that the caller had not acknowledged at the last check.
   std::size_t stream_unacked_bytes_ = 0;
+  bool is_placement_recorded_ = false;
   bool is_probing_ = false;
   // Time at which the call stops waiting for probes; set by its first probe.
   Instant probe_deadline_;
--- a/src/balance/load_balancer.cc
+++ b/src/balance/load_balancer.cc
@@ -356,6 +356,11 @@
                      [](const auto& entry) { return entry.second.pressure.is_tight(); });
 }
 
+bool LoadBalancer::IsTight(const ServiceName& service) const {
+  const auto found = services_.find(service);
+  return found != services_.end() && found->second.pressure.is_tight();
+}
+
 Duration LoadBalancer::LatencyEstimate(const ServiceName& service) const {
   const auto found = services_.find(service);
   return found == services_.end() ? LatencyEstimator::kInitialLatencyEstimate
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -240,6 +240,7 @@
   released_calls_.clear();
   pool_.CloseExpired(now);
   prober_->Tick(now);
+  LogShortages(now);
   if (port_.rejected_connections() != rejected_connections_logged_) {
     log_->Write(
         "connections_refused",
@@ -251,6 +252,18 @@
   tick_timer_.Start(calls_.empty() ? kIdleTickInterval : kTickInterval);
 }
 
+void Gateway::LogShortages(Instant now) {
+  for (auto& [service, admission] : admissions_) {
+    if (const auto is_short = admission.TakeChange(now)) {
+      log_->Write("service_short",
+                  {{"service", service.value()},
+                   {"outcome", *is_short ? "began" : "ended"},
+                   {"waiting", std::to_string(queues_[service].size())}},
+                  now);
+    }
+  }
+}
+
 void Gateway::Wake() {
   tick_timer_.Start(kTickInterval);
   on_wake_();
--- a/src/gateway/routed_call.cc
+++ b/src/gateway/routed_call.cc
@@ -11,6 +11,7 @@
 #include "primroseweir/base/rendezvous.h"
 #include "primroseweir/gateway/call_header_names.h"
 #include "primroseweir/gateway/gateway.h"
+#include "primroseweir/gateway/gateway_metrics.h"
 #include "primroseweir/gateway/load_field.h"
 #include "primroseweir/gateway/serving_state.h"
 #include "primroseweir/gateway/upstream_attempt.h"
@@ -96,6 +97,11 @@
     Refuse("crashes_upstreams", now);
     return;
   }
+  if (IsRefusedForUrgentCalls(now)) {
+    gateway_->metrics().CountEvent("less_urgent_refused");
+    Refuse("less_urgent", now);
+    return;
+  }
   PlaceOrEnqueue(RetryPolicy::Step::kRefuse, now);
 }
 
--- a/src/gateway/routed_call_placement.cc
+++ b/src/gateway/routed_call_placement.cc
@@ -29,6 +29,20 @@
   return std::max<Duration>(route_->latency_objective - (now - received_at_), min_limit);
 }
 
+bool RoutedCall::IsRefusedForUrgentCalls(Instant now) {
+  auto& admission = gateway_->admission(service_);
+  admission.RecordArrival(priority(), now);
+  // Without a shortage of the whole fleet, the calls wait for another reason.
+  return gateway_->balancer().IsTight(service_) &&
+         admission.ShouldRefuse(priority(), gateway_->random().UniformUnit(), now);
+}
+
+void RoutedCall::RecordPlacement(bool found_room, Instant now) {
+  if (!std::exchange(is_placement_recorded_, true)) {
+    gateway_->admission(service_).RecordPlacement(found_room, now);
+  }
+}
+
 RoutedCall::PlacementResult RoutedCall::PlacementResultOf(LoadBalancer::PickFailure failure) {
   switch (failure) {
     case LoadBalancer::PickFailure::kFull:
@@ -96,6 +110,7 @@
   const bool may_wait =
       placement == PlacementResult::kNoRoom || placement == PlacementResult::kOnlySlowRoom;
   if (may_wait) {
+    RecordPlacement(false, now);
     // The upstream that refused the call may have room, but no other one has.
     retry_may_succeed_at_once_ = false;
   }
@@ -173,6 +188,7 @@
 
 void RoutedCall::StartAttempt(std::shared_ptr<BalancedUpstream> upstream, Instant now) {
   const bool at_most_once = !IsIdempotent(route_->kind);
+  RecordPlacement(true, now);
   tried_upstreams_.push_back(upstream->record().id);
   UpstreamAttempt::Dependencies dependencies{gateway_->loop(), &gateway_->balancer(),
                                              &gateway_->pool()};
