--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -89,6 +89,7 @@
     route.timeout = timeout;
     route.latency_objective = std::chrono::milliseconds(400);
     route.max_attempts = 2;
+    route.priority = priority;
     route.is_public = is_public;
     auto state = std::make_shared<ServingState>();
     state->routes = std::make_shared<RouteTable>(
@@ -138,6 +139,7 @@
   // Null for a configuration without customers.
   std::shared_ptr<const CustomerTable> customers;
   bool is_public = false;
+  std::uint32_t priority = 0;
   ServiceSettings service_settings;
 
  private:
