Derive the shortage from refused calls, and use slots above the knee only for a real gain

Cause: less urgent calls were refused while the others only waited for a moment, which cost more callers than it served; and in a burst the first calls above the knee, which run partly before the upstream is full, made all slots look useful.

Change: a call counts as without room when it got none, also after waiting. The slots above the knee are used if at least half of the calls there add to the throughput.

--- a/include/primroseweir/balance/priority_admission.h
+++ b/include/primroseweir/balance/priority_admission.h
@@ -20,7 +20,7 @@
  public:
   // Records that a call of that priority arrived. 0 is the most urgent one.
   void RecordArrival(std::uint32_t priority, Instant now);
-  // Records whether an admitted call found room at once.
+  // Records whether an admitted call got room, at once or after waiting.
   void RecordPlacement(bool found_room, Instant now);
 
   // Returns the shortage from 0 (none) to 1: the share of recent calls without room, from
@@ -40,8 +40,8 @@
   // Time constant of the counts: the shortage follows a burst within a few hundred milliseconds.
   static constexpr Duration kDecayTime = std::chrono::milliseconds(300);
   static constexpr Duration kPriorityMemory = std::chrono::seconds(2);
-  // A few calls that wait for a moment are no shortage; when every second call does, the queue
-  // cannot keep its promise.
+  // A few calls without room are no shortage; when every second call gets none, callers of all
+  // priorities lose.
   static constexpr double kMinShortShare = 0.1;
   static constexpr double kMaxShortShare = 0.5;
   // At least a quarter of the calls of each priority is served.
--- a/include/primroseweir/gateway/routed_call.h
+++ b/include/primroseweir/gateway/routed_call.h
@@ -121,7 +121,7 @@
   // ---- placement ----
   // Whether the call is refused at once, since its service is short of room for more urgent calls.
   bool IsRefusedForUrgentCalls(Instant now);
-  // Records once whether the call found room at its first placement.
+  // Records once whether the call got room, at once or after waiting.
   void RecordPlacement(bool found_room, Instant now);
   static PlacementResult PlacementResultOf(LoadBalancer::PickFailure failure);
   PlacementResult TryStart(PickScope scope, Instant now);
--- a/src/balance/latency_estimator.cc
+++ b/src/balance/latency_estimator.cc
@@ -11,9 +11,6 @@
 constexpr std::uint32_t kMinResponses = 15;
 // About 50 responses: latencies of one service differ by a factor of five.
 constexpr double kSampleWeight = 0.02;
-// Throughput above the knee relative to that below it, from which the slots above the knee are
-// used. The first calls above it overstate the gain: they ran partly before the upstream was full.
-constexpr double kMinThroughputGain = 1.1;
 // Occupancies are estimates with fractions.
 constexpr double kOccupancyTolerance = 0.5;
 
@@ -60,7 +57,10 @@
   }
   const double throughput_below = knee / below_knee_.latency;
   const double throughput_above = above_knee_.occupancy / above_knee_.latency;
-  return throughput_above > throughput_below * kMinThroughputGain ? slots : knee;
+  // At least half of the calls above the knee must add to the throughput. The first ones overstate
+  // it: they run partly before the upstream is full.
+  const double min_gain = 1 + (above_knee_.occupancy / knee - 1) / 2;
+  return throughput_above > throughput_below * min_gain ? slots : knee;
 }
 
 }  // namespace primroseweir
--- a/src/gateway/routed_call_placement.cc
+++ b/src/gateway/routed_call_placement.cc
@@ -110,7 +110,6 @@
   const bool may_wait =
       placement == PlacementResult::kNoRoom || placement == PlacementResult::kOnlySlowRoom;
   if (may_wait) {
-    RecordPlacement(false, now);
     // The upstream that refused the call may have room, but no other one has.
     retry_may_succeed_at_once_ = false;
   }
@@ -120,6 +119,9 @@
   if (may_wait && TryLastResort(now)) {
     return;
   }
+  if (may_wait) {
+    RecordPlacement(false, now);
+  }
   const char* reason = may_wait                                    ? "no_room"
                        : placement == PlacementResult::kNoUpstream ? "no_upstream"
                                                                    : "no_retry_budget";
@@ -167,6 +169,7 @@
   if (TryLastResort(now)) {
     return;
   }
+  RecordPlacement(false, now);
   may_have_executed_ ? Fail(kBadGateway, "no_room_in_time", now)
                      : RefuseUnplaced("no_room_in_time", now);
 }
--- a/tests/balance/policies_test.cc
+++ b/tests/balance/policies_test.cc
@@ -164,6 +164,13 @@
     estimator.RecordResponse(milliseconds(130), 5, 6);
   }
   CHECK(estimator.ConcurrencyLimit(6) == 4);
+  // Upstreams that do not slow down use all slots, also if few of them lie above the knee.
+  LatencyEstimator without_knee;
+  for (int i = 0; i < 30; ++i) {
+    without_knee.RecordResponse(milliseconds(100), 5, 10);
+    without_knee.RecordResponse(milliseconds(102), 9, 10);
+  }
+  CHECK(without_knee.ConcurrencyLimit(10) == 10);
 }
 
 // Guards against calls that slow an upstream down for all of its calls while others have room.
