Use slots above the knee from a gain of a tenth

Change: a gain of a tenth suffices, or half of the possible gain where that is less (upstreams with many slots).

--- a/src/balance/latency_estimator.cc
+++ b/src/balance/latency_estimator.cc
@@ -11,6 +11,9 @@
 constexpr std::uint32_t kMinResponses = 15;
 // About 50 responses: latencies of one service differ by a factor of five.
 constexpr double kSampleWeight = 0.02;
+// Throughput above the knee relative to that below it, from which the slots above the knee are
+// used; half of the possible gain suffices where that is less.
+constexpr double kMinThroughputGain = 1.1;
 // Occupancies are estimates with fractions.
 constexpr double kOccupancyTolerance = 0.5;
 
@@ -57,9 +60,8 @@
   }
   const double throughput_below = knee / below_knee_.latency;
   const double throughput_above = above_knee_.occupancy / above_knee_.latency;
-  // At least half of the calls above the knee must add to the throughput. The first ones overstate
-  // it: they run partly before the upstream is full.
-  const double min_gain = 1 + (above_knee_.occupancy / knee - 1) / 2;
+  // The first calls above the knee overstate the gain: they run partly before the upstream is full.
+  const double min_gain = std::min(kMinThroughputGain, 1 + (above_knee_.occupancy / knee - 1) / 2);
   return throughput_above > throughput_below * min_gain ? slots : knee;
 }
 
