--- a/include/primroseweir/gateway/gateway.h
+++ b/include/primroseweir/gateway/gateway.h
@@ -16,6 +16,7 @@
 
 #include "primroseweir/balance/admission_queue.h"
 #include "primroseweir/balance/load_balancer.h"
+#include "primroseweir/balance/priority_admission.h"
 #include "primroseweir/balance/windowed_retry_budget.h"
 #include "primroseweir/base/ids.h"
 #include "primroseweir/base/random.h"
@@ -139,6 +140,7 @@
   LoadBalancer& balancer() { return balancer_; }
   UpstreamConnectionPool& pool() { return pool_; }
   AdmissionQueue& queue(const ServiceName& service) { return queues_[service]; }
+  PriorityAdmission& admission(const ServiceName& service) { return admissions_[service]; }
   WindowedRetryBudget& retry_budget(const ServiceName& service);
   WeightedServicePicker& service_picker() { return service_picker_; }
   CrashGuard& crash_guard() { return crash_guard_; }
@@ -151,11 +153,14 @@
   bool ShouldStreamBody(const RequestHead& head) override;
   std::size_t MaxHeldBodyBytes(const RequestHead& head) override;
   bool WillReject(const RequestHead& head) override;
-  void OnRequest(HttpServerStream* stream, RequestHead* head, std::string body) override;
-  void OnBodyPiece(HttpServerStream* stream, const std::string& piece, bool last) override;
-  void OnBodyError(HttpServerStream* stream, int status) override;
-  void OnCallerDisconnected(HttpServerStream* stream) override;
-  void OnCallerWritable(HttpServerStream* stream) override;
+  // Only calls that may be repeated, without large responses, are served ahead of their turn: the
+  // caller sends them again if an earlier response ends the connection.
+  bool MayServeAhead(const RequestHead& head) override;
+  void OnRequest(HttpServerExchange* stream, RequestHead* head, std::string body) override;
+  void OnBodyPiece(HttpServerExchange* stream, const std::string& piece, bool last) override;
+  void OnBodyError(HttpServerExchange* stream, int status) override;
+  void OnCallerDisconnected(HttpServerExchange* stream) override;
+  void OnCallerWritable(HttpServerExchange* stream) override;
 
   // Interval of maintenance with and without calls in progress, and of probes for room while calls
   // are queued. The idle interval is longer since each wake-up is billed and most instances of a
@@ -194,6 +199,7 @@
   void ReportEvictions(Instant now);
   void Wake();
   void StartAllWaitingCalls();
+  void LogShortages(Instant now);
   void ProbePossiblyFree(const ServiceName& service, Instant now);
 
   EventLoop* const loop_;
@@ -212,9 +218,10 @@
   FleetQuota quota_;
   std::map<CustomerName, QuotaRefusals> quota_refusals_;
   std::map<ServiceName, AdmissionQueue> queues_;
+  std::map<ServiceName, PriorityAdmission> admissions_;
   std::map<ServiceName, WindowedRetryBudget> retry_budgets_;
   std::map<UpstreamId, std::vector<SuspectedCrash>> suspected_crashes_;
-  std::unordered_map<HttpServerStream*, std::unique_ptr<RoutedCall>> calls_;
+  std::unordered_map<HttpServerExchange*, std::unique_ptr<RoutedCall>> calls_;
   // Ended calls whose functions may still be on the stack; destroyed at the next tick, or in the
   // next turn of the loop if there are many.
   std::vector<std::unique_ptr<RoutedCall>> released_calls_;
--- a/include/primroseweir/gateway/page_server.h
+++ b/include/primroseweir/gateway/page_server.h
@@ -36,7 +36,7 @@
 
   // Pages need no request body; one that follows is not read.
   bool WillReject(const RequestHead& /*head*/) override { return true; }
-  void OnRequest(HttpServerStream* stream, RequestHead* head, std::string body) override;
+  void OnRequest(HttpServerExchange* stream, RequestHead* head, std::string body) override;
 
   // Parses a query string such as "a=1&b=2" and decodes percent-encoding and '+'.
   static Query ParseQuery(const std::string& text);
--- a/include/primroseweir/gateway/routed_call.h
+++ b/include/primroseweir/gateway/routed_call.h
@@ -25,7 +25,7 @@
 namespace primroseweir {
 
 class Gateway;
-class HttpServerStream;
+class HttpServerExchange;
 class RouteTable;
 class UpstreamAttempt;
 
@@ -35,7 +35,7 @@
 class RoutedCall {
  public:
   // `body` is the complete body, or the first part of a body that the gateway streams.
-  RoutedCall(Gateway* gateway, HttpServerStream* caller, RequestHead head, std::string body,
+  RoutedCall(Gateway* gateway, HttpServerExchange* caller, RequestHead head, std::string body,
              Instant now);
   ~RoutedCall();
 
@@ -69,7 +69,7 @@
   // Ends a call that waits for an upstream if the routes in force no longer allow it.
   void CheckWhileWaiting(Instant now);
 
-  HttpServerStream* caller() const { return caller_; }
+  HttpServerExchange* caller() const { return caller_; }
   const ServiceName& service() const { return service_; }
   // Priority in the admission queue: that of the customer, or else of the route.
   std::uint32_t priority() const { return identity_.PriorityOr(route_->priority); }
@@ -139,6 +139,10 @@
   void RefundUnsent();
 
   // ---- placement ----
+  // Whether the call is refused at once, since its service is short of room for more urgent calls.
+  bool IsRefusedForUrgentCalls(Instant now);
+  // Records once whether the call got room, at once or after waiting.
+  void RecordPlacement(bool found_room, Instant now);
   static PlacementResult PlacementResultOf(LoadBalancer::PickFailure failure);
   // The call's claim to room, as against other calls that wait.
   AdmissionQueue::Claim MakeClaim() const;
@@ -205,7 +209,7 @@
                      Instant now) const;
 
   Gateway* const gateway_;
-  HttpServerStream* const caller_;
+  HttpServerExchange* const caller_;
   const RequestHead head_;
   CallBody body_;
   // Bytes of the body that were sent on the current attempt, and whether its end was.
@@ -242,6 +246,7 @@
   Instant stream_deadline_;
   // Bytes of a streamed response that the caller had not acknowledged at the last check.
   std::size_t stream_unacked_bytes_ = 0;
+  bool is_placement_recorded_ = false;
   bool is_probing_ = false;
   // Time at which the call stops waiting for probes; set by its first probe.
   Instant probe_deadline_;
--- a/include/primroseweir/loop/http_port.h
+++ b/include/primroseweir/loop/http_port.h
@@ -65,9 +65,16 @@
   std::int64_t buffered_bytes() const { return buffered_bytes_; }
   // Whether peers make the process hold more memory than its budget, on all ports together.
   bool IsOverMemoryLimit() const;
+  // Adds `change` to the bytes of responses that are held until their turn on their connection.
+  void UpdateBytesAhead(std::int64_t change) { bytes_ahead_ += change; }
+  // Whether further requests may be served ahead of their turn: responses that wait for their turn
+  // hold at most kMaxBytesAhead.
+  bool HasRoomAhead() const { return bytes_ahead_ <= kMaxBytesAhead && !IsOverMemoryLimit(); }
   // Connections closed at once because there were too many.
   std::uint64_t rejected_connections() const { return rejected_connections_; }
 
+  // A twentieth of the memory of the smallest machine. Responses that arrive later may exceed it.
+  static constexpr std::int64_t kMaxBytesAhead = std::int64_t{8} * 1024 * 1024;
   static constexpr Duration kTimeoutCheckInterval = std::chrono::milliseconds(500);
 
  private:
@@ -82,6 +89,7 @@
   std::unordered_map<HttpServerStream*, std::unique_ptr<HttpServerStream>> streams_;
   bool is_draining_ = false;
   std::int64_t buffered_bytes_ = 0;
+  std::int64_t bytes_ahead_ = 0;
   std::uint64_t rejected_connections_ = 0;
   // Streams whose input waits for the next turn of the loop.
   std::vector<HttpServerStream*> waiting_streams_;
--- a/src/gateway/routed_call.cc
+++ b/src/gateway/routed_call.cc
@@ -11,6 +11,7 @@
 #include "primroseweir/base/rendezvous.h"
 #include "primroseweir/gateway/call_header_names.h"
 #include "primroseweir/gateway/gateway.h"
+#include "primroseweir/gateway/gateway_metrics.h"
 #include "primroseweir/gateway/load_field.h"
 #include "primroseweir/gateway/serving_state.h"
 #include "primroseweir/gateway/upstream_attempt.h"
@@ -18,7 +19,7 @@
 #include "primroseweir/limits/crash_guard.h"
 #include "primroseweir/loop/event_loop.h"
 #include "primroseweir/loop/http_client_stream.h"
-#include "primroseweir/loop/http_server_stream.h"
+#include "primroseweir/loop/http_server_exchange.h"
 #include "primroseweir/routes/route_table.h"
 #include "primroseweir/routes/weighted_service_picker.h"
 
@@ -51,7 +52,7 @@
 
 }  // namespace
 
-RoutedCall::RoutedCall(Gateway* gateway, HttpServerStream* caller, RequestHead head,
+RoutedCall::RoutedCall(Gateway* gateway, HttpServerExchange* caller, RequestHead head,
                        std::string body, Instant now)
     : gateway_(gateway),
       caller_(caller),
@@ -98,6 +99,11 @@
     Refuse("crashes_upstreams", now);
     return;
   }
+  if (IsRefusedForUrgentCalls(now)) {
+    gateway_->metrics().CountEvent("less_urgent_refused");
+    Refuse("less_urgent", now);
+    return;
+  }
   if (!AcquireQuota(now)) {
     return;
   }
--- a/src/gateway/routed_call_placement.cc
+++ b/src/gateway/routed_call_placement.cc
@@ -14,7 +14,7 @@
 #include "primroseweir/gateway/upstream_prober.h"
 #include "primroseweir/http/message_writer.h"
 #include "primroseweir/loop/event_loop.h"
-#include "primroseweir/loop/http_server_stream.h"
+#include "primroseweir/loop/http_server_exchange.h"
 #include "primroseweir/routes/route_table.h"
 
 namespace primroseweir {
@@ -30,6 +30,20 @@
   return std::max<Duration>(route_->latency_objective - (now - received_at_), min_limit);
 }
 
+bool RoutedCall::IsRefusedForUrgentCalls(Instant now) {
+  auto& admission = gateway_->admission(service_);
+  admission.RecordArrival(priority(), now);
+  // Without a shortage of the whole fleet, the calls wait for another reason.
+  return gateway_->balancer().IsTight(service_) &&
+         admission.ShouldRefuse(priority(), gateway_->random().UniformUnit(), now);
+}
+
+void RoutedCall::RecordPlacement(bool found_room, Instant now) {
+  if (!std::exchange(is_placement_recorded_, true)) {
+    gateway_->admission(service_).RecordPlacement(found_room, now);
+  }
+}
+
 RoutedCall::PlacementResult RoutedCall::PlacementResultOf(LoadBalancer::PickFailure failure) {
   switch (failure) {
     case LoadBalancer::PickFailure::kFull:
@@ -77,6 +91,7 @@
   args.local_only = IsLargeTransfer(route_->kind) && scope <= PickScope::kInTime;
   args.latency_limit = scope == PickScope::kAnyLatency ? Duration::max() : LatencyLimit(now);
   args.may_probe = scope == PickScope::kProbeFirst;
+  args.is_hedge = !attempts_.empty();
   auto pick = gateway_->balancer().Pick(args, now);
   if (args.may_probe && !pick.to_probe.empty()) {
     for (const auto& upstream : pick.to_probe) {
@@ -137,6 +152,9 @@
   if (may_wait && TryLastResort(now)) {
     return;
   }
+  if (may_wait) {
+    RecordPlacement(false, now);
+  }
   const char* reason = may_wait && is_above_share_                 ? "above_share"
                        : may_wait                                  ? "no_room"
                        : placement == PlacementResult::kNoUpstream ? "no_upstream"
@@ -209,6 +227,7 @@
   if (TryLastResort(now)) {
     return;
   }
+  RecordPlacement(false, now);
   may_have_executed_ ? Fail(kBadGateway, "no_room_in_time", now)
                      : RefuseUnplaced("no_room_in_time", now);
 }
@@ -230,6 +249,7 @@
 
 void RoutedCall::StartAttempt(std::shared_ptr<BalancedUpstream> upstream, Instant now) {
   const bool at_most_once = !IsIdempotent(route_->kind);
+  RecordPlacement(true, now);
   tried_upstreams_.push_back(upstream->record().id);
   UpstreamAttempt::Dependencies dependencies;
   dependencies.loop = gateway_->loop();
--- a/src/loop/http_server_stream.cc
+++ b/src/loop/http_server_stream.cc
@@ -9,6 +9,7 @@
 #include "primroseweir/http/request_handler.h"
 #include "primroseweir/loop/event_loop.h"
 #include "primroseweir/loop/http_port.h"
+#include "primroseweir/loop/pipelined_exchange.h"
 #include "primroseweir/loop/request_sink.h"
 #include "primroseweir/loop/tcp_stream.h"
 
@@ -68,6 +69,14 @@
     KeepInput(data + used, size - used);
   }
   UpdateBufferedBytes();
+  if (has_input() && MayReadAhead()) {
+    ParseInput();
+    return;
+  }
+  HoldBackIfOverMemoryLimit();
+}
+
+void HttpServerStream::HoldBackIfOverMemoryLimit() {
   auto& connections = port_->loop()->connections();
   if (connections.memory().is_over() && !is_held_back_) {
     // One turn of the loop may read megabytes on each connection.
@@ -123,7 +132,10 @@
   reported_bytes_ = bytes;
   // The sink has a copy of the head.
   const auto head_bytes = parser_.request()->fields.allocated_bytes();
-  const auto call_bytes = state_ == State::kServing ? kCallBytes + head_bytes : 0;
+  auto call_bytes = state_ == State::kServing ? kCallBytes + head_bytes : 0;
+  for (const auto& exchange : ahead_) {
+    call_bytes += kCallBytes + exchange->held_bytes();
+  }
   const auto cost = static_cast<std::int64_t>(kConnectionBytes + AllocatedBytes(input_) +
                                               AllocatedBytes(body_) + head_bytes + call_bytes +
                                               sink_buffered_bytes_ + stream_->allocated_bytes());
@@ -136,19 +148,30 @@
 }
 
 void HttpServerStream::ParseInput() {
-  const auto used = Parse(input_.data() + input_begin_, input_.size() - input_begin_);
+  do {
+    const auto used = Parse(input_.data() + input_begin_, input_.size() - input_begin_);
+    if (is_removal_pending_) {
+      RemoveFromPort();
+      return;
+    }
+    ConsumeInput(used);
+  } while (DeliverAllAhead() && ShouldRead() && has_input());
   if (is_removal_pending_) {
     RemoveFromPort();
     return;
   }
-  input_begin_ = std::min(input_begin_ + used, input_.size());
+  UpdateBufferedBytes();
+  HoldBackIfOverMemoryLimit();
+}
+
+void HttpServerStream::ConsumeInput(std::size_t size) {
+  input_begin_ = std::min(input_begin_ + size, input_.size());
   if (!has_input()) {
     DiscardInput();
   } else if (input_begin_ > input_.size() / 2) {
     // Removed bytes are at most as many as those that remain, which keeps the cost linear.
     input_.erase(0, std::exchange(input_begin_, 0));
   }
-  UpdateBufferedBytes();
 }
 
 std::size_t HttpServerStream::Parse(const char* data, std::size_t size) {
@@ -261,11 +284,93 @@
   Respond(std::move(head), std::string());
 }
 
+// ---- requests ahead of their turn ----
+
+bool HttpServerStream::IsPlainGet(const RequestHead& head) const {
+  return head.method == "GET" && head.minor_version >= 1 && head.keep_alive &&
+         head.body.kind == BodyKind::kNone && port_->sink()->MayServeAhead(head);
+}
+
+bool HttpServerStream::MayReadAhead() const {
+  return state_ == State::kServing && !is_next_blocked_ && !is_receiving_body_ &&
+         !close_after_response_ && ahead_.size() < kMaxRequestsAhead && !port_->is_draining() &&
+         port_->HasRoomAhead() && stream_->pending_bytes() <= kMaxPendingResponseBytes;
+}
+
+bool HttpServerStream::DeliverAllAhead() {
+  bool has_delivered = false;
+  is_parsing_ = true;
+  while (has_input() && !ShouldRead() && DeliverAhead()) {
+    has_delivered = true;
+  }
+  is_parsing_ = false;
+  return has_delivered;
+}
+
+bool HttpServerStream::DeliverAhead() {
+  constexpr std::string_view kEndOfHead = "\r\n\r\n";
+  if (!MayReadAhead()) {
+    return false;
+  }
+  const auto input = std::string_view(input_).substr(input_begin_);
+  const auto end = input.substr(0, kMaxHeadBytesAhead).find(kEndOfHead);
+  if (end == std::string_view::npos) {
+    is_next_blocked_ = input.size() > kMaxHeadBytesAhead;
+    return false;
+  }
+  if (current_ahead_ == nullptr && !IsPlainGet(*parser_.request())) {
+    is_next_blocked_ = true;
+    return false;
+  }
+  // The head is parsed from a copy: one that may not be served ahead stays in the input until its
+  // turn.
+  MessageParser parser(MessageParser::Kind::kRequest, ParserLimits(port_->limits()));
+  std::string body;
+  const auto used = parser.Feed(input.data(), end + kEndOfHead.size(), &body);
+  if (!used.ok() || !parser.is_message_complete() || !IsPlainGet(*parser.request())) {
+    is_next_blocked_ = true;
+    return false;
+  }
+  ConsumeInput(*used);
+  ahead_.push_back(std::make_unique<PipelinedExchange>(
+      this, std::move(*parser.request()),
+      [port = port_](std::int64_t change) { port->UpdateBytesAhead(change); }));
+  auto* exchange = ahead_.back().get();
+  port_->sink()->OnRequest(exchange, exchange->head(), std::string());
+  return true;
+}
+
+void HttpServerStream::StartNextTurn() {
+  current_ahead_ = std::move(ahead_.front());
+  ahead_.pop_front();
+  state_ = State::kServing;
+  // The response may be complete already, which ends the turn at once.
+  current_ahead_->StartTurn();
+}
+
+void HttpServerStream::DropRequestsAhead() {
+  for (const auto& exchange : ahead_) {
+    port_->sink()->OnCallerDisconnected(exchange.get());
+  }
+  ahead_.clear();
+}
+
+HttpServerExchange* HttpServerStream::current() {
+  return current_ahead_ != nullptr ? static_cast<HttpServerExchange*>(current_ahead_.get()) : this;
+}
+
 // ---- response ----
 
+// A response that ends the connection must be the last one: requests that are served ahead keep it
+// open.
+void HttpServerStream::DecideClose() {
+  close_after_response_ =
+      close_after_response_ || is_receiving_body_ || (port_->is_draining() && ahead_.empty());
+}
+
 void HttpServerStream::Respond(ResponseHead head, const std::string& body) {
   head.body = {body.empty() ? BodyKind::kNone : BodyKind::kLength, body.size()};
-  close_after_response_ = close_after_response_ || is_receiving_body_ || port_->is_draining();
+  DecideClose();
   head.keep_alive = !close_after_response_;
   const bool is_response_to_head =
       parser_.is_head_complete() && parser_.request()->method == "HEAD";
@@ -279,7 +384,7 @@
 }
 
 void HttpServerStream::BeginResponse(ResponseHead head) {
-  close_after_response_ = close_after_response_ || is_receiving_body_ || port_->is_draining();
+  DecideClose();
   is_response_chunked_ =
       head.body.kind == BodyKind::kChunked || head.body.kind == BodyKind::kUntilClose;
   if (is_response_chunked_ && parser_.request()->minor_version == 0) {
@@ -316,6 +421,7 @@
   stream_->Reset();
   state_ = State::kLingering;
   is_receiving_body_ = false;
+  DropRequestsAhead();
   RemoveFromPort();
 }
 
@@ -326,10 +432,12 @@
 void HttpServerStream::FinishResponse() {
   request_started_ = state_since_ = lingering_since_ = Now();
   last_unacked_bytes_ = 0;
-  is_receiving_body_ = is_body_paused_ = false;
+  current_ahead_.reset();
+  is_receiving_body_ = is_body_paused_ = is_next_blocked_ = false;
   sink_buffered_bytes_ = forwarded_bytes_ = 0;
   if (close_after_response_) {
     state_ = State::kLingering;
+    DropRequestsAhead();
     DiscardInput();
     body_ = std::string();
     // Neither the request nor the rest of its body is needed any more.
@@ -339,11 +447,22 @@
     ResumeReading();
     return;
   }
-  state_ = State::kIdle;
-  parser_.Reset();
-  body_ = std::string();
+  if (!ahead_.empty()) {
+    // Responses that are complete end their turns within this call.
+    const bool was_parsing = std::exchange(is_parsing_, true);
+    StartNextTurn();
+    is_parsing_ = was_parsing;
+    if (is_removal_pending_) {
+      RemoveFromPort();
+      return;
+    }
+  } else {
+    state_ = State::kIdle;
+    parser_.Reset();
+    body_ = std::string();
+    is_head_checked_ = false;
+  }
   UpdateBufferedBytes();
-  is_head_checked_ = false;
   ResumeReading();
   if (!is_parsing_ && has_input()) {
     ParseInput();
@@ -355,7 +474,8 @@
 void HttpServerStream::OnEnd(bool /*clean*/) {
   if (state_ == State::kServing) {
     state_ = State::kLingering;
-    port_->sink()->OnCallerDisconnected(this);
+    port_->sink()->OnCallerDisconnected(current());
+    DropRequestsAhead();
   }
   RemoveFromPort();
 }
@@ -363,7 +483,7 @@
 void HttpServerStream::OnWriteDrained() {
   UpdateBufferedBytes();
   if (state_ == State::kServing) {
-    port_->sink()->OnCallerWritable(this);
+    port_->sink()->OnCallerWritable(current());
     return;
   }
   // Requests may have waited in the input for the caller to read the responses before them.
--- a/src/loop/http_server_stream_shortage.cc
+++ b/src/loop/http_server_stream_shortage.cc
@@ -43,7 +43,8 @@
 
 void HttpServerStream::AbortUnreadResponse() {
   if (std::exchange(state_, State::kLingering) == State::kServing) {
-    port_->sink()->OnCallerDisconnected(this);
+    port_->sink()->OnCallerDisconnected(current());
+    DropRequestsAhead();
   }
   // A reset shows the caller that the response is not complete.
   stream_->Reset();
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -90,6 +90,7 @@
     route.timeout = timeout;
     route.latency_objective = latency_objective;
     route.max_attempts = 2;
+    route.priority = priority;
     route.is_public = is_public;
     std::vector<Route> routes = {route};
     for (const auto& [prefix, is_prefix_public] : nested_prefixes) {
@@ -161,6 +162,7 @@
   std::map<std::string, bool> nested_prefixes;
   // Of the upstreams that are added from now on.
   Duration warm_up_left{};
+  std::uint32_t priority = 0;
   ServiceSettings service_settings;
 
  private:
