--- a/tests/customers/fleet_quota_test.cc
+++ b/tests/customers/fleet_quota_test.cc
@@ -42,7 +42,8 @@
   for (const auto end = fleet->now() + time; fleet->now() < end;) {
     fleet->Tick();
     due += per_second * std::chrono::duration<double>(QuotaFleet::kTick).count();
-    for (; due >= 1; due -= 1) {
+    while (due >= 1) {
+      due -= 1;
       fleet->Ask(at[fleet->random().UniformBelow(at.size())], customer);
       ++made;
     }
--- a/tests/customers/quota_table_test.cc
+++ b/tests/customers/quota_table_test.cc
@@ -222,7 +222,9 @@
       division->Restart(division->Owner());
     }
     // The first 5 s are without calls, and the next 2 s are not counted.
-    for (due += tick < 500 ? 0 : per_second / 100; due >= 1; due -= 1) {
+    due += tick < 500 ? 0 : per_second / 100;
+    while (due >= 1) {
+      due -= 1;
       const bool admitted = division->Ask(random.UniformBelow(count));
       asked += tick >= 700 ? 1 : 0;
       refused += tick >= 700 && !admitted ? 1 : 0;
