Keep 64 KB of the rest of a body that waits for its upstream

Cause: the bound of 16 KB for requests ahead also held for uploads, so that reading stopped four times as often.

--- a/include/primroseweir/loop/http_server_stream.h
+++ b/include/primroseweir/loop/http_server_stream.h
@@ -85,6 +85,9 @@
   // Reading pauses when the input behind the current request exceeds this size: dozens of requests.
   // A read of the socket may bring kReadBufferBytes of TcpStream more.
   static constexpr std::size_t kMaxPipelinedBytes = std::size_t{16} * 1024;
+  // The same for the rest of a body that waits for its upstream; with less, uploads wait for their
+  // callers each time the upstream reads on.
+  static constexpr std::size_t kMaxBodyInputBytes = std::size_t{64} * 1024;
   // Requests of one connection that are served ahead of their turn at a time. Bounds what one
   // caller can occupy; a browser opens about as many connections.
   static constexpr std::size_t kMaxRequestsAhead = 6;
--- a/src/loop/http_server_stream.cc
+++ b/src/loop/http_server_stream.cc
@@ -91,7 +91,8 @@
     return;
   }
   AppendCompactly(&input_, {data, size});
-  if ((is_yielding_ || input_.size() - input_begin_ > kMaxPipelinedBytes) && !is_reading_paused_) {
+  const auto max_bytes = is_receiving_body_ ? kMaxBodyInputBytes : kMaxPipelinedBytes;
+  if ((is_yielding_ || input_.size() - input_begin_ > max_bytes) && !is_reading_paused_) {
     // While a request is served, reading continues up to this size, since a disconnect of the
     // caller is noticed only while reading.
     stream_->PauseReading();
