--- a/src/published/published_snapshot.cc
+++ b/src/published/published_snapshot.cc
@@ -94,7 +94,8 @@
     }
     return snapshot;
   } catch (const std::exception& error) {
-    return MakeError(absl::StatusCode::kInvalidArgument, {"peer snapshot", ""}, JsonErrorReason(error));
+    return MakeError(absl::StatusCode::kInvalidArgument, {"peer snapshot", ""},
+                     JsonErrorReason(error));
   }
 }
 
