Keep the state of a quota that its own look-up would have removed

Cause: TryAcquire looked up the state of a customer and then removed states without recent calls, which freed the one in use; and a peer's count that had restarted after a pause was charged as a jump. Found by review. Change: old states are removed before the look-up. A count that is older than its retention counts as new. The new test fails without the change.

--- a/src/customers/fleet_quota.cc
+++ b/src/customers/fleet_quota.cc
@@ -67,11 +67,15 @@
 
 FleetQuota::Decision FleetQuota::TryAcquire(const Customer& customer, std::uint64_t request,
                                             Instant now) {
-  auto* state = customer.has_quota() ? FindOrCreate(IdOf(customer), now) : nullptr;
-  if (state == nullptr) {
+  if (!customer.has_quota()) {
     return {};
   }
+  // Before the look-up, since it removes the states that were not used for long.
   RefreshFleet(now);
+  auto* state = FindOrCreate(IdOf(customer), now);
+  if (state == nullptr) {
+    return {};
+  }
   if (now - last_asked_at_ > kActivePeriod) {
     active_since_ = now;
   }
@@ -438,7 +442,9 @@
       continue;
     }
     Refill(state, now);
-    const auto [count, is_new] = state->peer_counts.try_emplace(peer);
+    const auto [count, is_added] = state->peer_counts.try_emplace(peer);
+    // The peer may have dropped its own count since, and started another.
+    const bool is_new = is_added || now - count->second.reported_at > kPeerCountRetention;
     // More calls than the quota of a window can't be told from an absurd report.
     const double most = 2 * (state->limits.burst + state->limits.rate * kWindowSeconds);
     double calls = entry.recently_admitted;
--- a/tests/customers/fleet_quota_test.cc
+++ b/tests/customers/fleet_quota_test.cc
@@ -282,6 +282,23 @@
         FleetQuota::kMaxReportedCustomers);
 }
 
+// Guards against a call that is charged to a state which its own look-up has removed: the first
+// call of a customer after a long pause was not counted.
+TEST_CASE("the first call after a long pause is counted", "[customers]") {
+  const auto table = OneCustomer();
+  FleetQuota quota(1);
+  Instant now = Instant() + std::chrono::hours(1);
+  quota.SetServingInstances(1, true);
+  quota.Apply(table.get(), now);
+  for (int second = 0; second < 10; ++second) {
+    now += seconds(1);
+    quota.TryAcquire(table->customers()[0], 1, now);
+  }
+  now += FleetQuota::kStateRetention + seconds(1);
+  CHECK(quota.TryAcquire(table->customers()[0], 2, now).admitted);
+  CHECK(quota.active_customers() == 1);
+}
+
 // Guards against a bucket that absurd numbers of a peer keep empty, and against memory for
 // customers that do not exist.
 TEST_CASE("forged counts do no lasting harm", "[customers]") {
