Close connections of an entry instance only while their descriptors are theirs

Cause, found by review: an aborted connection closed its descriptor but could still be chosen, so that the connection with the same number was cut. A body wait lasted beyond the response. Idle connections of ordinary callers went before those of a crowd that reconnects. A burst of connections closed more than it needed. A byte at a time held up the stop of the peer and admin ports, and an exception in their handlers ended the process. Change: an aborted connection is removed first, a response ends the body wait, connections without a served request go first, closed ones count as room, and the two ports have a deadline for bodies, close at a stop, and answer 500.

--- a/include/primroseweir/http/http_server.h
+++ b/include/primroseweir/http/http_server.h
@@ -45,6 +45,9 @@
   // closes after the response, an idle one closes at once; a new connection that has not sent a
   // request yet has 1 s to send the first byte.
   void StopAccepting();
+  // Stops accepting connections and closes the open ones as soon as they wait for their peers.
+  // Blocks until running handlers have returned. For servers whose peers need no complete response.
+  void CloseAll();
   // Blocks until no connection is open.
   void WaitUntilIdle();
   std::size_t connection_count() const;
--- a/include/primroseweir/http/wait_hooks.h
+++ b/include/primroseweir/http/wait_hooks.h
@@ -13,6 +13,8 @@
   std::function<void(Instant since)> on_start = [](Instant /*since*/) {};
   // The wait has ended. Returns false if the connection was closed meanwhile.
   std::function<bool()> on_end = [] { return true; };
+  // The connection closes its socket, whose descriptor may be used again at once.
+  std::function<void()> on_close = [] {};
 };
 
 }  // namespace primroseweir
--- a/include/primroseweir/http/waiting_connections.h
+++ b/include/primroseweir/http/waiting_connections.h
@@ -12,8 +12,9 @@
 namespace primroseweir {
 
 // The connections of a server and which of them wait for their callers. When the server has no room
-// for a new connection, the one whose caller has taken longest is closed: a caller that is idle or
-// stalls must not keep ordinary callers out. Thread-safe.
+// for a new connection, one whose caller is idle or stalls is closed: it must not keep ordinary
+// callers out. Connections on which no request was served go first, then those that have waited
+// longest. Thread-safe.
 //
 // Load pattern: crowds of connections that send nothing, or stop in the middle of a head or a body.
 class WaitingConnections {
@@ -31,21 +32,27 @@
   // Records that the connection no longer waits. Returns false if it has been closed meanwhile; a
   // request on it must not be served then.
   bool StopWaiting(Id id);
+  // Records that a request was served on the connection.
+  void SetServed(Id id);
 
-  // Closes the connection that has waited longest. Returns false if none waits.
+  // Closes the next connection in the order above. Returns false if none waits.
   bool CloseLongestWaiting();
+  // Returns the number of connections that were closed here and not yet removed.
+  std::size_t closed_count();
 
  private:
   struct Connection {
     std::function<void()> close;
     bool is_waiting = false;
     bool is_closed = false;
+    bool has_been_served = false;
     Instant since;
   };
 
   std::mutex mutex_;
   std::map<Id, Connection> connections_;
   Id next_id_ = 1;
+  std::size_t closed_count_ = 0;
 };
 
 }  // namespace primroseweir
--- a/src/admin/http_service.cc
+++ b/src/admin/http_service.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <exception>
 #include <string>
 #include <utility>
 
@@ -18,6 +19,7 @@
 
 constexpr auto kBodyTimeout = std::chrono::seconds(60);
 constexpr int kBodyTooLarge = 413;
+constexpr unsigned kInternalError = 500;
 
 std::map<std::string, std::string> DecodeQuery(const std::string& text) {
   std::map<std::string, std::string> query;
@@ -49,6 +51,8 @@
     server_ = std::make_unique<HttpServer>(server_options, this);
   }
 
+  ~Implementation() override { server_->CloseAll(); }
+
   absl::Status Start() {
     auto status = server_->Start();
     address_ = server_->address();
@@ -79,7 +83,15 @@
     service_request.peer_ip = connection->socket()->peer_ip();
     service_request.peer_ip.resize(
         std::min(service_request.peer_ip.find(':'), service_request.peer_ip.size()));
-    const auto response = handler_(service_request);
+    HttpServiceResponse response;
+    try {
+      response = handler_(service_request);
+    } catch (const std::exception& error) {
+      // The JSON library throws, for example for text that is not UTF-8.
+      response.status = kInternalError;
+      response.content_type = "text/plain";
+      response.body = "internal error\n";
+    }
     ResponseHead head;
     head.status = static_cast<int>(response.status);
     head.fields.Add("Content-Type", response.content_type);
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -37,6 +37,8 @@
 // A connection needs a second descriptor while its request is at an upstream.
 constexpr std::size_t kDescriptorsPerConnection = 2;
 constexpr std::size_t kMinConnections = 16;
+// Interval at which CloseAll looks for connections that have begun to wait for their peers.
+constexpr auto kCloseInterval = std::chrono::milliseconds(20);
 constexpr int kMaxPortAttempts = 200;
 constexpr std::uint64_t kMinRandomPort = 20'000;
 constexpr std::uint64_t kRandomPortCount = 40'000;
@@ -123,6 +125,16 @@
     server_.reset();
   }
 
+  void CloseAll() {
+    StopAccepting();
+    std::unique_lock<std::mutex> lock(connections_mutex_);
+    while (connections_.load() != 0) {
+      while (waiting_.CloseLongestWaiting()) {
+      }
+      connection_released_.wait_for(lock, kCloseInterval);
+    }
+  }
+
   void WaitUntilIdle() {
     std::unique_lock<std::mutex> lock(connections_mutex_);
     connection_released_.wait(lock, [this] { return connections_.load() == 0; });
@@ -160,8 +172,10 @@
   void StartConnectionThread(std::unique_ptr<cxxtools::net::TcpSocket> socket) {
     const auto open_connections = connections_.fetch_add(1) + 1;
     const auto max_connections = std::min(options_.max_connections, ConnectionsForDescriptors());
-    const bool is_overflow = open_connections > max_connections && !waiting_.CloseLongestWaiting();
-    if (open_connections > max_connections + kMaxOverflowConnections) {
+    // Connections that were closed for earlier ones may still count.
+    const bool has_room = open_connections <= max_connections + waiting_.closed_count();
+    const bool is_overflow = !has_room && !waiting_.CloseLongestWaiting();
+    if (is_overflow && open_connections > max_connections + kMaxOverflowConnections) {
       ReleaseConnection();
       return;
     }
@@ -191,7 +205,8 @@
     ServerConnection connection(std::make_unique<SocketStream>(std::move(socket)), options_.limits,
                                 &is_stopping_);
     connection.SetWaitHooks({[this, id](Instant since) { waiting_.StartWaiting(id, since); },
-                             [this, id] { return waiting_.StopWaiting(id); }});
+                             [this, id] { return waiting_.StopWaiting(id); },
+                             [this, id] { waiting_.Remove(id); }});
     if (is_overflow) {
       connection.set_close_after_response();
       handler_->HandleOverflow(&connection);
@@ -199,6 +214,7 @@
       bool is_first = true;
       while (ServeRequest(&connection, id, is_first)) {
         is_first = false;
+        waiting_.SetServed(id);
       }
     }
     // A caller that does not read its last response, or keeps sending, may be closed too.
@@ -279,6 +295,7 @@
 absl::Status HttpServer::Start() { return implementation_->Start(); }
 SocketAddress HttpServer::address() const { return implementation_->address(); }
 void HttpServer::StopAccepting() { implementation_->StopAccepting(); }
+void HttpServer::CloseAll() { implementation_->CloseAll(); }
 void HttpServer::WaitUntilIdle() { implementation_->WaitUntilIdle(); }
 std::size_t HttpServer::connection_count() const { return implementation_->connection_count(); }
 
--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -117,6 +117,8 @@
 }
 
 void ServerConnection::Begin(ResponseHead head) {
+  // Whoever responds reads no more of the body. A failure shows in the writes that follow.
+  EndBodyWait().IgnoreError();
   const bool supports_chunks = request()->minor_version >= 1;
   if (head.body.kind == BodyKind::kUntilClose || head.body.kind == BodyKind::kChunked) {
     head.body.kind = supports_chunks ? BodyKind::kChunked : BodyKind::kUntilClose;
@@ -144,6 +146,7 @@
 void ServerConnection::Abort() {
   is_aborted_ = true;
   should_close_ = true;
+  wait_hooks_.on_close();
   stream_->socket()->Reset();
 }
 
--- a/src/peer/snapshot_server.cc
+++ b/src/peer/snapshot_server.cc
@@ -3,6 +3,7 @@
 #include <charconv>
 #include <chrono>
 #include <cstddef>
+#include <exception>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
@@ -30,6 +31,7 @@
 constexpr int kOk = 200;
 constexpr int kForbidden = 403;
 constexpr int kBodyTooLarge = 413;
+constexpr int kInternalError = 500;
 
 // Reads the parameter after_revision. Revisions are sent as decimal strings, because
 // libjsonrpccpp's integers have 32 bits.
@@ -66,6 +68,7 @@
                                                        const std::string& parameters) {
           return Respond(providers, method, parameters);
         }) {}
+  ~Implementation() override { Stop(); }
 
   absl::Status Start(const SocketAddress& address) {
     HttpServer::Options options;
@@ -78,12 +81,18 @@
     return server_->Start();
   }
 
-  void Stop() { server_.reset(); }
+  void Stop() {
+    if (server_ != nullptr) {
+      server_->CloseAll();
+      server_.reset();
+    }
+  }
 
   void Handle(ServerConnection* connection) override {
     std::string body;
+    const auto deadline = MonotonicNow() + kReadTimeout;
     while (!connection->is_request_complete() || body.empty()) {
-      const auto piece = connection->ReadBody(MonotonicNow() + kReadTimeout);
+      const auto piece = connection->ReadBody(deadline);
       if (!piece.ok()) {
         HandleFault(connection, HttpStatusOfFault(piece.status()), piece.status());
         return;
@@ -102,7 +111,14 @@
       SendResponse(connection, kForbidden, ResponseHead(), std::string());
       return;
     }
-    const auto rpc_response = dispatcher_.Respond(body);
+    std::string rpc_response;
+    try {
+      rpc_response = dispatcher_.Respond(body);
+    } catch (const std::exception&) {
+      // The JSON libraries throw, for example for text that is not UTF-8.
+      SendResponse(connection, kInternalError, ResponseHead(), std::string());
+      return;
+    }
     ResponseHead head;
     head.fields.Add("Content-Type", "application/json");
     head.fields.Add(kSignatureField, signing_.sign_response(signature, rpc_response));
--- a/tests/http/waiting_connections_test.cc
+++ b/tests/http/waiting_connections_test.cc
@@ -37,6 +37,34 @@
   CHECK_FALSE(fixture.connections.CloseLongestWaiting());
 }
 
+// Guards against a crowd that reconnects all the time, so that the idle connections of ordinary
+// callers are always older.
+TEST_CASE("connections on which no request was served are closed first", "[http]") {
+  Fixture fixture;
+  const auto ordinary = fixture.Add();
+  const auto silent = fixture.Add();
+  fixture.connections.SetServed(ordinary);
+  fixture.connections.StartWaiting(ordinary, kStart + seconds(1));
+  fixture.connections.StartWaiting(silent, kStart + seconds(2));
+  CHECK(fixture.connections.CloseLongestWaiting());
+  CHECK(fixture.closed == std::vector<bool>{false, true});
+  CHECK(fixture.connections.closed_count() == 1);
+  fixture.connections.Remove(silent);
+  CHECK(fixture.connections.closed_count() == 0);
+}
+
+// Guards against a descriptor that is shut down after its connection closed it, when it may belong
+// to another connection.
+TEST_CASE("a removed connection is not closed", "[http]") {
+  Fixture fixture;
+  const auto id = fixture.Add();
+  fixture.connections.StartWaiting(id, kStart);
+  fixture.connections.Remove(id);
+  fixture.connections.StartWaiting(id, kStart);
+  CHECK_FALSE(fixture.connections.CloseLongestWaiting());
+  CHECK_FALSE(fixture.closed[0]);
+}
+
 // Guards against a connection that is closed while its request is served.
 TEST_CASE("a connection that serves a request is not closed", "[http][not-run]") {
   Fixture fixture;
