Account for and release responses that wait for their turn

Cause, found by review: responses held for their turn were charged late and their connection could not be closed when memory ran short; an upstream that was paused for one stayed paused if all bytes left at once; one that waited for over 10 s became 502; an upload that waits for its upstream counted as stalled; callers whose reading is held back got 408; a planned stop closed a connection with requests left after a turn of the loop; a reset after the end of the sending side was a regular close. Change: each of these, with the reason beside the code.

--- a/include/primroseweir/loop/http_server_exchange.h
+++ b/include/primroseweir/loop/http_server_exchange.h
@@ -29,6 +29,8 @@
   virtual std::size_t pending_bytes() const = 0;
   // Returns how many bytes of the response the caller has not acknowledged yet.
   virtual std::size_t unacked_bytes() const = 0;
+  // Whether the responses to all earlier requests of the connection are complete.
+  virtual bool has_turn() const { return true; }
 
   // ---- streamed body ----
 
--- a/include/primroseweir/loop/http_server_stream.h
+++ b/include/primroseweir/loop/http_server_stream.h
@@ -91,6 +91,9 @@
   // Requests of one connection that are served ahead of their turn at a time. Bounds what one
   // caller can occupy; a browser opens about as many connections.
   static constexpr std::size_t kMaxRequestsAhead = 6;
+  // Above this size of the responses that wait for their turn, the connection may be closed when
+  // memory runs short. Ordinary responses to six requests have less.
+  static constexpr std::size_t kMaxHeldAheadBytes = std::size_t{1024} * 1024;
   // Longest head of a request that is served ahead of its turn. Bounds the search for its end.
   static constexpr std::size_t kMaxHeadBytesAhead = std::size_t{8} * 1024;
   // The next pipelined request waits while more bytes of earlier responses are queued in this
@@ -155,6 +158,8 @@
   void StartNextTurn();
   // Tells the sink that the caller of the requests ahead of their turn has disconnected.
   void DropRequestsAhead();
+  // Memory held by the requests ahead of their turn.
+  std::size_t HeldAheadBytes() const;
   // The exchange under which the sink knows the request whose response is next.
   HttpServerExchange* current();
 
--- a/include/primroseweir/loop/pipelined_exchange.h
+++ b/include/primroseweir/loop/pipelined_exchange.h
@@ -26,7 +26,10 @@
 
   RequestHead* head() { return &head_; }
   // Memory held by the request's head, of which the sink has a copy, and by its response.
-  std::size_t held_bytes() const { return 2 * head_.fields.allocated_bytes() + body_.capacity(); }
+  std::size_t held_bytes() const {
+    return 2 * head_.fields.allocated_bytes() + response_.fields.allocated_bytes() +
+           body_.capacity();
+  }
 
   // Sends what is held of the response to the connection, and everything that follows directly.
   // Called when the response before this one is complete. A complete response ends the turn, which
@@ -42,6 +45,7 @@
   void Abort() override;
   std::size_t pending_bytes() const override;
   std::size_t unacked_bytes() const override;
+  bool has_turn() const override { return has_turn_; }
 
   bool is_receiving_body() const override { return false; }
   void PauseBody() override {}
--- a/src/gateway/routed_call_responses.cc
+++ b/src/gateway/routed_call_responses.cc
@@ -72,7 +72,8 @@
   const bool has_upstream_sent =
       !attempts_.empty() &&
       now - attempts_.front()->stream()->last_received_at() < kStreamIdleTimeout;
-  return now < stream_deadline_ && (has_caller_read || has_upstream_sent);
+  // The caller can't read a response before its turn.
+  return now < stream_deadline_ && (has_caller_read || has_upstream_sent || !caller_->has_turn());
 }
 
 // ---- streamed body ----
--- a/src/loop/http_server_stream.cc
+++ b/src/loop/http_server_stream.cc
@@ -44,6 +44,9 @@
 }
 
 HttpServerStream::~HttpServerStream() {
+  // These update the account.
+  current_ahead_.reset();
+  ahead_.clear();
   port_->UpdateBufferedBytes(-static_cast<std::int64_t>(reported_bytes_));
   auto& connections = port_->loop()->connections();
   connections.memory().Charge(-charged_bytes_);
@@ -134,9 +137,7 @@
   // The sink has a copy of the head.
   const auto head_bytes = parser_.request()->fields.allocated_bytes();
   auto call_bytes = state_ == State::kServing ? kCallBytes + head_bytes : 0;
-  for (const auto& exchange : ahead_) {
-    call_bytes += kCallBytes + exchange->held_bytes();
-  }
+  call_bytes += ahead_.size() * kCallBytes + HeldAheadBytes();
   const auto cost = static_cast<std::int64_t>(kConnectionBytes + AllocatedBytes(input_) +
                                               AllocatedBytes(body_) + head_bytes + call_bytes +
                                               sink_buffered_bytes_ + stream_->allocated_bytes());
@@ -333,9 +334,11 @@
     return false;
   }
   ConsumeInput(*used);
-  ahead_.push_back(std::make_unique<PipelinedExchange>(
-      this, std::move(*parser.request()),
-      [port = port_](std::int64_t change) { port->UpdateBytesAhead(change); }));
+  ahead_.push_back(std::make_unique<PipelinedExchange>(this, std::move(*parser.request()),
+                                                       [this](std::int64_t change) {
+                                                         port_->UpdateBytesAhead(change);
+                                                         UpdateBufferedBytes();
+                                                       }));
   auto* exchange = ahead_.back().get();
   port_->sink()->OnRequest(exchange, exchange->head(), std::string());
   return true;
@@ -347,15 +350,28 @@
   state_ = State::kServing;
   // The response may be complete already, which ends the turn at once.
   current_ahead_->StartTurn();
+  if (current_ahead_ != nullptr && stream_->pending_bytes() == 0) {
+    // The sink may wait for room, which no event announces if all bytes have left at once.
+    port_->sink()->OnCallerWritable(current());
+  }
 }
 
 void HttpServerStream::DropRequestsAhead() {
-  for (const auto& exchange : ahead_) {
-    port_->sink()->OnCallerDisconnected(exchange.get());
+  // The last one first, so that none of them is sent when an earlier one makes room.
+  for (auto exchange = ahead_.rbegin(); exchange != ahead_.rend(); ++exchange) {
+    port_->sink()->OnCallerDisconnected(exchange->get());
   }
   ahead_.clear();
 }
 
+std::size_t HttpServerStream::HeldAheadBytes() const {
+  std::size_t bytes = 0;
+  for (const auto& exchange : ahead_) {
+    bytes += exchange->held_bytes();
+  }
+  return bytes;
+}
+
 HttpServerExchange* HttpServerStream::current() {
   return current_ahead_ != nullptr ? static_cast<HttpServerExchange*>(current_ahead_.get()) : this;
 }
@@ -475,8 +491,8 @@
 void HttpServerStream::OnEnd(bool /*clean*/) {
   if (state_ == State::kServing) {
     state_ = State::kLingering;
-    port_->sink()->OnCallerDisconnected(current());
     DropRequestsAhead();
+    port_->sink()->OnCallerDisconnected(current());
   }
   RemoveFromPort();
 }
@@ -520,6 +536,10 @@
       }
       break;
     case State::kReading:
+      // While reading is held back, the caller can't make progress.
+      if (is_held_back_) {
+        break;
+      }
       if (now - state_since_ >
               (is_head_checked_ ? Duration(kBodyIdleTimeout) : limits.head_timeout) ||
           now - request_started_ > std::max(Duration(kMaxBodyTime), limits.head_timeout)) {
@@ -535,7 +555,8 @@
       }
       break;
     case State::kServing:
-      if (is_receiving_body_ && !is_body_paused_ && now - state_since_ > kStreamedBodyIdleTimeout) {
+      if (is_receiving_body_ && !is_body_paused_ && !is_held_back_ &&
+          now - state_since_ > kStreamedBodyIdleTimeout) {
         RejectRequest(kStatusRequestTimeout);
       }
       break;
@@ -564,7 +585,8 @@
   if (state_ == State::kIdle) {
     const bool awaits_first_request =
         !has_served_request_ && now - state_since_ < kFirstRequestTimeout;
-    return awaits_first_request || stream_->pending_bytes() > 0 || stream_->has_input();
+    return awaits_first_request || has_input() || stream_->pending_bytes() > 0 ||
+           stream_->has_input();
   }
   return state_ != State::kLingering || stream_->pending_bytes() > 0;
 }
--- a/src/loop/http_server_stream_shortage.cc
+++ b/src/loop/http_server_stream_shortage.cc
@@ -22,9 +22,13 @@
   load.bytes_per_second = bytes_per_second_;
   load.stalled_for = now - last_progress_at_;
   load.address = peer_address_;
-  load.waits_for_caller = state_ != State::kServing || (is_receiving_body_ && !is_body_paused_) ||
-                          stream_->pending_bytes() > 0 ||
-                          input_.size() - input_begin_ > kMaxPipelinedBytes;
+  // A paused body waits for its upstream, and input after many requests in one turn for the next.
+  const bool has_much_input =
+      !is_receiving_body_ && input_.size() - input_begin_ > kMaxPipelinedBytes;
+  load.waits_for_caller =
+      !is_yielding_ &&
+      (state_ != State::kServing || (is_receiving_body_ && !is_body_paused_) ||
+       stream_->pending_bytes() > 0 || has_much_input || HeldAheadBytes() > kMaxHeldAheadBytes);
   load.has_been_served = has_served_request_;
   return load;
 }
@@ -43,8 +47,8 @@
 
 void HttpServerStream::AbortUnreadResponse() {
   if (std::exchange(state_, State::kLingering) == State::kServing) {
-    port_->sink()->OnCallerDisconnected(current());
     DropRequestsAhead();
+    port_->sink()->OnCallerDisconnected(current());
   }
   // A reset shows the caller that the response is not complete.
   stream_->Reset();
@@ -52,6 +56,7 @@
 }
 
 void HttpServerStream::Continue() {
+  state_since_ = last_progress_at_ = Now();
   if (std::exchange(is_held_back_, false) && !is_reading_paused_) {
     stream_->ResumeReading();
   }
--- a/src/loop/pipelined_exchange.cc
+++ b/src/loop/pipelined_exchange.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "primroseweir/base/compact_append.h"
+
 namespace primroseweir {
 namespace {
 
@@ -62,7 +64,7 @@
     connection_->WritePiece(piece);
     return;
   }
-  body_ += piece;
+  AppendCompactly(&body_, piece);
   on_buffered_(static_cast<std::int64_t>(piece.size()));
 }
 
--- a/src/loop/tcp_stream.cc
+++ b/src/loop/tcp_stream.cc
@@ -94,9 +94,16 @@
 TcpStream::~TcpStream() {
   handle_->handler = nullptr;
   const auto delete_handle = [](uv_handle_t* handle) { delete static_cast<Handle*>(handle->data); };
-  if (!handle_->close_with_reset || uv_tcp_close_reset(&handle_->uv, delete_handle) != 0) {
-    uv_close(handle_->handle(), delete_handle);
+  if (handle_->close_with_reset && uv_tcp_close_reset(&handle_->uv, delete_handle) == 0) {
+    return;
+  }
+  uv_os_fd_t descriptor = -1;
+  if (handle_->close_with_reset && uv_fileno(handle_->handle(), &descriptor) == 0) {
+    // libuv refuses to reset a connection whose sending side is being closed.
+    const linger reset_on_close{1, 0};
+    setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &reset_on_close, sizeof reset_on_close);
   }
+  uv_close(handle_->handle(), delete_handle);
 }
 
 void TcpStream::Accept(StreamHandler* handler) {
