End a call whose body breaks off while an attempt starts without using it further

Cause, found by review: sending more of a waiting body can find a framing error or the size limit, which releases the call and its attempt while both are on the stack. A released call kept its body uncharged. A key withdrawn while the connection to the upstream opened was not checked again. Change: the notification is the attempt's last step, a released call sends no more and drops its body, and calls without a sent attempt are checked.

--- a/include/primroseweir/gateway/routed_call.h
+++ b/include/primroseweir/gateway/routed_call.h
@@ -242,6 +242,8 @@
   // be queued.
   bool is_above_share_ = false;
   bool is_streaming_response_ = false;
+  // The gateway has released the call.
+  bool is_stopped_ = false;
   // Time at which a streamed response is aborted.
   Instant stream_deadline_;
   // Bytes of a streamed response that the caller had not acknowledged at the last check.
--- a/src/gateway/routed_call.cc
+++ b/src/gateway/routed_call.cc
@@ -78,6 +78,9 @@
   probe_timer_.Cancel();
   hedge_timer_.Cancel();
   attempts_.clear();
+  is_stopped_ = true;
+  // The gateway keeps the call for a moment, and the body is no longer charged to the caller.
+  body_ = CallBody(std::string(), true);
 }
 
 // ---- route ----
@@ -166,7 +169,11 @@
 }
 
 void RoutedCall::CheckWhileWaiting(Instant now) {
-  const bool is_waiting = attempts_.empty() && (ticket_ || is_probing_);
+  // The request is still here while the connection to its upstream opens.
+  const bool has_sent = std::any_of(attempts_.begin(), attempts_.end(),
+                                    [](const auto& attempt) { return attempt->has_sent(); });
+  const bool is_waiting =
+      !is_stopped_ && !has_sent && (ticket_ || is_probing_ || !attempts_.empty());
   if (is_waiting && !IsStillAllowed()) {
     RejectWithdrawnKey(now);
   }
--- a/src/gateway/routed_call_placement.cc
+++ b/src/gateway/routed_call_placement.cc
@@ -271,7 +271,8 @@
   attempt->Send(MakeUpstreamHead(*attempt, now), body_.buffered(), gateway_->fields().request_id,
                 request_id_);
   SendBody();
-  if (!at_most_once && attempts_.size() == 1 && attempts_sent_ < route_->max_attempts) {
+  if (!is_stopped_ && !at_most_once && attempts_.size() == 1 &&
+      attempts_sent_ < route_->max_attempts) {
     hedge_timer_.Start(RetryPolicy::HedgeDelay(route_->latency_objective,
                                                gateway_->balancer().LatencyEstimate(service_)));
   }
@@ -312,7 +313,7 @@
 }
 
 void RoutedCall::SendBody() {
-  if (body_.is_complete() && is_body_end_sent_) {
+  if (is_stopped_ || (body_.is_complete() && is_body_end_sent_)) {
     return;
   }
   auto* attempt = attempts_.empty() ? nullptr : attempts_.front().get();
--- a/src/gateway/upstream_attempt.cc
+++ b/src/gateway/upstream_attempt.cc
@@ -67,11 +67,13 @@
 
 void UpstreamAttempt::OnSent() {
   has_sent_ = true;
-  call_->OnAttemptSent(EventLoop::Now());
   connect_timer_.Cancel();
   if (!has_more_body_) {
     StartResponseTimer();
   }
+  // Sending more of the body may end the call, and with it this attempt: the rest of the body may
+  // violate its framing or the limits.
+  call_->OnAttemptSent(EventLoop::Now());
 }
 
 void UpstreamAttempt::OnWriteDrained() { call_->OnAttemptWriteDrained(); }
