Let reports of peers expire without further messages

Cause, found by review: the calls of peers at an upstream were recomputed only when a message arrived, so that an instance that is cut off during a burst took its upstreams for full. Refusals logged for removed customers were kept, and the share of quotas was exported without customers. Change: they are recomputed with each own report and each gossip round.

--- a/include/primroseweir/fleet/peer_loads.h
+++ b/include/primroseweir/fleet/peer_loads.h
@@ -19,6 +19,9 @@
   void ReplaceReport(const std::string& peer, const std::vector<PeerUpstreamLoad>& upstream_loads,
                      Instant now);
 
+  // Whether no report is stored.
+  bool empty() const { return reports_.empty(); }
+
   // Returns the calls in flight of all peers per upstream hash, and removes reports older than
   // kReportValidity. Linear in the reports.
   std::unordered_map<std::uint64_t, std::uint32_t> InFlightByUpstream(Instant now);
--- a/include/primroseweir/gateway/fleet_service.h
+++ b/include/primroseweir/gateway/fleet_service.h
@@ -161,6 +161,9 @@
   void ReceiveHeartbeats(const FleetMessage& message, Instant now);
   // Records that an instance became live, according to a message from `reported_by`.
   void RecordLive(const std::string& ip, const std::string& reported_by, Instant now);
+  // Sets the calls of the peers at each upstream from their reports, without those that are too
+  // old.
+  void UpdatePeerCalls(Instant now);
   void ReceiveLoadReport(const std::string& ip, const PeerLoadReport& load, Instant now);
   // Returns the addresses of the instances that callers of the other data centres use.
   std::set<std::string> RemoteCallerSubset(Instant now) const;
--- a/include/primroseweir/gateway/gateway_metrics.h
+++ b/include/primroseweir/gateway/gateway_metrics.h
@@ -75,7 +75,6 @@
   std::map<std::string, std::map<std::string, prometheus::Counter*, std::less<>>>
       customer_call_counters_;
   prometheus::Family<prometheus::Counter>* quota_calls_;
-  prometheus::Gauge* quota_share_;
   std::map<std::pair<std::string, QuotaEvent>, prometheus::Counter*> by_quota_event_;
   prometheus::Family<prometheus::Counter>* customer_refusals_;
   // By customer, then by reason.
--- a/src/gateway/fleet_service.cc
+++ b/src/gateway/fleet_service.cc
@@ -217,6 +217,7 @@
     SendHeartbeats(ip, table_.HeartbeatsFor(data_centre, now), now);
   }
   caller_subset_.clear();
+  UpdatePeerCalls(now);
   usage_targets_.clear();
   remote_caller_subset_.clear();
   CatchUpWithPeers(now);
@@ -294,6 +295,8 @@
 void FleetService::SendLoadReport() {
   const auto now = clock_();
   load_report_scheduled_ = false;
+  // Peers that are cut off send no last report without load.
+  UpdatePeerCalls(now);
   gateway_->balancer().MeasurePressure(now);
   if (gateway_->quota().is_reporting() && !std::exchange(usage_report_scheduled_, true)) {
     usage_timer_.Start(Duration::zero());
--- a/src/gateway/fleet_service_receiving.cc
+++ b/src/gateway/fleet_service_receiving.cc
@@ -112,16 +112,13 @@
     gateway_->crash_guard().Merge(load.strikes, now);
   }
   loads_.ReplaceReport(ip, load.upstream_loads, now);
-  const auto in_flight_by_upstream = loads_.InFlightByUpstream(now);
+  UpdatePeerCalls(now);
   std::unordered_map<std::uint64_t, const PeerUpstreamLoad*> upstream_loads;
   for (const auto& upstream_load : load.upstream_loads) {
     upstream_loads[upstream_load.upstream] = &upstream_load;
   }
   for (const auto& [id, upstream] : gateway_->balancer().upstreams()) {
-    const auto hash = upstream->hash();
-    const auto in_flight = in_flight_by_upstream.find(hash);
-    upstream->SetPeerInFlight(in_flight == in_flight_by_upstream.end() ? 0 : in_flight->second);
-    const auto upstream_load = upstream_loads.find(hash);
+    const auto upstream_load = upstream_loads.find(upstream->hash());
     if (upstream_load != upstream_loads.end() && upstream_load->second->age_ms != 0) {
       upstream->RecordPeerSlowdown(upstream_load->second->slowdown_percent / kPercent,
                                    now - std::chrono::milliseconds(upstream_load->second->age_ms));
@@ -129,6 +126,17 @@
   }
 }
 
+void FleetService::UpdatePeerCalls(Instant now) {
+  if (loads_.empty()) {
+    return;
+  }
+  const auto in_flight_by_upstream = loads_.InFlightByUpstream(now);
+  for (const auto& [id, upstream] : gateway_->balancer().upstreams()) {
+    const auto in_flight = in_flight_by_upstream.find(upstream->hash());
+    upstream->SetPeerInFlight(in_flight == in_flight_by_upstream.end() ? 0 : in_flight->second);
+  }
+}
+
 void FleetService::ReceiveChange(const FleetMember& sender, const std::string& change,
                                  Instant now) {
   if (sender.published_revision <= cache_->revision()) {
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -1,6 +1,7 @@
 #include "primroseweir/gateway/gateway.h"
 
 #include <chrono>
+#include <iterator>
 #include <string>
 #include <utility>
 
@@ -82,7 +83,13 @@
 
 // Ends waiting calls whose keys were withdrawn, and the counters of customers that were removed.
 void Gateway::ApplyCustomers(Instant now) {
-  metrics_->KeepCustomers(state_->routes->customers());
+  const auto* customers = state_->routes->customers();
+  metrics_->KeepCustomers(customers);
+  for (auto it = quota_refusals_.begin(); it != quota_refusals_.end();) {
+    const bool is_kept =
+        customers != nullptr && customers->FindByName(it->first.value()) != nullptr;
+    it = is_kept ? std::next(it) : quota_refusals_.erase(it);
+  }
   if (state_->routes->customers() == nullptr) {
     return;
   }
@@ -145,7 +152,10 @@
     }
   }
   for (auto* call : probing_calls) {
-    call->OnProbeCompleted(now);
+    // An earlier call of the list may have ended this one or started it.
+    if (call->is_probing()) {
+      call->OnProbeCompleted(now);
+    }
   }
   StartWaitingCalls(service, now);
 }
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -51,11 +51,6 @@
                       .Name("primroseweir_quota_calls_total")
                       .Help("Calls of customers with quotas, by customer and decision")
                       .Register(*registry_);
-  quota_share_ = &prometheus::BuildGauge()
-                      .Name("primroseweir_quota_usable_share")
-                      .Help("Share of the quotas that this instance may use")
-                      .Register(*registry_)
-                      .Add({});
   customer_refusals_ = &prometheus::BuildCounter()
                             .Name("primroseweir_customer_refusals_total")
                             .Help("Calls refused with 503, by customer and reason")
@@ -153,7 +148,7 @@
   counter->Increment();
 }
 
-void GatewayMetrics::SetQuotaShare(double share) { quota_share_->Set(share); }
+void GatewayMetrics::SetQuotaShare(double share) { SetGauge("quota_usable_share", share); }
 
 std::string GatewayMetrics::Text() const {
   return prometheus::TextSerializer().Serialize(registry_->Collect());
