--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -74,14 +74,14 @@
   if (available->has_value()) {
     return **available;
   }
-  const auto piece = stream_->ReadBody(deadline);
+  auto piece = stream_->ReadBody(deadline);
   const auto status = EndBodyWait();
   return status.ok() ? piece : status;
 }
 
 absl::StatusOr<std::optional<std::string_view>> ServerConnection::TryReadBody() {
   SendContinueIfExpected();
-  const auto piece = stream_->TryReadBody();
+  auto piece = stream_->TryReadBody();
   if (piece.ok() && !piece->has_value()) {
     if (!std::exchange(is_waiting_for_body_, true)) {
       wait_hooks_.on_start(head_read_at_);
--- a/src/peer/snapshot_server.cc
+++ b/src/peer/snapshot_server.cc
@@ -144,7 +144,7 @@
 SnapshotServer::~SnapshotServer() = default;
 
 absl::Status SnapshotServer::Start(const SocketAddress& address) {
-  const auto status = implementation_->Start(address);
+  auto status = implementation_->Start(address);
   if (status.ok()) return status;
   return MakeError(absl::StatusCode::kUnavailable, {"bind peer port", address.ToString()},
                    std::string(status.message()));
