--- a/include/primroseweir/loop/http_server_stream.h
+++ b/include/primroseweir/loop/http_server_stream.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "primroseweir/base/time.h"
+#include "primroseweir/http/message_limits.h"
 #include "primroseweir/http/message_parser.h"
 #include "primroseweir/http/response_head.h"
 #include "primroseweir/loop/connection_registry.h"
@@ -18,6 +19,7 @@
 class HttpPort;
 class PipelinedExchange;
 class TcpStream;
+struct CallerLimits;
 
 // A caller's connection to an HttpPort, and the exchange of the request that it serves. Requests
 // behind that one wait in a bounded buffer, except those that the sink serves ahead of their turn.
@@ -119,6 +121,7 @@
 
   enum class State { kIdle, kReading, kServing, kLingering };
 
+  static MessageLimits ParserLimits(const CallerLimits& limits);
   // Parses the buffered input. May destroy this stream.
   void ParseInput();
   // Parses `data` up to the first byte that has to wait, and returns how many bytes were parsed.
--- a/src/loop/http_server_stream.cc
+++ b/src/loop/http_server_stream.cc
@@ -21,7 +21,9 @@
 constexpr int kStatusUnavailable = 503;
 constexpr char kContinueResponse[] = "HTTP/1.1 100 Continue\r\n\r\n";
 
-MessageLimits ParserLimits(const CallerLimits& limits) {
+}  // namespace
+
+MessageLimits HttpServerStream::ParserLimits(const CallerLimits& limits) {
   MessageLimits result;
   result.max_head_bytes = limits.max_head_bytes;
   // The operators limit the size of a head only; a field has four bytes at least ("a:" and the end
@@ -30,8 +32,6 @@
   return result;
 }
 
-}  // namespace
-
 HttpServerStream::HttpServerStream(HttpPort* port, std::unique_ptr<TcpStream> stream, Instant now)
     : port_(port),
       stream_(std::move(stream)),
@@ -286,96 +286,6 @@
   Respond(std::move(head), std::string());
 }
 
-// ---- requests ahead of their turn ----
-
-bool HttpServerStream::IsPlainGet(const RequestHead& head) const {
-  return head.method == "GET" && head.minor_version >= 1 && head.keep_alive &&
-         head.body.kind == BodyKind::kNone && port_->sink()->MayServeAhead(head);
-}
-
-bool HttpServerStream::MayReadAhead() const {
-  return state_ == State::kServing && !is_next_blocked_ && !is_receiving_body_ &&
-         !close_after_response_ && ahead_.size() < kMaxRequestsAhead && !port_->is_draining() &&
-         port_->HasRoomAhead() && stream_->pending_bytes() <= kMaxPendingResponseBytes;
-}
-
-bool HttpServerStream::DeliverAllAhead() {
-  bool has_delivered = false;
-  is_parsing_ = true;
-  while (has_input() && !ShouldRead() && DeliverAhead()) {
-    has_delivered = true;
-  }
-  is_parsing_ = false;
-  return has_delivered;
-}
-
-bool HttpServerStream::DeliverAhead() {
-  constexpr std::string_view kEndOfHead = "\r\n\r\n";
-  if (!MayReadAhead()) {
-    return false;
-  }
-  const auto input = std::string_view(input_).substr(input_begin_);
-  const auto end = input.substr(0, kMaxHeadBytesAhead).find(kEndOfHead);
-  if (end == std::string_view::npos) {
-    is_next_blocked_ = input.size() > kMaxHeadBytesAhead;
-    return false;
-  }
-  if (current_ahead_ == nullptr && !IsPlainGet(*parser_.request())) {
-    is_next_blocked_ = true;
-    return false;
-  }
-  // The head is parsed from a copy: one that may not be served ahead stays in the input until its
-  // turn.
-  MessageParser parser(MessageParser::Kind::kRequest, ParserLimits(port_->limits()));
-  std::string body;
-  const auto used = parser.Feed(input.data(), end + kEndOfHead.size(), &body);
-  if (!used.ok() || !parser.is_message_complete() || !IsPlainGet(*parser.request())) {
-    is_next_blocked_ = true;
-    return false;
-  }
-  ConsumeInput(*used);
-  ahead_.push_back(std::make_unique<PipelinedExchange>(this, std::move(*parser.request()),
-                                                       [this](std::int64_t change) {
-                                                         port_->UpdateBytesAhead(change);
-                                                         UpdateBufferedBytes();
-                                                       }));
-  auto* exchange = ahead_.back().get();
-  port_->sink()->OnRequest(exchange, exchange->head(), std::string());
-  return true;
-}
-
-void HttpServerStream::StartNextTurn() {
-  current_ahead_ = std::move(ahead_.front());
-  ahead_.pop_front();
-  state_ = State::kServing;
-  // The response may be complete already, which ends the turn at once.
-  current_ahead_->StartTurn();
-  if (current_ahead_ != nullptr && stream_->pending_bytes() == 0) {
-    // The sink may wait for room, which no event announces if all bytes have left at once.
-    port_->sink()->OnCallerWritable(current());
-  }
-}
-
-void HttpServerStream::DropRequestsAhead() {
-  // The last one first, so that none of them is sent when an earlier one makes room.
-  for (auto exchange = ahead_.rbegin(); exchange != ahead_.rend(); ++exchange) {
-    port_->sink()->OnCallerDisconnected(exchange->get());
-  }
-  ahead_.clear();
-}
-
-std::size_t HttpServerStream::HeldAheadBytes() const {
-  std::size_t bytes = 0;
-  for (const auto& exchange : ahead_) {
-    bytes += exchange->held_bytes();
-  }
-  return bytes;
-}
-
-HttpServerExchange* HttpServerStream::current() {
-  return current_ahead_ != nullptr ? static_cast<HttpServerExchange*>(current_ahead_.get()) : this;
-}
-
 // ---- response ----
 
 // A response that ends the connection must be the last one: requests that are served ahead keep it
--- a/tests/published/published_cache_test.cc
+++ b/tests/published/published_cache_test.cc
@@ -145,7 +145,7 @@
 // Guards against keys of customers in the log: the reason of a rejected snapshot is logged.
 TEST_CASE("the reason of a rejected snapshot does not quote it", "[published]") {
   const auto decoded =
-      DecodePublishedSnapshot(R"({"after":0,"items":[["op/config","secret-key" x)");
+      DecodePublishedSnapshot(R"({"after":0,"items":[["settings/1","secret-key" x)");
   REQUIRE_FALSE(decoded.ok());
   CHECK(MessageOf(decoded.status()).find("secret") == std::string::npos);
 }
