--- a/src/loop/http_server_stream.cc
+++ b/src/loop/http_server_stream.cc
@@ -212,8 +212,7 @@
 }
 
 // Returns false if the request exceeds a limit, or if the sink rejects it by its head; it then has
-// been responded to. Otherwise sends 100 Continue to a
-// caller that expects it.
+// been responded to. Otherwise sends 100 Continue to a caller that expects it.
 bool HttpServerStream::CheckRequestLimits() {
   const auto limits = port_->limits();
   const auto& body = parser_.request()->body;
