Bound the quotas of instances that were cut off without calls, and tell ended instances from silent ones

Cause: an instance without calls of customers with quotas gets no reports, so one that is cut off and then called took itself for the whole fleet. A silent instance counted for 60 s whether it was cut off or had ended, and was forgotten after that also in a longer cut.

Change: FleetQuota takes the part of the fleet whose heartbeats arrive, and the answers to its first reports, as further bounds of its share. StopDetector opens a connection to each silent instance; a refused one means that it has ended.

--- a/include/primroseweir/customers/fleet_quota.h
+++ b/include/primroseweir/customers/fleet_quota.h
@@ -1,6 +1,7 @@
 #ifndef PRIMROSEWEIR_CUSTOMERS_FLEET_QUOTA_H_
 #define PRIMROSEWEIR_CUSTOMERS_FLEET_QUOTA_H_
 
+#include <algorithm>
 #include <array>
 #include <cstddef>
 #include <cstdint>
@@ -55,6 +56,19 @@
     is_serving_ = includes_self;
   }
 
+  // Sets how many of the instances that may be running this one hears, by their heartbeats; both
+  // numbers include this instance. An instance that has not heard any other since its start passes
+  // 1 and a number that is not below the size of the fleet. Until the first call, no limit follows
+  // from this.
+  void SetFleetView(std::size_t live, std::size_t possible) {
+    possible_instances_ = static_cast<double>(std::max(live, possible));
+    live_share_ = static_cast<double>(live) / possible_instances_;
+  }
+  // Records the instances that receive this one's first reports and answer them. One that does not
+  // answer within kMinSilence counts as silent: this instance may have been cut off before its
+  // first call, when nobody sent it reports.
+  void ExpectAnswers(const std::vector<std::uint32_t>& peers, Instant now);
+
   // Acquires permission for one call. A customer without a quota is always admitted. `request`
   // identifies the request, so that a caller that returns when it was told to finds the call that
   // was reserved for it.
@@ -68,14 +82,24 @@
   // Takes the calls that a peer reports from the buckets. Linear in the report.
   void MergeUsage(std::uint32_t peer, Incarnation incarnation, const UsageReport& usage,
                   Instant now);
+  // Returns the report that answers one of `peer` at once; none if the peer has been reporting for
+  // longer than kAnsweredPeriod, and receives regular reports if this instance has calls.
+  std::optional<UsageReport> AnswerTo(std::uint32_t peer, Instant now);
   // Records that an instance runs with that incarnation: an earlier run of it admits no more calls.
   void RecordRun(std::uint32_t peer, Incarnation incarnation);
+  // Records that an instance has ended, so that it admits no more calls until it reports again.
+  void RecordStopped(std::uint32_t peer);
+  // Returns the active instances that are silent: they may have ended, or may be cut off and
+  // serving calls.
+  std::vector<std::uint32_t> SilentPeers(Instant now) const;
   // Returns the other instances that may be admitting calls of customers with quotas; those of
   // which the last report is older than kActivePeriod are left out.
   std::vector<std::uint32_t> ActivePeers(Instant now) const;
 
   // Whether UsageToReport would return a report.
   bool is_reporting() const { return is_reporting_; }
+  // Whether any customer has a quota.
+  bool has_quotas() const { return !limits_.empty(); }
   // Number of customers with state, for tests and metrics.
   std::size_t active_customers() const { return states_.size(); }
   // Share of the quotas that this instance may use at the moment, from 0 to 1.
@@ -96,6 +120,9 @@
   // Time to learn of most of the active instances, for each pair of instances: 2.6 s in a fleet of
   // 300 in which all become active at once. Shorter values let 300 instances pass twice the quota.
   static constexpr double kDiscoverySeconds = 1.0 / 34000;
+  // The reports of a peer are answered for this long after its first one; three answers may be
+  // lost.
+  static constexpr Duration kAnsweredPeriod = std::chrono::milliseconds(400);
   // A silent instance counts as possibly admitting calls for this long.
   static constexpr Duration kSilentPeerRetention = std::chrono::seconds(60);
   // Least time after the start in which an instance takes all others to be active: it has not heard
@@ -187,6 +214,10 @@
     Instant heard_at;
     Instant known_at;
     bool is_active = true;
+    // Until then it is not counted, since it had no time to answer.
+    Instant expected_at;
+    // Time of the first of its reports without a pause.
+    Instant reporting_since;
   };
 
   State* FindOrCreate(std::uint32_t customer, Instant now);
@@ -196,6 +227,10 @@
   // Time in which an instance and `instances` others have exchanged reports.
   static Duration SettleTime(double instances);
   bool IsSettling(Instant now) const;
+  // Part of the quota that the answers to the first reports allow. If too few of the expected ones
+  // arrive, others may not have noticed a cut yet and use all of the quota, so that only what the
+  // operators accept above it is left for this part of the fleet.
+  double AnsweredShare(Instant now) const;
   // Whether this instance had no calls until a short time ago, so that it may not know the others.
   bool IsNewlyActive(Instant now) const;
   Duration ActivationTime() const;
@@ -222,6 +257,9 @@
   std::size_t peak_fleet_size_ = 1;
   double serving_instances_ = 1;
   bool is_serving_ = false;
+  // Part of the instances that may be running of which heartbeats arrive.
+  double live_share_ = 1;
+  double possible_instances_ = 1;
   std::optional<Instant> started_at_;
   // Since when this instance has had calls of customers with quotas without a long pause.
   Instant active_since_;
--- a/include/primroseweir/fleet/fleet_table.h
+++ b/include/primroseweir/fleet/fleet_table.h
@@ -137,6 +137,18 @@
   // can't know the number.
   std::size_t PeakSize(Instant now) const;
 
+  // Instances of the fleet, this one included: those that are live, and those that may be running,
+  // which are these and the silent ones that have not ended as far as known.
+  struct Census {
+    std::size_t live = 1;
+    std::size_t possible = 1;
+  };
+  Census Count(Instant now) const;
+  // Returns the IP addresses of the peers that are silent and may be running.
+  std::vector<std::string> SilentPeers(Instant now) const;
+  // Records that an instance has ended. It counts as running again once its heartbeat advances.
+  void RecordStopped(const std::string& ip, Instant now);
+
   static constexpr Duration kHeartbeatInterval = std::chrono::milliseconds(250);
   // Six heartbeats. Applies within a data centre whose instances all send to each other.
   static constexpr Duration kDirectHeartbeatTimeout = std::chrono::milliseconds(1500);
@@ -206,6 +218,7 @@
     FleetMember member;
     // When the heartbeat of the instance last advanced here.
     Instant last_heartbeat_at;
+    Instant stopped_at;
     // AddressBits and RecordDigest of `member`, cached because they are sent many times a second.
     std::uint32_t address = 0;
     std::uint16_t record_digest = 0;
--- a/include/primroseweir/gateway/fleet_service.h
+++ b/include/primroseweir/gateway/fleet_service.h
@@ -18,6 +18,7 @@
 #include "primroseweir/fleet/fleet_table.h"
 #include "primroseweir/fleet/peer_loads.h"
 #include "primroseweir/gateway/page_server.h"
+#include "primroseweir/gateway/stop_detector.h"
 #include "primroseweir/loop/timer.h"
 #include "primroseweir/loop/udp_socket.h"
 
@@ -143,6 +144,12 @@
   void SendUsageReport();
   // Recomputes usage_targets_ if the configuration has customers. O(n log n).
   void RefreshUsageTargets(Instant now);
+  // Sets how much of the fleet this instance hears, as far as it matters to quotas.
+  void UpdateQuotaView(Instant now);
+  void AnswerUsage(const std::string& ip, Instant now);
+  // Checks whether silent instances have ended, while there are quotas.
+  void ProbeSilentPeers(Instant now);
+  void RecordStopped(const std::string& ip);
   // Schedules a load report after kLoadReportInterval unless one is already scheduled.
   void ScheduleLoadReport();
   void Receive(const std::string& ip, std::string_view datagram);
@@ -198,6 +205,7 @@
   // Recomputed after each heartbeat, when empty. The next report begins with next_usage_target_.
   std::vector<std::string> usage_targets_;
   std::size_t next_usage_target_ = 0;
+  StopDetector stop_detector_;
   Instant started_at_;
   // Time until which only seeds read the store, if a reader is known and if none is.
   Instant reader_grace_end_;
--- a/src/customers/fleet_quota.cc
+++ b/src/customers/fleet_quota.cc
@@ -292,7 +292,7 @@
       it = peers_.erase(it);
       continue;
     }
-    if (peer.is_active) {
+    if (peer.is_active && now >= peer.expected_at) {
       ++known;
       if (now - peer.heard_at <= silence) {
         ++heard;
@@ -307,7 +307,10 @@
     instances = std::max(instances,
                          is_serving_ ? serving_instances_ : static_cast<double>(peak_fleet_size_));
   }
-  const double heard_share = static_cast<double>(heard) / instances;
+  // The other parts of a divided fleet may have calls that nobody reports here, also if they had
+  // none before.
+  const double heard_share =
+      std::min({static_cast<double>(heard) / instances, live_share_, AnsweredShare(now)});
   const double share = std::min(1.0, kDividedFleetShare * heard_share);
   const bool first = refreshed_at_ == Instant();
   if (!first && share < share_) {
@@ -329,6 +332,23 @@
   }
 }
 
+double FleetQuota::AnsweredShare(Instant now) const {
+  double expected = 0;
+  double answered = 0;
+  for (const auto& [address, peer] : peers_) {
+    const auto age = now - peer.expected_at;
+    if (peer.expected_at >= active_since_ && age >= Duration::zero() && age < kActivePeriod) {
+      expected += 1;
+      answered += peer.heard_at >= active_since_ ? 1 : 0;
+    }
+  }
+  if (answered * kDividedFleetShare >= expected) {
+    return 1;
+  }
+  const double spare = (kDividedFleetShare - 1) / kDividedFleetShare;
+  return std::min(1.0, answered / expected + 1 / possible_instances_) * spare;
+}
+
 double FleetQuota::CountContenders(State* state, Instant now) const {
   // An instance without calls until now receives few reports. Between the number of instances that
   // it knows to serve callers and that of all, which may all have begun at this moment.
@@ -374,8 +394,44 @@
   return active;
 }
 
+void FleetQuota::ExpectAnswers(const std::vector<std::uint32_t>& peers, Instant now) {
+  if (!is_reporting_ || now - active_since_ > kMinSilence) {
+    return;
+  }
+  for (const auto address : peers) {
+    if (address == own_address_ || peers_.size() >= kMaxPeers) {
+      continue;
+    }
+    auto& peer = peers_[address];
+    if (peer.expected_at >= active_since_ || peer.heard_at >= active_since_) {
+      continue;
+    }
+    // What it last reported may be older than a cut.
+    if (!peer.is_active || now - peer.heard_at > kActivePeriod) {
+      peer.is_active = true;
+      peer.heard_at = Instant();
+    }
+    peer.known_at = now;
+    peer.expected_at = now + kMinSilence;
+  }
+}
+
 // ---- reports ----
 
+std::optional<UsageReport> FleetQuota::AnswerTo(std::uint32_t peer, Instant now) {
+  const auto found = peers_.find(peer);
+  if (found == peers_.end() || !found->second.is_active ||
+      now - found->second.reporting_since > kAnsweredPeriod) {
+    return std::nullopt;
+  }
+  if (is_reporting_) {
+    return UsageToReport(now);
+  }
+  UsageReport report;
+  report.is_active = false;
+  return report;
+}
+
 std::optional<UsageReport> FleetQuota::UsageToReport(Instant now) {
   if (!is_reporting_) {
     return std::nullopt;
@@ -427,12 +483,18 @@
     return;
   }
   const bool is_new_run = known.incarnation < incarnation;
-  known = {incarnation, now, now, usage.is_active};
+  const bool is_first = is_new_run || !known.is_active || now - known.heard_at > kActivePeriod;
+  known = {incarnation,
+           now,
+           now,
+           usage.is_active,
+           known.expected_at,
+           is_first ? now : known.reporting_since};
   for (const auto address : usage.active_peers) {
     // Counts as silent until it is heard.
     if (address != own_address_ && peers_.size() < kMaxPeers) {
       const auto told =
-          peers_.try_emplace(address, Peer{Incarnation(), Instant(), now, true}).first;
+          peers_.try_emplace(address, Peer{Incarnation(), Instant(), now, true, {}, {}}).first;
       told->second.known_at = now;
     }
   }
@@ -470,4 +532,23 @@
   }
 }
 
+void FleetQuota::RecordStopped(std::uint32_t peer) {
+  const auto found = peers_.find(peer);
+  if (found != peers_.end()) {
+    // Kept, since others may still name it as active.
+    found->second.is_active = false;
+    found->second.expected_at = Instant();
+  }
+}
+
+std::vector<std::uint32_t> FleetQuota::SilentPeers(Instant now) const {
+  std::vector<std::uint32_t> silent;
+  for (const auto& [address, peer] : peers_) {
+    if (peer.is_active && now >= peer.expected_at && now - peer.heard_at > kMinSilence) {
+      silent.push_back(address);
+    }
+  }
+  return silent;
+}
+
 }  // namespace primroseweir
--- a/src/fleet/fleet_table.cc
+++ b/src/fleet/fleet_table.cc
@@ -62,7 +62,7 @@
 }
 
 FleetTable::PeerEntry FleetTable::PeerEntryOf(const FleetMember& member, Instant now) {
-  return {member, now, AddressBits(member.ip), RecordDigest(member)};
+  return {member, now, Instant(), AddressBits(member.ip), RecordDigest(member)};
 }
 
 FleetHeartbeat FleetTable::HeartbeatOf(const PeerEntry& peer_entry) {
@@ -362,4 +362,31 @@
   return static_cast<std::size_t>(recent_peers) + 1;
 }
 
+FleetTable::Census FleetTable::Count(Instant now) const {
+  Census census;
+  for (const auto& [ip, peer_entry] : peers_) {
+    const bool is_live = IsLive(peer_entry, now);
+    census.live += is_live ? 1 : 0;
+    census.possible += is_live || peer_entry.stopped_at < peer_entry.last_heartbeat_at ? 1 : 0;
+  }
+  return census;
+}
+
+std::vector<std::string> FleetTable::SilentPeers(Instant now) const {
+  std::vector<std::string> silent;
+  for (const auto& [ip, peer_entry] : peers_) {
+    if (!IsLive(peer_entry, now) && peer_entry.stopped_at < peer_entry.last_heartbeat_at) {
+      silent.push_back(ip);
+    }
+  }
+  return silent;
+}
+
+void FleetTable::RecordStopped(const std::string& ip, Instant now) {
+  const auto found = peers_.find(ip);
+  if (found != peers_.end()) {
+    found->second.stopped_at = now;
+  }
+}
+
 }  // namespace primroseweir
--- a/src/gateway/fleet_service.cc
+++ b/src/gateway/fleet_service.cc
@@ -17,7 +17,6 @@
 #include "primroseweir/loop/http_client_stream.h"
 #include "primroseweir/published/published_cache.h"
 #include "primroseweir/published/published_snapshot.h"
-#include "primroseweir/routes/route_table.h"
 
 namespace primroseweir {
 namespace {
@@ -102,6 +101,8 @@
       seeds_(options.seeds),
       table_(options.self, options.random_seed),
       socket_(loop),
+      stop_detector_(loop, options.snapshot_port,
+                     [this](const std::string& ip) { RecordStopped(ip); }),
       heartbeat_timer_(loop, [this] { RunGossipRound(); }),
       load_timer_(loop, [this] { SendLoadReport(); }),
       usage_timer_(loop, [this] { SendUsageReport(); }),
@@ -132,7 +133,7 @@
     return status;
   }
   gateway_->quota().SetOwnAddress(AddressBits(table_.self().ip));
-  gateway_->quota().SetPeakFleetSize(table_.PeakSize(clock_()));
+  UpdateQuotaView(clock_());
   is_seed_ = std::find(seeds_.begin(), seeds_.end(), table_.self().ip) != seeds_.end();
   started_at_ = clock_();
   reader_grace_end_ = started_at_ + kReaderGracePeriod;
@@ -199,7 +200,8 @@
   RecordLostPeers(now);
   MeasureLoad(now);
   gateway_->balancer().SetFleetSize(table_.PeakSize(now));
-  gateway_->quota().SetPeakFleetSize(table_.PeakSize(now));
+  ProbeSilentPeers(now);
+  UpdateQuotaView(now);
   const auto targets = table_.PickGossipTargets(heartbeat_count_, now);
   std::set<std::string> own_record_only(targets.own_record_only.begin(),
                                         targets.own_record_only.end());
@@ -350,58 +352,6 @@
   }
 }
 
-void FleetService::SendUsageReport() {
-  const auto now = clock_();
-  auto& quota = gateway_->quota();
-  auto usage = quota.UsageToReport(now);
-  usage_report_scheduled_ = usage.has_value();
-  if (!usage) {
-    return;
-  }
-  usage_timer_.Start(FleetQuota::kReportInterval);
-  if (usage_targets_.empty()) {
-    RefreshUsageTargets(now);
-    gateway_->metrics().SetQuotaShare(quota.usable_share(now));
-  }
-  FleetMessage message;
-  message.members = {table_.self()};
-  message.usage = std::move(usage);
-  const auto datagram = EncodeFleetMessage(message);
-  const auto count = std::min(usage_targets_.size(), FleetQuota::kMaxReportTargets);
-  for (std::size_t i = 0; i < count; ++i) {
-    Send(usage_targets_[next_usage_target_++ % usage_targets_.size()], datagram);
-  }
-}
-
-// Callers of any data centre may use the same customer's keys.
-void FleetService::RefreshUsageTargets(Instant now) {
-  const auto& routes = gateway_->state().routes;
-  if (routes == nullptr || routes->customers() == nullptr) {
-    return;
-  }
-  auto fleet = table_.LivePeers(now);
-  fleet.push_back(table_.self());
-  for (auto& member : fleet) {
-    // After a power failure, callers use these instances as soon as they have a configuration.
-    member.leaving = false;
-  }
-  std::set<DataCentre> data_centres;
-  std::set<std::string> targets;
-  for (const auto& member : fleet) {
-    if (data_centres.insert(member.data_centre).second) {
-      const auto picked = SubsetPicker::Pick(fleet, member.data_centre);
-      targets.insert(picked.begin(), picked.end());
-    }
-  }
-  const bool is_serving = targets.count(table_.self().ip) > 0;
-  gateway_->quota().SetServingInstances(targets.size(), is_serving);
-  for (const auto address : gateway_->quota().ActivePeers(now)) {
-    targets.insert(AddressText(address));
-  }
-  targets.erase(table_.self().ip);
-  usage_targets_.assign(targets.begin(), targets.end());
-}
-
 void FleetService::ScheduleLoadReport() {
   if (!std::exchange(load_report_scheduled_, true)) {
     load_timer_.Start(kLoadReportInterval);
--- a/src/gateway/fleet_service_receiving.cc
+++ b/src/gateway/fleet_service_receiving.cc
@@ -58,6 +58,7 @@
   if (message->usage) {
     gateway_->quota().MergeUsage(AddressBits(ip), message->members.front().incarnation,
                                  *message->usage, now);
+    AnswerUsage(ip, now);
   } else {
     // A message with usage has no load report, and doesn't mean that the peer has no load.
     ReceiveLoadReport(ip, message->load, now);
@@ -101,6 +102,7 @@
   live_peers_.insert(ip);
   log_->Write("peer_live", {{"peer", ip}, {"told_by", reported_by}}, now);
   gateway_->balancer().SetFleetSize(table_.PeakSize(now));
+  UpdateQuotaView(now);
 }
 
 void FleetService::ReceiveLoadReport(const std::string& ip, const PeerLoadReport& load,
--- a/src/loop/tcp_stream.cc
+++ b/src/loop/tcp_stream.cc
@@ -80,6 +80,10 @@
                    if (self->handler == nullptr) {
                      return;
                    }
+                   if (status == UV_ECONNREFUSED) {
+                     std::exchange(self->handler, nullptr)->OnRefused();
+                     return;
+                   }
                    if (status != 0) {
                      self->NotifyEnd(false);
                      return;
--- a/tests/customers/fleet_quota_test.cc
+++ b/tests/customers/fleet_quota_test.cc
@@ -2,10 +2,10 @@
 
 #include <catch2/catch.hpp>
 #include <chrono>
-#include <numeric>
 #include <string>
 #include <vector>
 
+#include "quota_calls.h"
 #include "quota_fleet.h"
 #include "support/property.h"
 
@@ -15,42 +15,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr double kRate = 20;
-constexpr double kBurst = 20;
-
-std::shared_ptr<const CustomerTable> OneCustomer(double rate = kRate, double burst = kBurst) {
-  return *CustomerTable::Create({MakeQuota("a", rate, burst)});
-}
-
-// Limit on the calls in 5 s that the operators accept.
-double MostInWindow(double rate = kRate, double burst = kBurst) {
-  return (rate * 5 + burst) * 1.25 + 20;
-}
-
-std::vector<std::size_t> Range(std::size_t first, std::size_t end) {
-  std::vector<std::size_t> range(end - first);
-  std::iota(range.begin(), range.end(), first);
-  return range;
-}
-
-// Lets the instances `at` receive `per_second` calls in total, in random order. Returns how many
-// were made.
-std::size_t RunCalls(QuotaFleet* fleet, const std::vector<std::size_t>& at, double per_second,
-                     Duration time, std::size_t customer = 0) {
-  std::size_t made = 0;
-  double due = 0;
-  for (const auto end = fleet->now() + time; fleet->now() < end;) {
-    fleet->Tick();
-    due += per_second * std::chrono::duration<double>(QuotaFleet::kTick).count();
-    while (due >= 1) {
-      due -= 1;
-      fleet->Ask(at[fleet->random().UniformBelow(at.size())], customer);
-      ++made;
-    }
-  }
-  return made;
-}
-
 // Guards against an instance that refuses what its customer's quota allows because the callers use
 // few instances, as fixed shares do.
 TEST_CASE("callers at one or three instances get the whole rate within a second", "[customers]") {
--- a/tests/customers/quota_fleet.h
+++ b/tests/customers/quota_fleet.h
@@ -54,6 +54,8 @@
     instance.quota->SetOwnAddress(AddressOf(i));
     instance.quota->SetPeakFleetSize(instances_.size());
     instance.quota->SetServingInstances(std::min(kSubset, instances_.size()), i < kSubset);
+    instance.heartbeats_from.clear();
+    SetFleetView(i);
     instance.quota->Apply(table_.get(), now_);
   }
   void Stop(std::size_t i) { instances_[i].is_running = false; }
@@ -85,6 +87,12 @@
   void Tick() {
     now_ += kTick;
     ++ticks_;
+    if (ticks_ % kTicksPerHeartbeat == 0) {
+      ExchangeHeartbeats();
+    }
+    if (ticks_ % kTicksPerProbe == 0) {
+      ProbeSilentPeers();
+    }
     for (std::size_t i = 0; i < instances_.size(); ++i) {
       auto& instance = instances_[i];
       // Instances report at different times of the interval.
@@ -105,6 +113,9 @@
       if (receiver.is_running && !receiver.is_frozen) {
         receiver.quota->MergeUsage(AddressOf(message.from), message.incarnation, message.usage,
                                    now_);
+        if (const auto answer = receiver.quota->AnswerTo(AddressOf(message.from), now_)) {
+          Send(message.to, message.from, *answer);
+        }
       } else if (receiver.is_running) {
         in_flight_.push_back(std::move(message));
       }
@@ -152,6 +163,8 @@
     bool is_running = true;
     bool is_frozen = false;
     std::size_t next_target = 0;
+    // When each other instance was last heard.
+    std::map<std::size_t, Instant> heartbeats_from;
   };
   struct Message {
     std::size_t from = 0;
@@ -162,9 +175,62 @@
   };
 
   static constexpr std::uint64_t kTicksPerReport = 10;
+  static constexpr std::uint64_t kTicksPerHeartbeat = 50;
+  static constexpr std::uint64_t kTicksPerProbe = 100;
+  // Time until a silent instance counts as lost, and size of a fleet of which nothing is known, as
+  // those of FleetTable.
+  static constexpr Duration kHeartbeatTimeout = std::chrono::seconds(4);
+  static constexpr std::size_t kUnknownFleetSize = 64;
 
   static std::uint32_t AddressOf(std::size_t i) { return static_cast<std::uint32_t>(i + 1); }
 
+  bool IsAwake(std::size_t i) const { return instances_[i].is_running && !instances_[i].is_frozen; }
+
+  void ExchangeHeartbeats() {
+    for (std::size_t to = 0; to < instances_.size(); ++to) {
+      if (!IsAwake(to)) {
+        continue;
+      }
+      for (std::size_t from = 0; from < instances_.size(); ++from) {
+        if (from != to && IsAwake(from) && is_linked(from, to)) {
+          instances_[to].heartbeats_from[from] = now_;
+        }
+      }
+      SetFleetView(to);
+    }
+  }
+
+  // A machine refuses connections to an instance that has ended. An instance that is suspended or
+  // cut off doesn't answer.
+  void ProbeSilentPeers() {
+    for (std::size_t i = 0; i < instances_.size(); ++i) {
+      if (!IsAwake(i)) {
+        continue;
+      }
+      for (std::size_t peer = 0; peer < instances_.size(); ++peer) {
+        if (peer != i && !instances_[peer].is_running && is_linked(i, peer)) {
+          instances_[i].heartbeats_from.erase(peer);
+        }
+      }
+      for (const auto address : instances_[i].quota->SilentPeers(now_)) {
+        if (!instances_[address - 1].is_running && is_linked(i, address - 1)) {
+          instances_[i].quota->RecordStopped(address);
+        }
+      }
+      SetFleetView(i);
+    }
+  }
+
+  void SetFleetView(std::size_t i) {
+    const auto& heard = instances_[i].heartbeats_from;
+    const auto live = std::count_if(heard.begin(), heard.end(), [this](const auto& entry) {
+      return now_ - entry.second < kHeartbeatTimeout;
+    });
+    instances_[i].quota->SetFleetView(
+        static_cast<std::size_t>(live) + 1,
+        heard.empty() && instances_.size() > 1 ? kUnknownFleetSize : heard.size() + 1);
+  }
+
   void Report(std::size_t i) {
     auto& instance = instances_[i];
     const auto usage = instance.quota->UsageToReport(now_);
@@ -175,9 +241,12 @@
     for (const auto address : instance.quota->ActivePeers(now_)) {
       target_set.insert(address - 1);
     }
+    std::vector<std::uint32_t> serving;
     for (std::size_t to = 0; to < std::min(kSubset, instances_.size()); ++to) {
       target_set.insert(to);
+      serving.push_back(AddressOf(to));
     }
+    instance.quota->ExpectAnswers(serving, now_);
     target_set.erase(i);
     const std::vector<std::size_t> targets(target_set.begin(), target_set.end());
     const auto count = std::min(targets.size(), FleetQuota::kMaxReportTargets);
--- a/tests/fleet/heartbeat_test.cc
+++ b/tests/fleet/heartbeat_test.cc
@@ -150,5 +150,28 @@
   CHECK(table.self().capacity.calls_per_second == 0);
 }
 
+// Guards against an instance that forgets the others during a long cut, and against one that is
+// counted although it is known to have ended.
+TEST_CASE("silent instances count as possibly running unless they have ended", "[fleet]") {
+  Instant now(seconds(10));
+  FleetTable table(MemberOf(Ip(1), "a"), 1);
+  auto peer = MemberOf(Ip(2), "a");
+  table.Merge(peer, now);
+  table.Merge(MemberOf(Ip(3), "a"), now);
+  CHECK(table.Count(now).live == 3);
+  now += FleetTable::kPeakSizeWindow * 2;
+  CHECK(table.Count(now).live == 1);
+  CHECK(table.Count(now).possible == 3);
+  CHECK(table.SilentPeers(now).size() == 2);
+  table.RecordStopped(Ip(2), now);
+  CHECK(table.Count(now).possible == 2);
+  CHECK(table.SilentPeers(now) == std::vector<std::string>{Ip(3)});
+  now += seconds(1);
+  ++peer.heartbeat;
+  table.Merge(peer, now);
+  CHECK(table.Count(now).live == 2);
+  CHECK(table.Count(now).possible == 3);
+}
+
 }  // namespace
 }  // namespace primroseweir
