Let large customers use more of their quota right after a start

Cause: the calls that a customer may make at once after a start were ten for any customer. An instance learnt whether callers are told to use it only with its first call, and sent its first report 50 ms after that call.

Change: an eighth of the calls of a window is added to the start allowance; both are half of what the operators accept above a quota. The instances that callers use are known within 5 s of the start also without calls, and the first report is sent with the first call.

--- a/include/primroseweir/customers/fleet_quota.h
+++ b/include/primroseweir/customers/fleet_quota.h
@@ -137,9 +137,11 @@
   // reports, so that a small customer is served at each of a few instances. The debt is paid back.
   static constexpr double kFleetAllowance = 12;
   // Calls of a customer that the instances which callers use may admit together right after a
-  // start, before their buckets refill. Half of what the operators accept above a quota in any
-  // case.
+  // start, before their buckets refill: a number and a part of the calls of a window. Half of what
+  // the operators accept above a quota, 20 calls and a quarter, since the calls of the last seconds
+  // before the start are not known.
   static constexpr double kStartAllowance = 10;
+  static constexpr double kStartAllowanceShare = 0.125;
   // Limit on the customers in a report; those with the most recent calls.
   static constexpr std::size_t kMaxReportedCustomers = 256;
   // A state without calls anywhere is kept this long; a peer's counts are dropped earlier than the
--- a/include/primroseweir/gateway/fleet_service.h
+++ b/include/primroseweir/gateway/fleet_service.h
@@ -132,6 +132,9 @@
   // Time after the start by which an instance has heard of enough others to tell whether callers
   // are told to use it.
   static constexpr Duration kServingKnownTime = std::chrono::milliseconds(300);
+  // For this long after the start, it is told at each heartbeat, so that it is known when the first
+  // call comes: an instance that callers are not told to use gets a far smaller share.
+  static constexpr Duration kServingRefreshTime = std::chrono::seconds(5);
   static constexpr char kSnapshotPath[] = "/published";
 
  private:
--- a/src/customers/fleet_quota.cc
+++ b/src/customers/fleet_quota.cc
@@ -202,7 +202,10 @@
   state.admitted = total_admitted_;
   state.newest_slot = now.time_since_epoch() / kSlotLength;
   if (IsSettling(now) && is_serving_) {
-    state.level = std::min(limits->second.burst, kStartAllowance / serving_instances_);
+    const auto& [rate, burst] = limits->second;
+    const double allowance =
+        kStartAllowance + kStartAllowanceShare * (rate * kWindowSeconds + burst);
+    state.level = std::min(burst, allowance / serving_instances_);
   }
   Refill(&state, now);
   return &state;
--- a/src/gateway/fleet_service.cc
+++ b/src/gateway/fleet_service.cc
@@ -117,6 +117,10 @@
     if (usage_targets_.empty() && now - started_at_ > kServingKnownTime) {
       RefreshUsageTargets(now);
     }
+    // The first report is sent as soon as the call is counted.
+    if (gateway_->quota().has_quotas() && !std::exchange(usage_report_scheduled_, true)) {
+      usage_timer_.Start(Duration::zero());
+    }
   });
 }
 
@@ -222,6 +226,9 @@
   UpdatePeerCalls(now);
   usage_targets_.clear();
   remote_caller_subset_.clear();
+  if (now - started_at_ > kServingKnownTime && now - started_at_ < kServingRefreshTime) {
+    RefreshUsageTargets(now);
+  }
   CatchUpWithPeers(now);
 }
 
--- a/tests/customers/quota_fleet.h
+++ b/tests/customers/quota_fleet.h
@@ -175,7 +175,7 @@
   };
 
   static constexpr std::uint64_t kTicksPerReport = 10;
-  static constexpr std::uint64_t kTicksPerHeartbeat = 50;
+  static constexpr std::uint64_t kTicksPerHeartbeat = 25;
   static constexpr std::uint64_t kTicksPerProbe = 100;
   // Time until a silent instance counts as lost, and size of a fleet of which nothing is known, as
   // those of FleetTable.
