Give customers with the same bits of their hashes limits of their own

Cause: the low 32 bits of a customer's hash identify it in usage reports and in the buckets, so that two customers with equal bits shared one limit.

Change: FleetQuota assigns another id to the later of two such customers, in the order of their whole hashes, so that all instances with a configuration agree. The new test failed before: one bucket instead of two.

--- a/include/primroseweir/customers/customer_usage.h
+++ b/include/primroseweir/customers/customer_usage.h
@@ -8,7 +8,7 @@
 
 // Calls of one customer at one instance.
 struct CustomerUsage {
-  // Lowest bits of Customer::hash.
+  // Lowest bits of Customer::hash, or another number if an earlier customer has the same.
   std::uint32_t customer = 0;
   // Calls admitted so far, modulo 2^32. Only differences within one run of the instance count.
   std::uint32_t admitted = 0;
--- a/include/primroseweir/customers/fleet_quota.h
+++ b/include/primroseweir/customers/fleet_quota.h
@@ -222,6 +222,11 @@
     Instant reporting_since;
   };
 
+  // Returns what identifies the customer in reports and here.
+  std::uint32_t IdOf(const Customer& customer) const;
+  // Gives customers with the same lowest bits of their hashes different ids, which follow from the
+  // set of customers, so that all instances with the same configuration agree.
+  void AssignIds(const CustomerTable& customers);
   State* FindOrCreate(std::uint32_t customer, Instant now);
   void Refill(State* state, Instant now);
   // Recomputes the shares if they are older than a slot. A share that falls lowers the buckets.
@@ -253,6 +258,8 @@
 
   const std::uint64_t seed_;
   std::uint32_t own_address_ = 0;
+  // Ids of the customers whose lowest bits are those of another one, by hash.
+  std::unordered_map<std::uint64_t, std::uint32_t> other_ids_;
   std::unordered_map<std::uint32_t, Limits> limits_;
   std::unordered_map<std::uint32_t, State> states_;
   std::map<std::uint32_t, Peer> peers_;
--- a/src/customers/fleet_quota.cc
+++ b/src/customers/fleet_quota.cc
@@ -4,6 +4,8 @@
 #include <chrono>
 #include <cmath>
 #include <limits>
+#include <set>
+#include <unordered_set>
 
 #include "primroseweir/customers/customer.h"
 #include "primroseweir/customers/customer_table.h"
@@ -27,8 +29,6 @@
   return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
 }
 
-std::uint32_t IdOf(const Customer& customer) { return static_cast<std::uint32_t>(customer.hash); }
-
 // Finaliser of splitmix64.
 std::uint64_t Mix(std::uint64_t x) {
   x = (x ^ (x >> 30U)) * 0xbf58476d1ce4e5b9U;
@@ -40,7 +40,9 @@
 
 void FleetQuota::Apply(const CustomerTable* customers, Instant now) {
   limits_.clear();
+  other_ids_.clear();
   if (customers != nullptr) {
+    AssignIds(*customers);
     for (const auto& customer : customers->customers()) {
       if (customer.has_quota()) {
         limits_[IdOf(customer)] = {customer.rate, std::max(customer.burst, 1.0)};
@@ -63,6 +65,34 @@
   }
 }
 
+std::uint32_t FleetQuota::IdOf(const Customer& customer) const {
+  const auto found = other_ids_.find(customer.hash);
+  return found != other_ids_.end() ? found->second : static_cast<std::uint32_t>(customer.hash);
+}
+
+void FleetQuota::AssignIds(const CustomerTable& customers) {
+  std::set<std::uint64_t> hashes;
+  for (const auto& customer : customers.customers()) {
+    if (customer.has_quota()) {
+      hashes.insert(customer.hash);
+    }
+  }
+  std::unordered_set<std::uint32_t> taken;
+  std::vector<std::uint64_t> colliding;
+  for (const auto hash : hashes) {
+    if (!taken.insert(static_cast<std::uint32_t>(hash)).second) {
+      colliding.push_back(hash);
+    }
+  }
+  for (const auto hash : colliding) {
+    auto bits = Mix(hash);
+    while (!taken.insert(static_cast<std::uint32_t>(bits)).second) {
+      bits = Mix(bits + 1);
+    }
+    other_ids_[hash] = static_cast<std::uint32_t>(bits);
+  }
+}
+
 // ---- calls ----
 
 FleetQuota::Decision FleetQuota::TryAcquire(const Customer& customer, std::uint64_t request,
