Share the retry budget of a service among customers

Cause: retries and hedges of all customers took from one budget of the service, so that one customer with failing calls left none for the others.

Change: CustomerRetryBudget holds the budget of the service and what each customer used of it.

--- a/include/primroseweir/balance/windowed_retry_budget.h
+++ b/include/primroseweir/balance/windowed_retry_budget.h
@@ -35,6 +35,8 @@
   // the highest number of instances that may be running.
   bool TryAcquire(std::size_t instances, Instant now);
 
+  // Returns the retries that this instance may send in the window that ends now.
+  double MaxRetries(std::size_t instances, Instant now);
   // Return the first attempts and retries of this instance in the window that ends now.
   std::uint64_t first_attempts(Instant now);
   std::uint64_t retries(Instant now);
--- a/include/primroseweir/gateway/gateway.h
+++ b/include/primroseweir/gateway/gateway.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "primroseweir/balance/admission_queue.h"
+#include "primroseweir/balance/customer_retry_budget.h"
 #include "primroseweir/balance/load_balancer.h"
 #include "primroseweir/balance/priority_admission.h"
 #include "primroseweir/balance/windowed_retry_budget.h"
@@ -141,7 +142,7 @@
   UpstreamConnectionPool& pool() { return pool_; }
   AdmissionQueue& queue(const ServiceName& service) { return queues_[service]; }
   PriorityAdmission& admission(const ServiceName& service) { return admissions_[service]; }
-  WindowedRetryBudget& retry_budget(const ServiceName& service);
+  CustomerRetryBudget& retry_budget(const ServiceName& service);
   WeightedServicePicker& service_picker() { return service_picker_; }
   CrashGuard& crash_guard() { return crash_guard_; }
   Random& random() { return random_; }
@@ -219,7 +220,7 @@
   std::map<CustomerName, QuotaRefusals> quota_refusals_;
   std::map<ServiceName, AdmissionQueue> queues_;
   std::map<ServiceName, PriorityAdmission> admissions_;
-  std::map<ServiceName, WindowedRetryBudget> retry_budgets_;
+  std::map<ServiceName, CustomerRetryBudget> retry_budgets_;
   std::map<UpstreamId, std::vector<SuspectedCrash>> suspected_crashes_;
   std::unordered_map<HttpServerExchange*, std::unique_ptr<RoutedCall>> calls_;
   // Ended calls whose functions may still be on the stack; destroyed at the next tick, or in the
--- a/src/balance/windowed_retry_budget.cc
+++ b/src/balance/windowed_retry_budget.cc
@@ -8,13 +8,15 @@
 
 void WindowedRetryBudget::RecordFirstAttempt(Instant now) { ++BucketAt(now).first_attempts; }
 
-bool WindowedRetryBudget::TryAcquire(std::size_t instances, Instant now) {
+double WindowedRetryBudget::MaxRetries(std::size_t instances, Instant now) {
   const double allowance_share =
       limits_.allowance / static_cast<double>(std::max<std::size_t>(instances, 1));
-  const double max_retries =
-      kMaxUtilization *
-      (limits_.ratio * static_cast<double>(first_attempts(now)) + allowance_share);
-  if (static_cast<double>(retries(now)) + 1 > max_retries) {
+  return kMaxUtilization *
+         (limits_.ratio * static_cast<double>(first_attempts(now)) + allowance_share);
+}
+
+bool WindowedRetryBudget::TryAcquire(std::size_t instances, Instant now) {
+  if (static_cast<double>(retries(now)) + 1 > MaxRetries(instances, now)) {
     return false;
   }
   ++BucketAt(now).retries;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -103,7 +103,7 @@
   }
 }
 
-WindowedRetryBudget& Gateway::retry_budget(const ServiceName& service) {
+CustomerRetryBudget& Gateway::retry_budget(const ServiceName& service) {
   return retry_budgets_.try_emplace(service, options_.retry_budget).first->second;
 }
 
--- a/src/gateway/routed_call.cc
+++ b/src/gateway/routed_call.cc
@@ -218,7 +218,7 @@
 
 void RoutedCall::OnAttemptSent(Instant now) {
   if (attempts_sent_++ == 0) {
-    gateway_->retry_budget(service_).RecordFirstAttempt(now);
+    gateway_->retry_budget(service_).RecordFirstAttempt(MakeClaim().customer, now);
   }
   SendBody();
 }
--- a/src/gateway/routed_call_placement.cc
+++ b/src/gateway/routed_call_placement.cc
@@ -106,8 +106,8 @@
   if (pick.upstream == nullptr) {
     return PlacementResultOf(pick.failure);
   }
-  if (attempts_sent_ > 0 &&
-      !gateway_->retry_budget(service_).TryAcquire(gateway_->balancer().fleet_size(), now)) {
+  if (attempts_sent_ > 0 && !gateway_->retry_budget(service_).TryAcquire(
+                                MakeClaim().customer, gateway_->balancer().fleet_size(), now)) {
     return PlacementResult::kNoBudget;
   }
   StartAttempt(std::move(pick.upstream), now);
