--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -17,6 +17,7 @@
 namespace primroseweir::platform {
 namespace {
 
+using std::chrono::milliseconds;
 using testing::LoopServer;
 using testing::RunUntil;
 
@@ -84,6 +85,39 @@
   CHECK(fixture.cache.Items().size() == 1);
 }
 
+// Guards against calls to an upstream that has left: a removal that a response reported shortly
+// after an outage was retained from that response on, although it may be as old as the one before.
+TEST_CASE("a removal after an outage is retained from the response before its report",
+          "[platform][upstream-leaving]") {
+  int watches = 0;
+  Instant back_at;
+  StoreFixture fixture([&](const LoopServer::Request& request) {
+    if (request.head.target.find("kv-range") != std::string::npos) {
+      return LoopServer::Reply{
+          OkResponse(R"({"items":[{"key":"servers/u1","value":"aQ==","revision":5}],"at":7})"),
+          {},
+          {}};
+    }
+    if (++watches == 1) {
+      return LoopServer::Reply{
+          "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n", {}, {}};
+    }
+    if (watches == 2) {
+      back_at = EventLoop::Now();
+      return LoopServer::Reply{OkResponse(R"({"events":[],"at":7})"), {}, {}};
+    }
+    return LoopServer::Reply{
+        OkResponse(R"({"events":[{"key":"servers/u1","revision":9,"deleted":true}],"at":9})"),
+        {},
+        {}};
+  });
+  REQUIRE(RunUntil(&fixture.loop, [&] { return fixture.cache.revision() == Revision(9); }));
+  CHECK(fixture.cache.Items().size() == 1);
+  // Less than the batch window after the end of the retention.
+  CHECK(fixture.cache.Expire(back_at + milliseconds(1700) + StoreClient::kBatchWindow / 2));
+  CHECK(fixture.cache.Items().empty());
+}
+
 // Guards against one odd item that stops an instance from following the others: the whole response
 // was read again for as long as it held the item.
 TEST_CASE("an item whose value can't be decoded leaves the others of a response in force",
