Operators' text: customers with keys, priority and quota, public services

The operators' text had no place for customers, so an entry instance could not know them. The optional list customers is parsed with line, field, problem and expectation of each error; no error, event or output of check and diff contains a key, also where the key stands in a wrong place. JSON errors of three tools and of JSON-RPC calls quoted the text, and are reduced to their position.

--- a/apps/primroseweir-ctl/admin_client.cc
+++ b/apps/primroseweir-ctl/admin_client.cc
@@ -7,6 +7,7 @@
 #include <exception>
 
 #include "primroseweir/base/error.h"
+#include "primroseweir/base/json_error.h"
 #include "primroseweir/base/socket_address.h"
 
 namespace primroseweir::ctl {
@@ -40,7 +41,7 @@
       response.body = nlohmann::json::parse(client.body());
     }
   } catch (const std::exception& error) {
-    response.error = error.what();
+    response.error = JsonErrorReason(error);
   }
   return response;
 }
--- a/examples/configuration_check_text.cc
+++ b/examples/configuration_check_text.cc
@@ -17,6 +17,6 @@
   for (const auto& validation_error : services.errors) {
     std::cout << primroseweir::FormatValidationError(validation_error) << "\n";
   }
-  if (services.ok()) std::cout << "accepted services=" << services.value.size() << "\n";
+  if (services.ok()) std::cout << "accepted services=" << services.value.services.size() << "\n";
   return services.ok() ? 0 : 1;
 }
--- a/include/primroseweir/configuration/configuration_snapshot.h
+++ b/include/primroseweir/configuration/configuration_snapshot.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <set>
 #include <string>
 #include <vector>
@@ -13,6 +14,8 @@
 
 namespace primroseweir {
 
+class CustomerTable;
+
 // Configuration in force at one point in time. Immutable once published through an RcuCell.
 struct ConfigurationSnapshot {
   // Highest revision of any key; 0 until the first value is adopted.
@@ -30,6 +33,8 @@
   std::vector<DataCentre> parts;
 
   std::vector<Service> services;
+  // Null if the text names no customers: then no call needs a key.
+  std::shared_ptr<const CustomerTable> customers;
   // Data centres that the operators have taken out of service.
   std::set<DataCentre> data_centres_out;
   std::vector<UpstreamRecord> upstreams;
--- a/include/primroseweir/configuration/detail/accepted_values.h
+++ b/include/primroseweir/configuration/detail/accepted_values.h
@@ -14,6 +14,10 @@
 #include "primroseweir/configuration/service.h"
 #include "primroseweir/configuration/validation_error.h"
 
+namespace primroseweir {
+class CustomerTable;
+}  // namespace primroseweir
+
 namespace primroseweir::detail {
 
 // Holds the adopted values and their parsed form. Not thread-safe.
@@ -45,6 +49,7 @@
   };
 
   std::vector<ValidationError> Parse(const std::string& key, const std::string& text);
+  std::vector<ValidationError> ParseOperatorsText(const std::string& text);
   bool WasRejectedBefore(const std::string& key, Revision revision) const;
   void RecordRejection(const std::string& key, Revision revision);
   Revision RevisionOf(const std::string& key) const;
@@ -54,6 +59,7 @@
   std::map<std::string, AcceptedValue> accepted_;
   std::map<std::string, std::set<Revision>> rejected_;
   std::vector<Service> services_;
+  std::shared_ptr<const CustomerTable> customers_;
   std::set<DataCentre> data_centres_out_;
   InstanceList instance_list_;
   std::map<DataCentre, std::vector<UpstreamRecord>> parts_;
--- a/include/primroseweir/configuration/detail/json_document.h
+++ b/include/primroseweir/configuration/detail/json_document.h
@@ -16,6 +16,8 @@
   JsonKind kind = JsonKind::kNull;
   // Whether the value is a number without sign, fraction or exponent that fits into 64 bits.
   bool is_integer = false;
+  // Value of a kBoolean.
+  bool is_true = false;
   // Byte offset of the value's end (of the start for objects and arrays), from which the line
   // number is found.
   std::uint32_t offset = 0;
--- a/include/primroseweir/configuration/detail/value_reader.h
+++ b/include/primroseweir/configuration/detail/value_reader.h
@@ -45,8 +45,12 @@
   ValidationErrorCollector errors_;
 };
 
-// How to treat members of an object for which there is no rule.
-enum class UnknownFields { kReject, kIgnore };
+// Whether the text is a valid name of 1 to 63 characters from [a-z0-9-].
+bool IsValidName(std::string_view text);
+
+// How to treat members of an object for which there is no rule. The errors of kRejectWithoutName
+// don't contain the name of the member, which may be a key in a wrong place.
+enum class UnknownFields { kReject, kRejectWithoutName, kIgnore };
 
 // Rule for reading one member of an object into a Target.
 template <typename Target>
@@ -67,8 +71,8 @@
   return names;
 }
 
-// Reads an object by rules. Records errors for duplicate and missing required fields and, with
-// UnknownFields::kReject, for unknown ones.
+// Reads an object by rules. Records errors for duplicate and missing required fields and, unless
+// they are ignored, for unknown ones.
 template <typename Target, std::size_t kCount>
 void ReadObject(ValueReader* reader, std::size_t index, const FieldPath& path,
                 const FieldRule<Target> (&rules)[kCount], UnknownFields unknown_fields,
@@ -84,7 +88,8 @@
     while (rule < kCount && rules[rule].name != key) ++rule;
     if (rule == kCount) {
       if (unknown_fields == UnknownFields::kIgnore) continue;
-      reader->errors().Add(reader->node(child).key_offset, member.ToString(), "unknown field",
+      const auto& shown = unknown_fields == UnknownFields::kRejectWithoutName ? path : member;
+      reader->errors().Add(reader->node(child).key_offset, shown.ToString(), "unknown field",
                            RuleNames(rules));
     } else if ((found_rules & (1U << rule)) != 0) {
       reader->errors().Add(reader->node(child).key_offset, member.ToString(), "duplicate field",
--- a/include/primroseweir/configuration/service.h
+++ b/include/primroseweir/configuration/service.h
@@ -29,6 +29,8 @@
   ServiceName name;
   std::vector<ServiceName> depends_on;
   ServiceCallKind call_kind = ServiceCallKind::kIdempotent;
+  // Whether callers need no key of a customer.
+  bool is_public = false;
 };
 
 }  // namespace primroseweir
--- a/include/primroseweir/configuration/value_limits.h
+++ b/include/primroseweir/configuration/value_limits.h
@@ -2,6 +2,7 @@
 #define PRIMROSEWEIR_CONFIGURATION_VALUE_LIMITS_H_
 
 #include <cstddef>
+#include <cstdint>
 
 namespace primroseweir {
 
@@ -14,6 +15,10 @@
 // each field.
 inline constexpr std::size_t kMaxValidationErrors = 20;
 inline constexpr std::size_t kMaxNameLength = 63;
+// Bytes of a customer's key. Longer ones would fill the head of a request, which is limited.
+inline constexpr std::size_t kMaxKeyBytes = 256;
+// Rate and burst of a customer's quota, in calls. Five times the calls of the whole target size.
+inline constexpr std::uint64_t kMaxCustomerRate = 10'000'000;
 
 }  // namespace primroseweir
 
--- a/src/admin/operator_report.cc
+++ b/src/admin/operator_report.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "primroseweir/base/event.h"
+#include "primroseweir/base/json_error.h"
 
 namespace primroseweir {
 namespace {
@@ -117,7 +118,7 @@
       const std::string process = response.body.at("process").get<std::string>();
       for (const json& item : response.body.at("events")) events.push_back(ToEvent(process, item));
     } catch (const json::exception& error) {
-      lines.push_back(FormatErrorLine({response.address, error.what(), {}}));
+      lines.push_back(FormatErrorLine({response.address, JsonErrorReason(error), {}}));
     }
   }
   std::sort(events.begin(), events.end(), [](const TimelineEvent& a, const TimelineEvent& b) {
--- a/src/configuration/configuration_patches.cc
+++ b/src/configuration/configuration_patches.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "primroseweir/base/error.h"
+#include "primroseweir/base/json_error.h"
 #include "primroseweir/configuration/detail/keyed_value.h"
 #include "primroseweir/configuration/value_key.h"
 
@@ -154,7 +155,8 @@
   try {
     return ApplyAll(response, base);
   } catch (const json::exception& error) {
-    return MakeError(absl::StatusCode::kInvalidArgument, {"apply patches", ""}, error.what());
+    return MakeError(absl::StatusCode::kInvalidArgument, {"apply patches", ""},
+                     JsonErrorReason(error));
   }
 }
 
--- a/src/configuration/detail/accepted_values.cc
+++ b/src/configuration/detail/accepted_values.cc
@@ -4,11 +4,13 @@
 #include <unordered_set>
 #include <utility>
 
+#include "primroseweir/base/error.h"
 #include "primroseweir/base/rendezvous.h"
 #include "primroseweir/configuration/declarations_parser.h"
 #include "primroseweir/configuration/instances_parser.h"
 #include "primroseweir/configuration/text_parser.h"
 #include "primroseweir/configuration/value_key.h"
+#include "primroseweir/customers/customer_table.h"
 
 namespace primroseweir::detail {
 namespace {
@@ -59,7 +61,7 @@
 
 std::vector<ValidationError> AcceptedValues::Parse(const std::string& key,
                                                    const std::string& text) {
-  if (key == kTextKey) return StoreIfValid(ParseText(text), &services_);
+  if (key == kTextKey) return ParseOperatorsText(text);
   if (key == kDeclarationsKey) return StoreIfValid(ParseDeclarations(text), &data_centres_out_);
   if (key == kInstancesKey) return StoreIfValid(ParseInstances(text), &instance_list_);
   const DataCentre data_centre = PartOfKey(key);
@@ -68,6 +70,20 @@
   return std::move(part.errors);
 }
 
+std::vector<ValidationError> AcceptedValues::ParseOperatorsText(const std::string& text) {
+  Validated<OperatorsText> parsed = ParseText(text);
+  if (!parsed.ok()) return std::move(parsed.errors);
+  std::shared_ptr<const CustomerTable> customers;
+  if (parsed.value.customers) {
+    auto created = CustomerTable::Create(std::move(*parsed.value.customers));
+    if (!created.ok()) return {{1, "customers", MessageOf(created.status()), "valid customers"}};
+    customers = std::move(*created);
+  }
+  services_ = std::move(parsed.value.services);
+  customers_ = std::move(customers);
+  return {};
+}
+
 bool AcceptedValues::WasRejectedBefore(const std::string& key, Revision revision) const {
   const auto found = rejected_.find(key);
   return found != rejected_.end() && found->second.count(revision) > 0;
@@ -100,6 +116,7 @@
   snapshot->instances_revision = RevisionOf(kInstancesKey);
   snapshot->parts = instance_list_.parts;
   snapshot->services = services_;
+  snapshot->customers = customers_;
   snapshot->data_centres_out = data_centres_out_;
   if (instance_list_.is_divided) {
     AddUpstreamsOfParts(previous, snapshot.get());
--- a/src/configuration/detail/json_document.cc
+++ b/src/configuration/detail/json_document.cc
@@ -49,7 +49,11 @@
   const char** read_position() { return &read_position_; }
 
   bool null() override { return AddNode(JsonKind::kNull, Offset()); }
-  bool boolean(bool) override { return AddNode(JsonKind::kBoolean, Offset()); }
+  bool boolean(bool value) override {
+    AddNode(JsonKind::kBoolean, Offset());
+    document_->nodes_.back().is_true = value;
+    return true;
+  }
   bool number_integer(number_integer_t) override {
     return AddNode(JsonKind::kNumber, NumberOffset());
   }
--- a/src/configuration/detail/value_reader.cc
+++ b/src/configuration/detail/value_reader.cc
@@ -11,6 +11,8 @@
   return kNames[static_cast<std::size_t>(kind)];
 }
 
+}  // namespace
+
 bool IsValidName(std::string_view text) {
   if (text.empty() || text.size() > kMaxNameLength) return false;
   for (const char c : text) {
@@ -20,8 +22,6 @@
   return true;
 }
 
-}  // namespace
-
 bool ValueReader::Parse() {
   if (text_.size() > kMaxValueBytes) {
     errors_.Add(0, "", "the value has " + std::to_string(text_.size()) + " bytes",
--- a/src/configuration/text_parser.cc
+++ b/src/configuration/text_parser.cc
@@ -1,10 +1,12 @@
 #include "primroseweir/configuration/text_parser.h"
 
 #include <cstdint>
+#include <optional>
 #include <string_view>
 #include <unordered_map>
 #include <utility>
 
+#include "primroseweir/configuration/detail/customers_reader.h"
 #include "primroseweir/configuration/detail/dependency_graph.h"
 #include "primroseweir/configuration/detail/value_reader.h"
 #include "primroseweir/configuration/value_limits.h"
@@ -27,10 +29,16 @@
   std::vector<std::string> depends_on;
   std::vector<std::size_t> dependency_indexes;
   ServiceCallKind call_kind = ServiceCallKind::kIdempotent;
+  bool is_public = false;
 };
 
 using ParsedServices = std::vector<ParsedService>;
 
+struct ParsedText {
+  ParsedServices services;
+  std::optional<std::vector<CustomerTable::Entry>> customers;
+};
+
 constexpr std::size_t kMaxPathServicesInMessage = 10;
 constexpr ServiceCallKind kServiceCallKinds[] = {
     ServiceCallKind::kIdempotent, ServiceCallKind::kNonIdempotent, ServiceCallKind::kUploads};
@@ -67,14 +75,23 @@
   reader->Reject(index, path, "unknown value " + Quote(value), kExpected);
 }
 
+void ReadPublic(ValueReader* reader, std::size_t index, const FieldPath& path,
+                ParsedService* parsed_service) {
+  if (reader->Expect(index, JsonKind::kBoolean, path, "true or false")) {
+    parsed_service->is_public = reader->node(index).is_true;
+  }
+}
+
 constexpr FieldRule<ParsedService> kServiceRules[] = {
     {"name", true, ReadServiceName},
     {"depends_on", false, ReadDependencies},
     {"calls", false, ReadCalls},
+    {"public", false, ReadPublic},
 };
 
 void ReadServices(ValueReader* reader, std::size_t index, const FieldPath& path,
-                  ParsedServices* parsed_services) {
+                  ParsedText* parsed_text) {
+  ParsedServices* const parsed_services = &parsed_text->services;
   if (!reader->Expect(index, JsonKind::kArray, path, "an array of services")) return;
   const std::uint32_t end = reader->node(index).end;
   std::size_t position = 0;
@@ -87,7 +104,15 @@
   if (parsed_services->empty()) reader->Reject(index, path, "no service", "at least one service");
 }
 
-constexpr FieldRule<ParsedServices> kTextRules[] = {{"services", true, ReadServices}};
+void ReadCustomers(ValueReader* reader, std::size_t index, const FieldPath& path,
+                   ParsedText* parsed_text) {
+  parsed_text->customers = detail::CustomersReader(reader).Read(index, path);
+}
+
+constexpr FieldRule<ParsedText> kTextRules[] = {
+    {"services", true, ReadServices},
+    {"customers", false, ReadCustomers},
+};
 
 // Validates names and dependencies across services.
 class ServiceValidator {
@@ -198,6 +223,7 @@
     Service service;
     service.name = ServiceName(std::move(parsed.name));
     service.call_kind = parsed.call_kind;
+    service.is_public = parsed.is_public;
     for (std::string& name : parsed.depends_on) service.depends_on.emplace_back(std::move(name));
     services.push_back(std::move(service));
   }
@@ -206,16 +232,19 @@
 
 }  // namespace
 
-Validated<std::vector<Service>> ParseText(const std::string& text) {
-  Validated<std::vector<Service>> result;
+Validated<OperatorsText> ParseText(const std::string& text) {
+  Validated<OperatorsText> result;
   ValueReader reader(text);
-  ParsedServices parsed_services;
+  ParsedText parsed_text;
   if (reader.Parse()) {
-    ReadObject(&reader, 0, FieldPath(), kTextRules, UnknownFields::kReject, &parsed_services);
-    ServiceValidator(&reader, parsed_services).Validate();
+    ReadObject(&reader, 0, FieldPath(), kTextRules, UnknownFields::kReject, &parsed_text);
+    ServiceValidator(&reader, parsed_text.services).Validate();
   }
   result.errors = reader.errors().Finish();
-  if (result.ok()) result.value = ToServices(std::move(parsed_services));
+  if (result.ok()) {
+    result.value.services = ToServices(std::move(parsed_text.services));
+    result.value.customers = std::move(parsed_text.customers);
+  }
   return result;
 }
 
--- a/src/peer/json_rpc/json_rpc_call.cc
+++ b/src/peer/json_rpc/json_rpc_call.cc
@@ -67,6 +67,13 @@
   bool has_invalid_signature_ = false;
 };
 
+// The library's errors for an invalid response quote it, and it may hold keys of customers.
+std::string ReasonOf(const jsonrpc::JsonRpcException& error) {
+  const bool quotes_response = error.GetCode() == jsonrpc::Errors::ERROR_RPC_JSON_PARSE_ERROR ||
+                               error.GetCode() == jsonrpc::Errors::ERROR_CLIENT_INVALID_RESPONSE;
+  return quotes_response ? "invalid JSON-RPC response" : error.what();
+}
+
 }  // namespace
 
 JsonRpcResponse CallJsonRpc(const JsonRpcTarget& target, const std::string& method,
@@ -81,6 +88,8 @@
     writer["indentation"] = "";
     response.text = Json::writeString(writer, client.CallMethod(method, input));
     response.ok = true;
+  } catch (const jsonrpc::JsonRpcException& error) {
+    response.text = ReasonOf(error);
   } catch (const std::exception& error) {
     response.text = error.what();
   }
--- a/tests/configuration/text_parser_test.cc
+++ b/tests/configuration/text_parser_test.cc
@@ -35,21 +35,22 @@
         {"name": "booking-ledger", "depends_on": ["ice-board"], "calls": "not-repeatable"}
       ]})");
   REQUIRE(validated.ok());
-  REQUIRE(validated.value.size() == 2);
-  CHECK(validated.value[0].name.value() == "ice-board");
-  CHECK(validated.value[0].call_kind == ServiceCallKind::kIdempotent);
-  CHECK(validated.value[1].depends_on == std::vector<ServiceName>{ServiceName("ice-board")});
-  CHECK(validated.value[1].call_kind == ServiceCallKind::kNonIdempotent);
+  REQUIRE(validated.value.services.size() == 2);
+  CHECK(validated.value.services[0].name.value() == "ice-board");
+  CHECK(validated.value.services[0].call_kind == ServiceCallKind::kIdempotent);
+  CHECK(validated.value.services[1].depends_on ==
+        std::vector<ServiceName>{ServiceName("ice-board")});
+  CHECK(validated.value.services[1].call_kind == ServiceCallKind::kNonIdempotent);
   const auto uploads = ParseText(ServicesText(R"({"name": "a", "calls": "uploads"})"));
   REQUIRE(uploads.ok());
-  CHECK(uploads.value[0].call_kind == ServiceCallKind::kUploads);
+  CHECK(uploads.value.services[0].call_kind == ServiceCallKind::kUploads);
 }
 
 // Guards against errors without the line and field that operators need to find the fault.
 TEST_CASE("errors give the line, the field, the problem and what is expected") {
   CHECK(FirstError(ServicesText("{\"name\": \"a\",\n \"colour\": 1}")) ==
         "line=3 field=services[0].colour problem=\"unknown field\" "
-        "expected=\"name, depends_on or calls\"");
+        "expected=\"name, depends_on, calls or public\"");
   CHECK(FirstError(ServicesText("{\"name\": \"a\",\n \"name\": \"b\"}")) ==
         "line=3 field=services[0].name problem=\"duplicate field\" expected=\"each field once\"");
   CHECK(FirstError(ServicesText("{\"name\": \"a\"},\n{\"name\": \"a\"}")) ==
