CustomerFilter: entry instances ask for the key of a customer

Entry instances served every caller. With customers in the text, a call now needs a known key in Authorization: Token KEY, unless its service is public: else 401 with outcome not-run before its body is read. The caller is identified again right before each attempt, retry, hedge and resumption, so that a key that was withdrawn meanwhile reaches no upstream. Upstreams see the name of the customer in Primroseweir-Customer in place of the key and of the caller's own copies. A call that is forwarded to the issuer of its call key is authenticated there, and a call key belongs to the customer that used it first. Without customers, requests pass unchanged.

--- a/include/primroseweir/filters/call.h
+++ b/include/primroseweir/filters/call.h
@@ -2,10 +2,12 @@
 #define PRIMROSEWEIR_FILTERS_CALL_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "primroseweir/base/ids.h"
 #include "primroseweir/base/time.h"
+#include "primroseweir/customers/customer.h"
 #include "primroseweir/http/message_limits.h"
 #include "primroseweir/routing/call_request.h"
 
@@ -39,6 +41,13 @@
   // limited because the call holds a slot of the upstream meanwhile.
   Duration body_idle_timeout = MessageLimits().body_idle_timeout;
 
+  // ---- customer ----
+  // No value for an anonymous caller.
+  std::optional<Customer> customer;
+  // Whether the configuration had customers when the caller was identified, now or earlier: the
+  // Authorization field then holds a key, which upstreams must not see.
+  bool must_hide_key = false;
+
   // ---- body ----
   // The whole body, or at least its first 64 KB when is_body_complete is false.
   std::string body;
--- a/include/primroseweir/filters/call_outcome.h
+++ b/include/primroseweir/filters/call_outcome.h
@@ -22,6 +22,8 @@
   std::string reason;
   // Value of Retry-After in seconds; 0 to omit the header.
   int retry_after = 0;
+  // Authentication scheme that the caller must use, for WWW-Authenticate; empty to omit the header.
+  std::string key_scheme;
 
   // Returns an outcome of kNotExecuted, with `http_status` for the local reply.
   static CallOutcome NotExecuted(const std::string& step, const std::string& reason,
--- a/include/primroseweir/filters/detail/call_dispatch.h
+++ b/include/primroseweir/filters/detail/call_dispatch.h
@@ -55,6 +55,8 @@
   bool ShouldRetryAfterShedding();
   bool MayExecuteAgain() const;
   bool TryAcquireRetry();
+  // Identifies the caller by the configuration in force. Returns whether it may use the service.
+  bool ConfirmCaller();
   // Adds a crash strike to the request when the connection loss looks like an upstream crash.
   void RecordLoss(const Attempt& attempt, const absl::Status& failure);
 
@@ -82,6 +84,7 @@
   bool may_have_executed_ = false;
   bool body_consumed_ = false;
   bool lease_failed_ = false;
+  bool is_caller_refused_ = false;
   std::string step_ = "admission";
   std::string peer_;
 };
--- a/src/entry/entry_instance.cc
+++ b/src/entry/entry_instance.cc
@@ -18,6 +18,7 @@
 #include "primroseweir/filters/address_filter.h"
 #include "primroseweir/filters/body_filter.h"
 #include "primroseweir/filters/call_key_filter.h"
+#include "primroseweir/filters/customer_filter.h"
 #include "primroseweir/filters/dispatch_filter.h"
 #include "primroseweir/filters/request_id_filter.h"
 #include "primroseweir/filters/route_filter.h"
@@ -191,6 +192,7 @@
   DispatchDependencies dispatch;
   dispatch.router = &router_;
   dispatch.pool = &pool_;
+  dispatch.services = &services_;
   dispatch.ensure_fresh = [this](Instant now) { return freshness_->EnsureFresh(now); };
   freshness_ = std::make_unique<FreshnessCheck>([this] { return configuration_.LastContact(); },
                                                 [this](Duration timeout) { Refresh(timeout); });
@@ -199,6 +201,7 @@
   filters.push_back(std::make_unique<AddressFilter>(fleet_.get(), &issuer_));
   filters.push_back(std::make_unique<SeatFilter>([this] { return is_seat_taken_.load(); }));
   filters.push_back(std::make_unique<RouteFilter>(&services_));
+  filters.push_back(std::make_unique<CustomerFilter>(&services_));
   filters.push_back(std::make_unique<BodyFilter>());
   filters.push_back(std::make_unique<CallKeyFilter>(fleet_.get(), &issuer_, &started_calls_));
   filters.push_back(std::make_unique<DispatchFilter>(dispatch));
@@ -285,7 +288,7 @@
 // pool has.
 void EntryInstance::ApplyConfiguration(const std::shared_ptr<const ConfigurationSnapshot>& snapshot,
                                        Instant now) {
-  services_.Store(std::make_shared<const ServiceTable>(snapshot->services));
+  services_.Store(std::make_shared<const ServiceTable>(snapshot->services, snapshot->customers));
   pool_.Apply(*snapshot);
   router_.Apply(snapshot, now);
   metrics_->SetConfigurationRevision(snapshot->revision);
--- a/src/filters/call_key_filter.cc
+++ b/src/filters/call_key_filter.cc
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstdint>
 
+#include "primroseweir/base/rendezvous.h"
 #include "primroseweir/filters/body_filter.h"
 #include "primroseweir/filters/call.h"
 #include "primroseweir/filters/fleet.h"
@@ -50,6 +51,14 @@
   return head;
 }
 
+// Distinguishes requests with the same call key. Includes the customer, so that no customer gets
+// the stored response to another one.
+std::uint64_t CallKeyFingerprint(const Call& call) {
+  return call.customer
+             ? StableHash(std::to_string(call.fingerprint) + " " + call.customer->name.value())
+             : call.fingerprint;
+}
+
 ExecutionOutcome OutcomeOf(const ResponseHead& head) {
   const auto name = head.fields.Get("Primroseweir-Outcome");
   if (name == NameOf(ExecutionOutcome::kNotExecuted)) {
@@ -108,7 +117,7 @@
 
 CallOutcome CallKeyFilter::HandleAtIssuer(Call* call, const std::string& key_text,
                                           const CallKey& key, const Next& next) {
-  auto decision = table_->Begin(key_text, call->fingerprint, key.expiry);
+  auto decision = table_->Begin(key_text, CallKeyFingerprint(*call), key.expiry);
   switch (decision.result) {
     case StartedCallTable::LookupResult::kStart:
       return ExecuteAndRecord(call, key_text, next);
--- a/src/filters/detail/attempt.cc
+++ b/src/filters/detail/attempt.cc
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <utility>
 
+#include "primroseweir/customers/caller_credentials.h"
 #include "primroseweir/filters/call.h"
 #include "primroseweir/http/message_writer.h"
 #include "primroseweir/http/server_connection.h"
@@ -15,6 +16,8 @@
 namespace primroseweir::detail {
 namespace {
 
+constexpr char kCustomerField[] = "Primroseweir-Customer";
+
 std::optional<std::uint32_t> NumberAfter(std::string_view text, std::string_view name) {
   const auto start = text.find(name);
   if (start == std::string_view::npos) {
@@ -54,6 +57,10 @@
   head.fields.Set("Primroseweir-Deadline-Ms", std::to_string(remaining_ms));
   head.fields.Set("Primroseweir-Depth", std::to_string(call.depth + 1));
   head.fields.Set("Primroseweir-Request-Id", call.id.value());
+  if (call.must_hide_key) {
+    ReplaceCallerCredentials(&head.fields, kCustomerField,
+                             call.customer ? &call.customer->name : nullptr);
+  }
   head.keep_alive = true;
   return head;
 }
--- a/src/filters/detail/call_dispatch.cc
+++ b/src/filters/detail/call_dispatch.cc
@@ -9,6 +9,7 @@
 #include "primroseweir/base/error.h"
 #include "primroseweir/filters/call.h"
 #include "primroseweir/filters/connection_pool.h"
+#include "primroseweir/filters/customer_filter.h"
 #include "primroseweir/filters/detail/response_relay.h"
 #include "primroseweir/http/server_connection.h"
 #include "primroseweir/http/socket_wait.h"
@@ -119,6 +120,13 @@
     return attempt.status();
   }
   current_ = std::move(*attempt);
+  if (!ConfirmCaller()) {
+    current_.reset();
+    lease_failed_ = true;
+    is_caller_refused_ = true;
+    step_ = "customer";
+    return absl::PermissionDeniedError("the key was withdrawn");
+  }
   return Send(current_.get());
 }
 
@@ -246,6 +254,9 @@
   if (!attempt.ok()) {
     return;
   }
+  if (!ConfirmCaller()) {
+    return;
+  }
   if (Send(attempt->get()).ok()) {
     hedge_ = std::move(*attempt);
   } else {
@@ -259,6 +270,11 @@
   return limits_ != nullptr && limits_->retry_budget.TryAcquire();
 }
 
+bool CallDispatch::ConfirmCaller() {
+  return dependencies_.services == nullptr ||
+         CustomerFilter::Identify(*dependencies_.services->Load(), call_);
+}
+
 void CallDispatch::RecordLoss(const Attempt& attempt, const absl::Status& failure) {
   if (!attempt.has_sent_bytes() || attempt.head() != nullptr ||
       AttemptEndOf(failure) != AttemptEnd::kConnectionLost) {
@@ -356,6 +372,9 @@
 }
 
 CallOutcome CallDispatch::MakeFailureOutcome(const absl::Status& failure) const {
+  if (is_caller_refused_ && !may_have_executed_) {
+    return CustomerFilter::Refusal();
+  }
   const bool deadline_passed = absl::IsDeadlineExceeded(failure);
   const std::string reason(failure.message());
   auto call_outcome = may_have_executed_
--- a/src/filters/filter_chain.cc
+++ b/src/filters/filter_chain.cc
@@ -34,6 +34,9 @@
   if (call_outcome.retry_after > 0) {
     head.fields.Add("Retry-After", std::to_string(call_outcome.retry_after));
   }
+  if (!call_outcome.key_scheme.empty()) {
+    head.fields.Add("WWW-Authenticate", call_outcome.key_scheme);
+  }
   // Ignores the error: a caller that has disconnected needs no response.
   connection->Respond(head, LocalReplyBody(call_outcome)).IgnoreError();
 }
