Quotas of customers over all entry instances

Rate and burst of a customer had no effect at entry instances. CustomerQuotas shares a FleetQuota among the threads of an instance, and QuotaFilter refuses calls above a quota with 429, outcome not-run and Retry-After, behind the call key, so that forwarded calls and replays are charged once or not at all. Calls that are proved not to have run are given back. Instances report their use in datagrams of a kind of their own within the byte budget of gossip; without customers with quotas none is sent.

--- a/include/primroseweir/entry/entry_instance.h
+++ b/include/primroseweir/entry/entry_instance.h
@@ -16,6 +16,7 @@
 #include "primroseweir/entry/entry_settings.h"
 #include "primroseweir/entry/freshness_check.h"
 #include "primroseweir/filters/connection_pool.h"
+#include "primroseweir/filters/customer_quotas.h"
 #include "primroseweir/filters/filter_chain.h"
 #include "primroseweir/filters/service_table.h"
 #include "primroseweir/http/http_server.h"
@@ -85,6 +86,7 @@
   RcuCell<ServiceTable> services_;
   CallKeyIssuer issuer_;
   StartedCallTable started_calls_;
+  CustomerQuotas quotas_;
   std::atomic<bool> is_seat_taken_{false};
   std::unique_ptr<GossipController> gossip_;
   // Null if the settings name no configuration service.
--- a/include/primroseweir/membership/detail/gossip_threads.h
+++ b/include/primroseweir/membership/detail/gossip_threads.h
@@ -63,11 +63,14 @@
   void ProcessPendingRequests(Instant now);
   void ReceiveDatagrams(Instant now);
   void ReceiveDatagram(const Datagram& datagram, Instant now);
+  void ReceiveUsage(const Datagram& datagram, Instant now);
   void ReceiveConfigurationState(const GossipMessage& message, Duration waited, Instant now);
   void RecordResponse(const GossipHeader& header);
   void TickWhenDue(Instant now);
   void Send(const std::vector<OutgoingDatagram>& datagrams);
   void SendQueuedUrgent(Instant now);
+  bool ReportsUsage() const;
+  void ReportUsageWhenDue(Instant now);
   void PublishView(Instant now);
   void EmitChanges(const MembershipView& before, const MembershipView& after);
   void RecordRefusedDatagram(const absl::Status& status, Instant now);
@@ -101,6 +104,7 @@
   std::atomic<std::uint64_t> bytes_received_{0};
   std::atomic<std::uint64_t> datagrams_refused_{0};
   Instant next_tick_;
+  Instant next_usage_;
   Instant next_refused_event_;
   std::thread thread_;
 };
--- a/include/primroseweir/membership/gossip_hooks.h
+++ b/include/primroseweir/membership/gossip_hooks.h
@@ -4,11 +4,14 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
+#include <set>
 #include <vector>
 
 #include "primroseweir/base/ids.h"
 #include "primroseweir/base/time.h"
 #include "primroseweir/configuration/configuration_values.h"
+#include "primroseweir/customers/customer_usage.h"
 #include "primroseweir/limits/crash_strike.h"
 #include "primroseweir/membership/membership_view.h"
 #include "primroseweir/peer/configuration_state.h"
@@ -31,6 +34,12 @@
   std::function<std::vector<UpstreamObservation>(std::size_t limit)> newest_observations;
   // Returns all observations, for a new instance. Called on RPC threads.
   std::function<std::vector<UpstreamObservation>()> all_observations;
+  // Whether this instance must report its use of quotas, every kUsageReportInterval of GossipNode.
+  std::function<bool()> has_quotas;
+  // Returns the report to send now, if there is one.
+  std::function<std::optional<UsageReport>(Instant now)> usage_report;
+  // Returns the instances that have calls of customers with quotas and receive reports first.
+  std::function<std::set<InstanceId>(const MembershipView&, Instant now)> usage_targets;
   // Returns at most `limit` crash strikes, newest first. Not called at present.
   std::function<std::vector<CrashStrike>(std::size_t limit)> newest_strikes;
 
@@ -40,6 +49,8 @@
   std::function<void(const ConfigurationValues&, Instant now)> offer_configuration;
   std::function<void(const std::vector<UpstreamObservation>&, Instant now)> merge_observations;
   std::function<void(const std::vector<CrashStrike>&, Instant now)> merge_strikes;
+  std::function<void(const InstanceId& sender, Incarnation, const UsageReport&, Instant now)>
+      merge_usage;
   // Records that a peer reported this revision. `received_at` is when its message reached this
   // machine, which is earlier than now if this process was paused.
   std::function<void(Revision, Instant received_at)> record_contact;
--- a/include/primroseweir/membership/gossip_node.h
+++ b/include/primroseweir/membership/gossip_node.h
@@ -10,6 +10,7 @@
 
 #include "primroseweir/base/hybrid_time.h"
 #include "primroseweir/base/random.h"
+#include "primroseweir/customers/fleet_quota.h"
 #include "primroseweir/membership/detail/rumor_queue.h"
 #include "primroseweir/membership/gossip_hooks.h"
 #include "primroseweir/membership/gossip_settings.h"
@@ -55,6 +56,10 @@
   std::vector<OutgoingDatagram> Respond(const GossipMessage& message, HybridTime sent_at,
                                         Instant now);
 
+  // Returns datagrams with a report of the use of quotas to kMaxUsageTargets live peers, at most as
+  // the byte budget allows: to those that have such calls in turn, then to others.
+  std::vector<OutgoingDatagram> UsageDatagrams(Instant now);
+
   // Records observations from a snapshot without forwarding them: the peers already have them.
   void RecordSnapshot(const std::vector<UpstreamObservation>& observations);
 
@@ -63,6 +68,9 @@
 
   static constexpr std::size_t kMaxUrgentTargets = 32;
   static constexpr std::size_t kMaxQueryTargets = 5;
+  // As FleetQuota expects of the reports.
+  static constexpr std::size_t kMaxUsageTargets = FleetQuota::kMaxReportTargets;
+  static constexpr Duration kUsageReportInterval = FleetQuota::kReportInterval;
   // Size of the IP and UDP headers of a datagram.
   static constexpr std::size_t kIpUdpHeaderBytes = 28;
 
@@ -103,6 +111,8 @@
   // for reordered and replayed messages. For the first message of a sender, returns by how much its
   // age by the hybrid clock exceeds the clock tolerance.
   Duration MessageLag(const GossipHeader& header, HybridTime received_at);
+  // Returns the peers for the next report of the use of quotas, the most important first.
+  std::vector<SocketAddress> PickUsageTargets(Instant now);
   void ReceiveObservations(std::vector<UpstreamObservation> observations, Duration age,
                            Instant now);
   void ReceiveStrikes(std::vector<CrashStrike> strikes, Duration age, Instant now);
@@ -124,6 +134,8 @@
   std::vector<SocketAddress> urgent_targets_;
   // First seat whose heartbeat goes into the next datagram.
   std::size_t next_heartbeat_seat_ = 0;
+  // Peer with calls of customers with quotas that receives the next report first.
+  std::size_t next_usage_target_ = 0;
 };
 
 }  // namespace primroseweir
--- a/src/entry/entry_instance.cc
+++ b/src/entry/entry_instance.cc
@@ -20,6 +20,7 @@
 #include "primroseweir/filters/call_key_filter.h"
 #include "primroseweir/filters/customer_filter.h"
 #include "primroseweir/filters/dispatch_filter.h"
+#include "primroseweir/filters/quota_filter.h"
 #include "primroseweir/filters/request_id_filter.h"
 #include "primroseweir/filters/route_filter.h"
 #include "primroseweir/filters/seat_filter.h"
@@ -68,6 +69,19 @@
   return {snapshot.revision, snapshot.digest};
 }
 
+// Returns the members with these identities of CustomerQuotas.
+std::set<InstanceId> InstancesOf(const std::vector<std::uint32_t>& identities,
+                                 const MembershipView& view) {
+  const std::set<std::uint32_t> wanted(identities.begin(), identities.end());
+  std::set<InstanceId> instances;
+  for (const auto& member : view.members) {
+    if (wanted.count(CustomerQuotas::IdentityOf(member.id)) > 0) {
+      instances.insert(member.id);
+    }
+  }
+  return instances;
+}
+
 // Returns the first `limit` items.
 template <typename Item>
 std::vector<Item> FirstOf(std::vector<Item> items, std::size_t limit) {
@@ -89,6 +103,7 @@
       services_(std::make_shared<const ServiceTable>()),
       issuer_(settings.fleet_key, settings.id, incarnation_),
       started_calls_(StartedCallTable::Options()),
+      quotas_(settings.id, EntropySeed()),
       metrics_(std::make_unique<Metrics>()) {}
 
 EntryInstance::~EntryInstance() {
@@ -167,6 +182,14 @@
   hooks.merge_strikes = [this](const std::vector<CrashStrike>& strikes, Instant now) {
     router_.crash_guard().Merge(strikes, now);
   };
+  hooks.has_quotas = [this] { return quotas_.has_quotas(); };
+  hooks.usage_report = [this](Instant now) { return quotas_.UsageToReport(now); };
+  hooks.usage_targets = [this](const MembershipView& view, Instant now) {
+    return InstancesOf(quotas_.ActivePeers(now), view);
+  };
+  hooks.merge_usage = [this](const InstanceId& sender, Incarnation incarnation,
+                             const UsageReport& usage,
+                             Instant now) { quotas_.MergeUsage(sender, incarnation, usage, now); };
   hooks.record_contact = [this](Revision revision, Instant contact) {
     configuration_.RecordContact(revision, contact);
     router_.RecordContact(contact);
@@ -204,6 +227,7 @@
   filters.push_back(std::make_unique<CustomerFilter>(&services_));
   filters.push_back(std::make_unique<BodyFilter>());
   filters.push_back(std::make_unique<CallKeyFilter>(fleet_.get(), &issuer_, &started_calls_));
+  filters.push_back(std::make_unique<QuotaFilter>(&quotas_));
   filters.push_back(std::make_unique<DispatchFilter>(dispatch));
   chain_ = std::make_unique<FilterChain>(std::move(filters), &events_);
 }
@@ -288,6 +312,7 @@
 // pool has.
 void EntryInstance::ApplyConfiguration(const std::shared_ptr<const ConfigurationSnapshot>& snapshot,
                                        Instant now) {
+  quotas_.Apply(snapshot->customers.get(), now);
   services_.Store(std::make_shared<const ServiceTable>(snapshot->services, snapshot->customers));
   pool_.Apply(*snapshot);
   router_.Apply(snapshot, now);
@@ -304,7 +329,12 @@
 void EntryInstance::ApplyMembership(const MembershipView& view, Instant now) {
   std::set<Seat> live_seats;
   std::set<Seat> local_live_seats;
+  std::size_t serving_instances = 0;
   for (const auto& member : view.members) {
+    serving_instances += member.state == MemberState::kAlive ? 1 : 0;
+    if (member.id != settings_.id) {
+      quotas_.RecordRun(member.id, member.incarnation);
+    }
     if (member.state != MemberState::kDead) {
       live_seats.insert(member.seat);
     }
@@ -312,6 +342,7 @@
       local_live_seats.insert(member.seat);
     }
   }
+  quotas_.SetServingInstances(serving_instances, !leaving_.load());
   is_seat_taken_.store(view.is_seat_taken);
   pool_.SetSeatTaken(view.is_seat_taken);
   router_.SetLiveSeats(live_seats, now);
--- /dev/null
+++ b/src/filters/customer_quotas.cc
@@ -0,0 +1,75 @@
+#include "primroseweir/filters/customer_quotas.h"
+
+#include <algorithm>
+
+#include "primroseweir/base/rendezvous.h"
+#include "primroseweir/customers/customer_table.h"
+
+namespace primroseweir {
+
+CustomerQuotas::CustomerQuotas(const InstanceId& self, std::uint64_t seed)
+    : self_(IdentityOf(self)), quota_(seed) {
+  quota_.SetOwnAddress(self_);
+}
+
+std::uint32_t CustomerQuotas::IdentityOf(const InstanceId& instance) {
+  return static_cast<std::uint32_t>(StableHash(instance.value()));
+}
+
+void CustomerQuotas::Apply(const CustomerTable* customers, Instant now) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  quota_.Apply(customers, now);
+  has_quotas_ = customers != nullptr &&
+                std::any_of(customers->customers().begin(), customers->customers().end(),
+                            [](const auto& customer) { return customer.has_quota(); });
+}
+
+void CustomerQuotas::SetServingInstances(std::size_t instances, bool includes_self) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  peak_fleet_size_ = std::max(peak_fleet_size_, instances);
+  quota_.SetPeakFleetSize(peak_fleet_size_);
+  quota_.SetServingInstances(std::max<std::size_t>(instances, 1), includes_self);
+}
+
+void CustomerQuotas::RecordRun(const InstanceId& instance, Incarnation incarnation) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  quota_.RecordRun(IdentityOf(instance), incarnation);
+}
+
+FleetQuota::Decision CustomerQuotas::TryAcquire(const Customer& customer, std::uint64_t request,
+                                                Instant now) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return quota_.TryAcquire(customer, request, now);
+}
+
+void CustomerQuotas::Refund(const Customer& customer, Instant now) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  quota_.Refund(customer, now);
+}
+
+std::optional<UsageReport> CustomerQuotas::UsageToReport(Instant now) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return quota_.UsageToReport(now);
+}
+
+void CustomerQuotas::MergeUsage(const InstanceId& sender, Incarnation incarnation,
+                                const UsageReport& usage, Instant now) {
+  const auto identity = IdentityOf(sender);
+  if (identity == self_ || !has_quotas()) {
+    return;
+  }
+  const std::lock_guard<std::mutex> lock(mutex_);
+  quota_.MergeUsage(identity, incarnation, usage, now);
+}
+
+std::vector<std::uint32_t> CustomerQuotas::ActivePeers(Instant now) const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return quota_.ActivePeers(now);
+}
+
+double CustomerQuotas::UsableShare(Instant now) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return has_quotas() ? quota_.usable_share(now) : 1;
+}
+
+}  // namespace primroseweir
--- a/src/membership/detail/gossip_threads.cc
+++ b/src/membership/detail/gossip_threads.cc
@@ -7,6 +7,7 @@
 #include "primroseweir/base/error.h"
 #include "primroseweir/base/event_log.h"
 #include "primroseweir/peer/gossip_codec.h"
+#include "primroseweir/peer/usage_datagram.h"
 
 namespace primroseweir {
 namespace detail {
@@ -206,13 +207,17 @@
     ProcessPendingRequests(MonotonicNow());
     TickWhenDue(MonotonicNow());
     SendQueuedUrgent(MonotonicNow());
+    ReportUsageWhenDue(MonotonicNow());
   }
   if (send_leave_) SendLeaveMessages();
 }
 
 Duration GossipThreads::WaitTime(Instant now) const {
   const Duration until_tick = std::max<Duration>(Duration::zero(), next_tick_ - now);
-  return node_->has_urgent() ? std::min(until_tick, kUrgentRetryInterval) : until_tick;
+  const Duration until_due =
+      ReportsUsage() ? std::min(until_tick, std::max<Duration>(Duration::zero(), next_usage_ - now))
+                     : until_tick;
+  return node_->has_urgent() ? std::min(until_due, kUrgentRetryInterval) : until_due;
 }
 
 void GossipThreads::ReceiveDatagrams(Instant now) {
@@ -226,6 +231,10 @@
 void GossipThreads::ReceiveDatagram(const Datagram& datagram, Instant now) {
   ++datagrams_received_;
   bytes_received_ += datagram.bytes.size();
+  if (IsUsageDatagram(datagram.bytes)) {
+    ReceiveUsage(datagram, now);
+    return;
+  }
   auto message = DecodeGossip(datagram.bytes, datagram.from.ToString(), signer_);
   if (!message.ok()) {
     RecordRefusedDatagram(message.status(), now);
@@ -244,6 +253,17 @@
   if (node_->Receive(std::move(*message), datagram.waited, received_at, now)) PublishView(now);
 }
 
+void GossipThreads::ReceiveUsage(const Datagram& datagram, Instant now) {
+  const auto message = DecodeUsage(datagram.bytes, datagram.from.ToString(), signer_);
+  if (!message.ok()) {
+    RecordRefusedDatagram(message.status(), now);
+    return;
+  }
+  if (hooks_.merge_usage && message->sender != settings_.self.id) {
+    hooks_.merge_usage(message->sender, message->incarnation, message->usage, now);
+  }
+}
+
 void GossipThreads::ReceiveConfigurationState(const GossipMessage& message, Duration waited,
                                               Instant now) {
   const ConfigurationState& remote_state = message.header.configuration;
@@ -282,6 +302,14 @@
   if (changed) PublishView(now);
 }
 
+bool GossipThreads::ReportsUsage() const { return hooks_.has_quotas && hooks_.has_quotas(); }
+
+void GossipThreads::ReportUsageWhenDue(Instant now) {
+  if (!ReportsUsage() || now < next_usage_) return;
+  next_usage_ = std::max(next_usage_ + GossipNode::kUsageReportInterval, now);
+  Send(node_->UsageDatagrams(now));
+}
+
 void GossipThreads::SendQueuedUrgent(Instant now) {
   if (node_->has_urgent()) Send(node_->UrgentDatagrams(HybridNow(), now));
 }
--- a/src/membership/gossip_node.cc
+++ b/src/membership/gossip_node.cc
@@ -2,8 +2,11 @@
 
 #include <algorithm>
 #include <cmath>
+#include <optional>
+#include <set>
 
 #include "primroseweir/limits/crash_guard.h"
+#include "primroseweir/peer/usage_datagram.h"
 
 namespace primroseweir {
 namespace {
@@ -12,6 +15,9 @@
 // of periodic datagrams leaves for urgent ones.
 constexpr double kBucketCapacitySeconds = 1.0;
 constexpr double kUrgentReserveShare = 0.5;
+// Share of it that reports of the use of quotas leave for periodic and urgent datagrams. Half of
+// the reserve above: periodic datagrams use up what exceeds that one.
+constexpr double kUsageReserveShare = 0.25;
 // Smallest size limit of a periodic datagram: room for the header, the sender's record and a few
 // more.
 constexpr std::size_t kMinDatagramBytes = 256;
@@ -270,6 +276,48 @@
   return datagrams;
 }
 
+// ---- use of quotas ----
+
+std::vector<SocketAddress> GossipNode::PickUsageTargets(Instant now) {
+  const MembershipView view = table_.View();
+  std::set<InstanceId> active;
+  if (hooks_->usage_targets) active = hooks_->usage_targets(view, now);
+  std::vector<SocketAddress> targets;
+  std::vector<SocketAddress> others;
+  for (const Member& member : view.members) {
+    if (member.state == MemberState::kDead || member.id == settings_.self.id) continue;
+    (active.count(member.id) > 0 ? targets : others).push_back(member.peer_address);
+  }
+  if (!targets.empty()) {
+    next_usage_target_ %= targets.size();
+    std::rotate(targets.begin(), targets.begin() + static_cast<std::ptrdiff_t>(next_usage_target_),
+                targets.end());
+  }
+  for (std::size_t i = others.size(); i > 0 && targets.size() < kMaxUsageTargets; --i) {
+    std::swap(others[i - 1], others[random_.UniformBelow(i)]);
+    targets.push_back(others[i - 1]);
+  }
+  targets.resize(std::min(targets.size(), kMaxUsageTargets));
+  return targets;
+}
+
+std::vector<OutgoingDatagram> GossipNode::UsageDatagrams(Instant now) {
+  std::vector<OutgoingDatagram> datagrams;
+  const auto usage = hooks_->usage_report ? hooks_->usage_report(now) : std::nullopt;
+  if (!usage) return datagrams;
+  const std::string bytes =
+      EncodeUsage({settings_.self.id, settings_.self.incarnation, *usage}, *signer_);
+  const double reserve = kUsageReserveShare * settings_.bytes_per_second * kBucketCapacitySeconds;
+  for (const SocketAddress& target : PickUsageTargets(now)) {
+    const auto bytes_left =
+        byte_budget_.Level(now) - static_cast<double>(bytes.size() + kIpUdpHeaderBytes);
+    if (bytes_left < reserve || !TryAcquireBytes(bytes.size(), now)) break;
+    datagrams.push_back({target, bytes});
+  }
+  next_usage_target_ += datagrams.size();
+  return datagrams;
+}
+
 // ---- queries ----
 
 std::vector<OutgoingDatagram> GossipNode::QueryDatagrams(std::uint64_t query_id, HybridTime sent_at,
--- a/tests/membership/gossip_node_test.cc
+++ b/tests/membership/gossip_node_test.cc
@@ -3,8 +3,12 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <map>
+#include <optional>
+#include <set>
+#include <string>
 
 #include "primroseweir/peer/gossip_codec.h"
+#include "primroseweir/peer/usage_datagram.h"
 
 namespace primroseweir {
 namespace {
@@ -211,5 +215,45 @@
   CHECK(times_sent["upstream-1"] <= 24);
 }
 
+// ---- use of quotas ----
+
+// Guards against reports that use up the byte budget, that go to some peers only, or that are sent
+// although there is nothing to report.
+TEST_CASE("reports of quotas keep within the byte budget and reach all peers with such calls") {
+  NodeFixture fixture(40);
+  CHECK(fixture.node.UsageDatagrams(kStart).empty());
+  fixture.hooks.usage_report = [](Instant) {
+    UsageReport report;
+    report.customers = {{1, 2, 3}};
+    return std::optional<UsageReport>(report);
+  };
+  fixture.hooks.usage_targets = [](const MembershipView&, Instant) {
+    std::set<InstanceId> active;
+    for (std::uint64_t i = 2; i <= 16; ++i) active.insert(InstanceId("entry-" + std::to_string(i)));
+    return active;
+  };
+  std::map<std::string, int> received;
+  std::size_t bytes = 0;
+  std::size_t periodic = 0;
+  for (int round = 0; round < 100; ++round) {
+    const Duration at = round * GossipNode::kUsageReportInterval;
+    fixture.ReceiveHeartbeats(40, at);
+    for (const auto& datagram : fixture.node.UsageDatagrams(kStart + at)) {
+      ++received[datagram.to.ip];
+      bytes += datagram.bytes.size() + GossipNode::kIpUdpHeaderBytes;
+      CHECK(DecodeUsage(datagram.bytes, "", Signer()).ok());
+    }
+    if (round % 2 != 0) continue;
+    for (const auto& datagram : fixture.node.Tick(HybridTimeAt(at), kStart + at, nullptr)) {
+      ++periodic;
+      bytes += datagram.bytes.size() + GossipNode::kIpUdpHeaderBytes;
+    }
+  }
+  // Ten seconds, and the capacity of the budget, which is full at the start.
+  CHECK(static_cast<double>(bytes) <= 11 * NodeFixture::Settings().bytes_per_second);
+  CHECK(periodic == 150);
+  for (int i = 2; i <= 16; ++i) CHECK(received["10.0.0." + std::to_string(i)] >= 8);
+}
+
 }  // namespace
 }  // namespace primroseweir
