Bound what datagrams of forged or malformed content make an instance hold

The decoder allocated each array by its stated size: 64 KB of nested headers held 94 MB. Records were kept for ten minutes whatever their texts and number (409 MB in seconds), and the size of the fleet was computed again for each record, from all records (a turn of 9.0 s).

--- a/include/primroseweir/fleet/fleet_table.h
+++ b/include/primroseweir/fleet/fleet_table.h
@@ -47,10 +47,11 @@
 
   // ---- exchange ----
 
-  // Merges a record from a peer. Returns true if that incarnation of the instance was not known as
-  // live before. A record of an earlier run of this instance with a higher incarnation raises this
-  // instance's incarnation above it: incarnations start from the time of day, which may have
-  // stepped back in between.
+  // Merges a record from a peer, unless it has no IPv4 address or a data centre of more than
+  // kMaxNameBytes. Returns true if that incarnation of the instance was not known as live before. A
+  // record of an earlier run of this instance with a higher incarnation raises this instance's
+  // incarnation above it: incarnations start from the time of day, which may have stepped back in
+  // between.
   bool Merge(const FleetMember& member, Instant now);
   // Returns the known record of an earlier run of `sender` whose incarnation is higher than the
   // sender's. The sender needs it to raise its incarnation, or its records would be ignored for as
@@ -80,7 +81,11 @@
   // records them as forwarded now.
   bool TryAcquireForwardTurn(const DataCentre& from, Instant now);
   // Records that another instance of this data centre forwarded heartbeats of `from`.
-  void RecordForwarded(const DataCentre& from, Instant now) { forwarded_at_[from] = now; }
+  void RecordForwarded(const DataCentre& from, Instant now) {
+    if (HasRoomForForwarded(from)) {
+      forwarded_at_[from] = now;
+    }
+  }
   // Returns those of `heartbeats` to forward within this data centre: all but those of its own
   // instances. Linear.
   std::vector<FleetHeartbeat> HeartbeatsToForward(
@@ -172,6 +177,17 @@
   // Limit on the records that one message requests: those of a whole data centre fill a few
   // packets.
   static constexpr std::size_t kMaxRequestedRecords = 64;
+  // Limit on the records that are kept, above any fleet. When it is reached, a record replaces that
+  // of an instance that has timed out, or is ignored. Also the limit on the records that are
+  // requested at a time.
+  static constexpr std::size_t kMaxPeers = 2000;
+  // Longest name of a data centre that is accepted from peers.
+  static constexpr std::size_t kMaxNameBytes = 256;
+  // Limit on the data centres whose heartbeats are forwarded.
+  static constexpr std::size_t kMaxDataCentres = 256;
+  // After a record was ignored for lack of room, further ones are for this time, since the search
+  // for room is linear.
+  static constexpr Duration kNoRoomRetryDelay = std::chrono::milliseconds(250);
   // A record is requested again after this time, since the request or the response may be lost.
   static constexpr Duration kRecordRequestInterval = std::chrono::milliseconds(400);
   // A heartbeat further back than this belongs to a later incarnation whose record has the same
@@ -212,6 +228,11 @@
   };
 
   bool IsLive(const PeerEntry& peer_entry, Instant now) const;
+  // Removes the entry of an instance that has timed out if there are kMaxPeers. Returns whether
+  // there is room for one more. Linear.
+  bool MakeRoomForPeer(Instant now);
+  // Whether forwarded heartbeats of that data centre can be recorded.
+  bool HasRoomForForwarded(const DataCentre& from) const;
   static PeerEntry PeerEntryOf(const FleetMember& member, Instant now);
   static FleetHeartbeat HeartbeatOf(const PeerEntry& peer_entry);
   // Whether to request the record of that instance now; true records that it is requested.
@@ -238,6 +259,7 @@
   FleetMember self_;
   Random random_;
   std::map<std::string, PeerEntry> peers_;
+  Instant no_room_until_ = Instant::min();
   // When heartbeats of another data centre were last forwarded within this one.
   std::map<DataCentre, Instant> forwarded_at_;
   // When the record of an instance was last requested.
--- a/include/primroseweir/gateway/fleet_service.h
+++ b/include/primroseweir/gateway/fleet_service.h
@@ -159,7 +159,8 @@
   // Merges the heartbeats of a message and requests missing records from its sender. Forwards
   // heartbeats from another data centre to the local peers.
   void ReceiveHeartbeats(const FleetMessage& message, Instant now);
-  // Records that an instance became live, according to a message from `reported_by`.
+  // Records that an instance became live, according to a message from `reported_by`. Receive then
+  // updates the size of the fleet.
   void RecordLive(const std::string& ip, const std::string& reported_by, Instant now);
   // Sets the calls of the peers at each upstream from their reports, without those that are too
   // old.
@@ -183,6 +184,7 @@
   PeerLoads loads_;
   UdpSocket socket_;
   std::set<std::string> live_peers_;
+  bool is_fleet_size_stale_ = false;
   bool has_received_from_peer_ = false;
   bool is_stopping_ = false;
   std::uint64_t heartbeat_count_ = 0;
--- a/src/fleet/fleet_codec.cc
+++ b/src/fleet/fleet_codec.cc
@@ -42,6 +42,16 @@
 constexpr std::size_t kMaxCustomers = 1024;
 constexpr std::size_t kMaxActivePeers = 256;
 
+// Limits of the decoder, since it allocates an array by its stated size before it reads the
+// elements: 64 KB of nested headers held 94 MB. A datagram of 64 KB has room for fewer heartbeats,
+// and a message has four levels; later versions may have more.
+constexpr std::size_t kMaxElements = 8192;
+constexpr std::size_t kMaxBytes = std::size_t{64} * 1024;
+constexpr std::size_t kMaxLevels = 16;
+// Records beyond these are ignored. Instances request at most FleetTable::kMaxRequestedRecords at a
+// time, and few instances of a fleet read the store.
+constexpr std::size_t kMaxRecords = 256;
+
 constexpr unsigned kAddressShift = 32;
 constexpr unsigned kDigestShift = 16;
 
@@ -144,6 +154,9 @@
   FleetMessage message;
   for (const auto& [ip, data_centre, incarnation, heartbeat, leaving, reads_store, published,
                     capacity] : std::get<1>(tuple)) {
+    if (message.members.size() == kMaxRecords) {
+      break;
+    }
     FleetMember member;
     member.ip = ip;
     member.data_centre = DataCentre(data_centre);
@@ -190,7 +203,9 @@
 
 absl::StatusOr<FleetMessage> DecodeFleetMessage(std::string_view data) {
   try {
-    const auto handle = msgpack::unpack(data.data(), data.size());
+    const msgpack::unpack_limit limit(kMaxElements, kMaxElements, kMaxBytes, kMaxBytes, kMaxBytes,
+                                      kMaxLevels);
+    const auto handle = msgpack::unpack(data.data(), data.size(), nullptr, nullptr, limit);
     const auto tuple = handle.get().as<MessageTuple>();
     if (std::get<0>(tuple) != kFormatVersion || std::get<1>(tuple).empty()) {
       return MakeError(absl::StatusCode::kInvalidArgument, {"peer message", ""},
--- a/src/fleet/fleet_table.cc
+++ b/src/fleet/fleet_table.cc
@@ -20,6 +20,16 @@
   return is_small ? recorded : actual;
 }
 
+bool IsAcceptedName(const DataCentre& data_centre) {
+  return data_centre.value().size() <= FleetTable::kMaxNameBytes;
+}
+
+// A record is kept for minutes and its address is used to send, so neither text may be arbitrary.
+bool IsAccepted(const FleetMember& member) {
+  const auto bits = AddressBits(member.ip);
+  return bits != 0 && AddressText(bits) == member.ip && IsAcceptedName(member.data_centre);
+}
+
 bool IsNewer(const FleetMember& a, const FleetMember& b) {
   return std::make_pair(a.incarnation, a.heartbeat) > std::make_pair(b.incarnation, b.heartbeat);
 }
@@ -61,6 +71,25 @@
   return now - peer_entry.last_heartbeat_at < timeout;
 }
 
+bool FleetTable::MakeRoomForPeer(Instant now) {
+  if (peers_.size() < kMaxPeers) {
+    return true;
+  }
+  if (now < no_room_until_) {
+    return false;
+  }
+  const auto oldest =
+      std::min_element(peers_.begin(), peers_.end(), [](const auto& a, const auto& b) {
+        return a.second.last_heartbeat_at < b.second.last_heartbeat_at;
+      });
+  if (IsLive(oldest->second, now)) {
+    no_room_until_ = now + kNoRoomRetryDelay;
+    return false;
+  }
+  peers_.erase(oldest);
+  return true;
+}
+
 FleetTable::PeerEntry FleetTable::PeerEntryOf(const FleetMember& member, Instant now) {
   return {member, now, AddressBits(member.ip), RecordDigest(member)};
 }
@@ -79,11 +108,14 @@
   }
   const auto found = peers_.find(member.ip);
   if (found == peers_.end()) {
+    if (!IsAccepted(member) || !MakeRoomForPeer(now)) {
+      return false;
+    }
     peers_[member.ip] = PeerEntryOf(member, now);
     return true;
   }
   auto& peer_entry = found->second;
-  if (!IsNewer(member, peer_entry.member)) {
+  if (!IsNewer(member, peer_entry.member) || !IsAccepted(member)) {
     return false;
   }
   // An instance that restarted before it timed out has lost what it knew of the fleet.
@@ -134,7 +166,15 @@
   return heartbeats;
 }
 
+bool FleetTable::HasRoomForForwarded(const DataCentre& from) const {
+  return IsAcceptedName(from) &&
+         (forwarded_at_.size() < kMaxDataCentres || forwarded_at_.count(from) > 0);
+}
+
 bool FleetTable::TryAcquireForwardTurn(const DataCentre& from, Instant now) {
+  if (!HasRoomForForwarded(from)) {
+    return false;
+  }
   const auto [forwarded, is_first] = forwarded_at_.try_emplace(from, now);
   if (!is_first && now - forwarded->second < kMinForwardInterval) {
     return false;
@@ -157,6 +197,9 @@
 }
 
 bool FleetTable::TryAcquireRecordRequest(const std::string& ip, Instant now) {
+  if (record_requested_at_.size() >= kMaxPeers && record_requested_at_.count(ip) == 0) {
+    return false;
+  }
   const auto [requested, is_first] = record_requested_at_.try_emplace(ip, now);
   if (!is_first && now - requested->second < kRecordRequestInterval) {
     return false;
--- a/src/gateway/fleet_service_receiving.cc
+++ b/src/gateway/fleet_service_receiving.cc
@@ -55,6 +55,11 @@
   if (!message->heartbeats.empty()) {
     ReceiveHeartbeats(*message, now);
   }
+  if (std::exchange(is_fleet_size_stale_, false)) {
+    // Once for each message: the size is computed from all records, of which a message may have
+    // hundreds.
+    gateway_->balancer().SetFleetSize(table_.PeakSize(now));
+  }
   if (message->usage) {
     gateway_->quota().MergeUsage(AddressBits(ip), message->members.front().incarnation,
                                  *message->usage, now);
@@ -100,7 +105,7 @@
 void FleetService::RecordLive(const std::string& ip, const std::string& reported_by, Instant now) {
   live_peers_.insert(ip);
   log_->Write("peer_live", {{"peer", ip}, {"told_by", reported_by}}, now);
-  gateway_->balancer().SetFleetSize(table_.PeakSize(now));
+  is_fleet_size_stale_ = true;
 }
 
 void FleetService::ReceiveLoadReport(const std::string& ip, const PeerLoadReport& load,
