Hand responses over in pieces of 16 KB while memory is short

An attempt held up to 768 KB of its response, and a caller that does not read 256 KB more. The account counted both, but a call whose upstream is still responding is never chosen to be closed, so that 300 slow readers of 4 MB took a machine of 64 MB to 190 MB.

While memory is short, a successful response is handed over from 16 KB on, the upstream is paused at 32 KB that the caller has not read, and empty input buffers are freed. Such a call is not fetched again if its upstream is lost; an error is still held whole, since a retry may follow it.

--- a/include/primroseweir/gateway/routed_call.h
+++ b/include/primroseweir/gateway/routed_call.h
@@ -80,6 +80,8 @@
   // Bytes of a streamed response that the caller has not accepted, above which reading from the
   // upstream is paused.
   static constexpr std::size_t kResponseHighWaterMark = std::size_t{256} * 1024;
+  // The same while memory is short.
+  static constexpr std::size_t kResponseHighWaterMarkIfShort = std::size_t{32} * 1024;
   // Maximum time in which a streamed response makes no progress: the caller acknowledges no byte
   // and the upstream sends none.
   static constexpr Duration kStreamIdleTimeout = std::chrono::seconds(10);
--- a/include/primroseweir/loop/http_client_stream.h
+++ b/include/primroseweir/loop/http_client_stream.h
@@ -84,9 +84,16 @@
   // Longer responses are handed over in pieces. Shorter ones are held until they are complete, so
   // that they can be fetched again when the connection fails.
   static constexpr std::size_t kMaxBufferedBytes = std::size_t{768} * 1024;
+  // The same for successful responses while memory is short: hundreds of slow callers' responses
+  // held 190 MB. Those calls are not fetched again when the connection fails.
+  static constexpr std::size_t kMaxBufferedBytesIfShort = std::size_t{16} * 1024;
+  // Larger empty input buffers are freed.
+  static constexpr std::size_t kMaxKeptInputBytes = std::size_t{4} * 1024;
 
  private:
   bool ParseInput();
+  // Bytes of the current response's body above which it is handed over in pieces.
+  std::size_t MaxBufferedBytes();
   // Discards the `used` bytes of a stray response. Above kMaxStrayBytes, fails the request and
   // returns false.
   bool DiscardStrayResponse(std::size_t used);
--- a/src/gateway/routed_call.cc
+++ b/src/gateway/routed_call.cc
@@ -411,7 +411,8 @@
   gateway_->CountResponseBytes(piece.size());
   stream_unacked_bytes_ = caller_->unacked_bytes();
   if (!is_complete) {
-    if (caller_->pending_bytes() > kResponseHighWaterMark) {
+    if (caller_->pending_bytes() >
+        (gateway_->IsShortOfMemory() ? kResponseHighWaterMarkIfShort : kResponseHighWaterMark)) {
       attempt->stream()->PauseReading();
     }
     return;
--- a/src/loop/http_client_stream.cc
+++ b/src/loop/http_client_stream.cc
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr int kFirstFinalStatus = 200;
+constexpr int kFirstRedirection = 300;
 constexpr int kFirstErrorStatus = 400;
 constexpr int kMisdirectedStatus = 421;
 
@@ -135,6 +136,9 @@
     return false;
   }
   input_.erase(0, *used);
+  if (input_.empty() && input_.capacity() > kMaxKeptInputBytes) {
+    input_ = std::string();
+  }
   UpdateCharge();
   if (!parser_.is_head_complete()) {
     return true;
@@ -154,7 +158,7 @@
     Complete();
     return false;
   }
-  if (body_.size() > kMaxBufferedBytes) {
+  if (body_.size() > MaxBufferedBytes()) {
     auto piece = std::exchange(body_, std::string());
     UpdateCharge();
     callbacks_->OnResponse(parser_.response(), std::move(piece), false);
@@ -163,6 +167,13 @@
   return true;
 }
 
+std::size_t HttpClientStream::MaxBufferedBytes() {
+  // An error may be followed by a retry, so it is held until it is complete.
+  const bool is_success = parser_.response()->status < kFirstRedirection;
+  return is_success && loop_->connections().memory().is_short() ? kMaxBufferedBytesIfShort
+                                                                 : kMaxBufferedBytes;
+}
+
 bool HttpClientStream::DiscardStrayResponse(std::size_t used) {
   may_be_desynchronized_ = may_receive_copies_ = true;
   if (IsUnidentifiedError()) {
