--- a/include/primroseweir/loop/http_port.h
+++ b/include/primroseweir/loop/http_port.h
@@ -5,10 +5,10 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <unordered_map>
-#include <vector>
 
 #include "primroseweir/base/socket_address.h"
 #include "primroseweir/base/time.h"
@@ -92,7 +92,7 @@
   std::int64_t bytes_ahead_ = 0;
   std::uint64_t rejected_connections_ = 0;
   // Streams whose input waits for the next turn of the loop.
-  std::vector<HttpServerStream*> waiting_streams_;
+  std::deque<HttpServerStream*> waiting_streams_;
   Timer timeout_check_timer_;
   NextTurn continue_turn_;
 };
--- a/src/loop/http_port.cc
+++ b/src/loop/http_port.cc
@@ -71,7 +71,7 @@
   // Streams that are not finished in this turn wait behind the others.
   for (auto count = waiting_streams_.size(); count > 0 && !waiting_streams_.empty(); --count) {
     auto* stream = waiting_streams_.front();
-    waiting_streams_.erase(waiting_streams_.begin());
+    waiting_streams_.pop_front();
     stream->ContinueParsing();
   }
   if (!waiting_streams_.empty()) {
