Read at most 128 KB of a connection in one turn of the loop

libuv reads up to 2 MB of one connection before it goes on, and the parser sees each chunk of a byte, so that one caller could keep all others waiting for it. Such a connection now continues in the next turn, like one with many requests ahead. A loop test counts what a connection delivers in each turn: 2,097,152 bytes in one turn in a trial without the limit, at most 196,608 with it (a read may bring 64 KB).

--- a/include/primroseweir/loop/event_loop.h
+++ b/include/primroseweir/loop/event_loop.h
@@ -34,6 +34,9 @@
   // is served.
   Duration TakeLongestTurn();
 
+  // Number of waits for events so far; work with the same number belongs to one turn.
+  std::uint64_t turn() const { return turn_; }
+
   uv_loop_t* uv() { return &loop_; }
 
  private:
@@ -47,6 +50,7 @@
   std::uint64_t turn_started_ = 0;
   std::uint64_t idle_time_ = 0;
   std::uint64_t longest_turn_ = 0;
+  std::uint64_t turn_ = 0;
 };
 
 }  // namespace primroseweir
--- a/include/primroseweir/loop/http_server_stream.h
+++ b/include/primroseweir/loop/http_server_stream.h
@@ -76,6 +76,9 @@
   // Further requests ahead on a connection wait for the next turn of the loop, so that others are
   // served in between.
   static constexpr int kMaxRequestsPerTurn = 16;
+  // After this many bytes in one turn of the loop, a connection is read on in the next turn. libuv
+  // reads up to 2 MB, whose chunks may have a byte each.
+  static constexpr std::size_t kMaxBytesPerTurn = std::size_t{128} * 1024;
   // Requests that announce at most this size are accepted from a reserve when memory runs short.
   static constexpr std::size_t kMaxSmallBodyBytes = std::size_t{16} * 1024;
   // True cost of a connection without input: this object, its parser, its handle in libuv and the
@@ -128,6 +131,9 @@
   std::size_t Parse(const char* data, std::size_t size);
   // Appends to the input that has to wait; pauses reading when there is much of it.
   void KeepInput(const char* data, std::size_t size);
+  // Stops reading until the next turn of the loop if `size` further bytes are too many for this
+  // one.
+  void YieldAfterMuchInput(std::size_t size);
   void DiscardInput();
   // Removes bytes from the front of the input.
   void ConsumeInput(std::size_t size);
@@ -218,6 +224,9 @@
   bool is_reading_paused_ = false;
   // Input waits for the next turn of the loop.
   bool is_yielding_ = false;
+  // The turn in which input last arrived, and its bytes in that turn.
+  std::uint64_t input_turn_ = 0;
+  std::size_t turn_bytes_ = 0;
   // Reading has stopped until memory is available again.
   bool is_held_back_ = false;
   // Whether the next request in the input can only be served in its turn.
--- a/src/loop/event_loop.cc
+++ b/src/loop/event_loop.cc
@@ -37,6 +37,7 @@
 void EventLoop::Run() { uv_run(&loop_, UV_RUN_DEFAULT); }
 
 void EventLoop::MeasureTurn() {
+  ++turn_;
   const auto now = uv_hrtime();
   const auto idle_time = uv_metrics_idle_time(&loop_);
   if (turn_started_ != 0) {
--- a/src/loop/http_client_stream.cc
+++ b/src/loop/http_client_stream.cc
@@ -171,7 +171,7 @@
   // An error may be followed by a retry, so it is held until it is complete.
   const bool is_success = parser_.response()->status < kFirstRedirection;
   return is_success && loop_->connections().memory().is_short() ? kMaxBufferedBytesIfShort
-                                                                 : kMaxBufferedBytes;
+                                                                : kMaxBufferedBytes;
 }
 
 bool HttpClientStream::DiscardStrayResponse(std::size_t used) {
--- a/src/loop/http_server_stream.cc
+++ b/src/loop/http_server_stream.cc
@@ -71,6 +71,7 @@
     KeepInput(data + used, size - used);
   }
   UpdateBufferedBytes();
+  YieldAfterMuchInput(size);
   if (has_input() && MayReadAhead()) {
     ParseInput();
     return;
@@ -78,6 +79,20 @@
   HoldBackIfOverMemoryLimit();
 }
 
+void HttpServerStream::YieldAfterMuchInput(std::size_t size) {
+  const auto turn = port_->loop()->turn();
+  if (std::exchange(input_turn_, turn) != turn) {
+    turn_bytes_ = 0;
+  }
+  turn_bytes_ += size;
+  if (turn_bytes_ > kMaxBytesPerTurn && !is_yielding_ && !is_reading_paused_ &&
+      state_ != State::kLingering) {
+    stream_->PauseReading();
+    is_reading_paused_ = is_yielding_ = true;
+    port_->ContinueNextTurn(this);
+  }
+}
+
 void HttpServerStream::HoldBackIfOverMemoryLimit() {
   auto& connections = port_->loop()->connections();
   if (connections.memory().is_over() && !is_held_back_) {
