Correct a learnt concurrency limit under load

Cause: once the limit of a service is at the knee, the slots above it get no calls, so that a limit learnt in a slow spell stays for the life of the process. The knee of one upstream was compared with means over upstreams with other numbers of slots.

Change: responses lose weight with age, upstreams are compared by their number of slots, and while all usable upstreams are at the limit one call a second that may be repeated gets a slot above it (event limit_explored).

--- a/include/primroseweir/balance/load_balancer.h
+++ b/include/primroseweir/balance/load_balancer.h
@@ -68,6 +68,8 @@
   struct PickResult {
     std::shared_ptr<BalancedUpstream> upstream;
     PickFailure failure = PickFailure::kNone;
+    // Whether the upstream was picked for a slot above its concurrency limit.
+    bool is_exploration = false;
     // Upstreams to probe before the call is sent. If an upstream was picked and its load report is
     // old, these are the best candidates, the picked one first, since another may turn out to be
     // better. If none was picked, these are suspect upstreams whose probe is due. Empty when the
@@ -183,6 +185,10 @@
   // up to the knee, below which calls are as fast in a busy data centre as in an idle one. What
   // does not fit goes to other data centres.
   static constexpr double kRemoteLatencyFraction = 0.28;
+  // Time between two calls of one service in slots above its concurrency limit, which show whether
+  // the limit still holds. A call of 0.3 s then slows one upstream down for a third of the time,
+  // and 15 responses, enough for a comparison, take 15 s.
+  static constexpr Duration kExplorationInterval = std::chrono::seconds(1);
   // Cost of a failed attempt, which requires a second one.
   static constexpr Duration kFailurePenalty = std::chrono::milliseconds(400);
 
@@ -193,6 +199,8 @@
     ServicePressure pressure;
     // When an upstream was last requested for a call.
     Instant last_requested;
+    // When the last call was placed above the concurrency limit.
+    Instant last_explored;
   };
 
   // A process that stated that it leaves.
@@ -202,6 +210,10 @@
     Instant last_listed;
   };
 
+  // Returns the best upstream with a free slot above the concurrency limit if a call in one is due,
+  // else null. Only calls that may be repeated explore: a nearly full upstream may reset them.
+  std::shared_ptr<BalancedUpstream> PickToExplore(const PickArgs& args, bool local_only,
+                                                  ServiceEntry* service, Instant now) const;
   // Returns up to kMaxProbesPerCall suspect upstreams whose probe is due, local ones first, and
   // schedules their next probes.
   std::vector<std::shared_ptr<BalancedUpstream>> DueSuspectProbes(const ServiceEntry& service,
--- a/src/balance/latency_estimator.cc
+++ b/src/balance/latency_estimator.cc
@@ -24,44 +24,63 @@
 
 }  // namespace
 
-// The first samples count equally, later ones by kSampleWeight.
-void LatencyEstimator::Averages::Add(double sample_latency, double sample_occupancy) {
-  const double weight = std::max(kSampleWeight, 1.0 / ++responses);
-  latency += (sample_latency - latency) * weight;
-  occupancy += (sample_occupancy - occupancy) * weight;
+// The first samples count equally, later ones by kSampleWeight, and more after a time with few.
+void LatencyEstimator::Averages::Add(double sample_latency, double sample_occupancy, Instant now) {
+  const double age = std::chrono::duration<double>(now - updated_at).count();
+  weight *= std::exp(-std::max(0.0, age) / std::chrono::duration<double>(kMemory).count());
+  updated_at = now;
+  ++responses;
+  ++weight;
+  const double sample_weight = std::max(kSampleWeight, 1 / weight);
+  latency += (sample_latency - latency) * sample_weight;
+  occupancy += (sample_occupancy - occupancy) * sample_weight;
 }
 
-void LatencyEstimator::RecordResponse(Duration latency, double occupancy, std::uint32_t slots) {
+bool LatencyEstimator::Comparison::KnowsKnee() const {
+  return below_knee.responses >= kMinResponses && above_knee.responses >= kMinResponses;
+}
+
+void LatencyEstimator::RecordResponse(Duration latency, double occupancy, std::uint32_t slots,
+                                      Instant now) {
   const double seconds = std::chrono::duration<double>(latency).count();
-  if (occupancy <= SlotsBelowKnee(slots)) {
-    below_knee_.Add(seconds, occupancy);
+  const bool is_below_knee = occupancy <= SlotsBelowKnee(slots);
+  if (is_below_knee) {
+    below_knee_.Add(seconds, occupancy, now);
     latency_estimate_ =
         std::chrono::duration_cast<Duration>(std::chrono::duration<double>(below_knee_.latency));
-  } else if (occupancy <= slots) {
-    above_knee_.Add(seconds, occupancy);
   }
+  if (occupancy > slots ||
+      (comparisons_.size() >= kMaxSlotCounts && comparisons_.count(slots) == 0)) {
+    return;
+  }
+  auto& comparison = comparisons_[slots];
+  (is_below_knee ? comparison.below_knee : comparison.above_knee).Add(seconds, occupancy, now);
 }
 
-bool LatencyEstimator::KnowsKnee() const {
-  return below_knee_.responses >= kMinResponses && above_knee_.responses >= kMinResponses;
+const LatencyEstimator::Comparison* LatencyEstimator::FindKnown(std::uint32_t slots) const {
+  const auto found = comparisons_.find(slots);
+  return found != comparisons_.end() && found->second.KnowsKnee() ? &found->second : nullptr;
 }
 
 double LatencyEstimator::LoadFactor(double occupancy, std::uint32_t slots) const {
-  if (!KnowsKnee() || occupancy <= SlotsBelowKnee(slots) + kOccupancyTolerance) {
+  const auto* known = FindKnown(slots);
+  if (known == nullptr || occupancy <= SlotsBelowKnee(slots) + kOccupancyTolerance) {
     return 1;
   }
-  return std::max(1.0, above_knee_.latency / below_knee_.latency);
+  return std::max(1.0, known->above_knee.latency / known->below_knee.latency);
 }
 
 std::uint32_t LatencyEstimator::ConcurrencyLimit(std::uint32_t slots) const {
   const auto knee = SlotsBelowKnee(slots);
-  if (!KnowsKnee()) {
+  const auto* known = FindKnown(slots);
+  if (known == nullptr) {
     return slots;
   }
-  const double throughput_below = knee / below_knee_.latency;
-  const double throughput_above = above_knee_.occupancy / above_knee_.latency;
+  const double throughput_below = knee / known->below_knee.latency;
+  const double throughput_above = known->above_knee.occupancy / known->above_knee.latency;
   // The first calls above the knee overstate the gain: they run partly before the upstream is full.
-  const double min_gain = std::min(kMinThroughputGain, 1 + (above_knee_.occupancy / knee - 1) / 2);
+  const double min_gain =
+      std::min(kMinThroughputGain, 1 + (known->above_knee.occupancy / knee - 1) / 2);
   return throughput_above > throughput_below * min_gain ? slots : knee;
 }
 
--- a/src/balance/load_balancer.cc
+++ b/src/balance/load_balancer.cc
@@ -130,7 +130,7 @@
 LoadBalancer::PickResult LoadBalancer::Pick(const PickArgs& args, Instant now) {
   const auto found = services_.find(args.service);
   if (found == services_.end()) {
-    return {nullptr, PickFailure::kNoUpstream, {}};
+    return {nullptr, PickFailure::kNoUpstream, false, {}};
   }
   auto& service = found->second;
   service.last_requested = now;
@@ -171,6 +171,14 @@
     ranked.emplace_back(cost, upstream);
   }
   if (ranked.empty()) {
+    if (pick.failure == PickFailure::kFull) {
+      pick.upstream = PickToExplore(args, local_only, &service, now);
+      if (pick.upstream != nullptr) {
+        pick.failure = PickFailure::kNone;
+        pick.is_exploration = true;
+        return pick;
+      }
+    }
     if (args.may_probe) {
       pick.to_probe = DueSuspectProbes(service, now);
     }
@@ -190,6 +198,41 @@
   return pick;
 }
 
+std::shared_ptr<BalancedUpstream> LoadBalancer::PickToExplore(const PickArgs& args, bool local_only,
+                                                              ServiceEntry* service,
+                                                              Instant now) const {
+  std::shared_ptr<BalancedUpstream> best;
+  if (!IsIdempotent(args.kind) || args.is_hedge ||
+      now - service->last_explored < kExplorationInterval) {
+    return best;
+  }
+  const auto& estimator = service->latency_estimator;
+  double best_cost = 0;
+  for (const auto& upstream : service->upstreams) {
+    const auto slots = upstream->record().slots;
+    const double occupancy = upstream->occupancy(now) + 1;
+    const double expected_latency = Seconds(estimator.latency_estimate()) *
+                                    upstream->slowness(now) *
+                                    estimator.LoadFactor(occupancy, slots);
+    if (!upstream->is_available(now) || upstream->is_suspect() || upstream->is_cold(now) ||
+        Contains(args.excluded, upstream->record().id) || (local_only && !IsLocal(*upstream)) ||
+        upstream->in_flight() >= upstream->pause().MaxInFlight(slots, now) ||
+        estimator.ConcurrencyLimit(slots) == slots || occupancy > slots + 0.5 ||
+        expected_latency > Seconds(args.latency_limit)) {
+      continue;
+    }
+    const double cost = Cost(*upstream, *service, args.kind, slots, now);
+    if (best == nullptr || cost < best_cost) {
+      best = upstream;
+      best_cost = cost;
+    }
+  }
+  if (best != nullptr) {
+    service->last_explored = now;
+  }
+  return best;
+}
+
 std::vector<std::shared_ptr<BalancedUpstream>> LoadBalancer::DueSuspectProbes(
     const ServiceEntry& service, Instant now) const {
   std::vector<std::shared_ptr<BalancedUpstream>> due;
@@ -271,7 +314,7 @@
     if (upstream->reported_waiting() == 0) {
       estimator.RecordResponse(now - started,
                                std::max<double>(occupancy, upstream->reported_running()),
-                               upstream->record().slots);
+                               upstream->record().slots, now);
     }
   }
   upstream->RecordEnd(outcome, started, estimator.latency_estimate(), now);
--- a/src/gateway/routed_call_placement.cc
+++ b/src/gateway/routed_call_placement.cc
@@ -110,6 +110,9 @@
       !gateway_->retry_budget(service_).TryAcquire(gateway_->balancer().fleet_size(), now)) {
     return PlacementResult::kNoBudget;
   }
+  if (pick.is_exploration) {
+    gateway_->metrics().CountEvent("limit_explored");
+  }
   StartAttempt(std::move(pick.upstream), now);
   return PlacementResult::kStarted;
 }
--- a/tests/balance/policies_test.cc
+++ b/tests/balance/policies_test.cc
@@ -15,6 +15,8 @@
 using AttemptEnd = RetryPolicy::AttemptEnd;
 using Step = RetryPolicy::Step;
 
+constexpr Instant kNow{std::chrono::hours(1)};
+
 RetryPolicy::State StateOf(CallKind kind, std::uint32_t attempts, bool may_have_executed = false) {
   RetryPolicy::State state;
   state.kind = kind;
@@ -145,10 +147,10 @@
   LatencyEstimator without_knee;
   CHECK(with_knee.ConcurrencyLimit(6) == 6);
   for (int i = 0; i < 30; ++i) {
-    with_knee.RecordResponse(milliseconds(90), 3, 6);
-    with_knee.RecordResponse(milliseconds(150), 6, 6);
-    without_knee.RecordResponse(milliseconds(90), 3, 6);
-    without_knee.RecordResponse(milliseconds(100), 6, 6);
+    with_knee.RecordResponse(milliseconds(90), 3, 6, kNow);
+    with_knee.RecordResponse(milliseconds(150), 6, 6, kNow);
+    without_knee.RecordResponse(milliseconds(90), 3, 6, kNow);
+    without_knee.RecordResponse(milliseconds(100), 6, 6, kNow);
   }
   CHECK(with_knee.ConcurrencyLimit(6) == 4);
   CHECK(without_knee.ConcurrencyLimit(6) == 6);
@@ -160,15 +162,15 @@
 TEST_CASE("the throughput above the knee counts the calls that were there", "[balance]") {
   LatencyEstimator estimator;
   for (int i = 0; i < 30; ++i) {
-    estimator.RecordResponse(milliseconds(90), 3, 6);
-    estimator.RecordResponse(milliseconds(130), 5, 6);
+    estimator.RecordResponse(milliseconds(90), 3, 6, kNow);
+    estimator.RecordResponse(milliseconds(130), 5, 6, kNow);
   }
   CHECK(estimator.ConcurrencyLimit(6) == 4);
   // Upstreams that do not slow down use all slots, also if few of them lie above the knee.
   LatencyEstimator without_knee;
   for (int i = 0; i < 30; ++i) {
-    without_knee.RecordResponse(milliseconds(100), 5, 10);
-    without_knee.RecordResponse(milliseconds(102), 9, 10);
+    without_knee.RecordResponse(milliseconds(100), 5, 10, kNow);
+    without_knee.RecordResponse(milliseconds(102), 9, 10, kNow);
   }
   CHECK(without_knee.ConcurrencyLimit(10) == 10);
 }
@@ -178,8 +180,8 @@
   LatencyEstimator estimator;
   CHECK(estimator.LoadFactor(6, 6) == 1);
   for (int i = 0; i < 30; ++i) {
-    estimator.RecordResponse(milliseconds(100), 3, 6);
-    estimator.RecordResponse(milliseconds(170), 6, 6);
+    estimator.RecordResponse(milliseconds(100), 3, 6, kNow);
+    estimator.RecordResponse(milliseconds(170), 6, 6, kNow);
   }
   CHECK(estimator.LoadFactor(4, 6) == 1);
   CHECK(estimator.LoadFactor(5, 6) == Approx(1.7));
