Count what shows a shortage of room, and tell other data centres in time

Cause, found by review: the pressure of a service without any usable upstream was 0; before calls left for other data centres, the instances there did not know of them; calls above the share of their customer counted as a shortage and displaced ones did not; calls above a quota counted as arrivals of their priority; a displaced call did not try other data centres.

Change: a service without room is tight for 1 s after a call; other data centres are told from 0.7 of the local room on; placements and arrivals are recorded as above; the quota is charged before admission by priority, and refunded as before; a displaced call takes the last resort of a call whose wait ends.

LoadBalancer's IsAnyServiceTight is now ShouldTellOtherDataCentres, also in its test.

--- a/include/primroseweir/balance/load_balancer.h
+++ b/include/primroseweir/balance/load_balancer.h
@@ -132,9 +132,10 @@
   std::optional<Instant> EndOfPauses(const ServiceName& service, Instant now) const;
   // Measures how much of each service's room is taken. Linear in the number of upstreams.
   void MeasurePressure(Instant now);
-  // Returns whether any service is short of room, by the last measurement.
-  bool IsAnyServiceTight() const;
-  // Returns whether that service is.
+  // Returns whether calls of any service may soon leave for other data centres, or already fill
+  // these, by the last measurement: the instances there should then know of this one's calls.
+  bool ShouldTellOtherDataCentres() const;
+  // Returns whether that service is short of room in all data centres together, as far as known.
   bool IsTight(const ServiceName& service) const;
   // Returns the latency estimate of the service.
   Duration LatencyEstimate(const ServiceName& service) const;
@@ -189,6 +190,13 @@
   // the limit still holds. A call of 0.3 s then slows one upstream down for a third of the time,
   // and 15 responses, enough for a comparison, take 15 s.
   static constexpr Duration kExplorationInterval = std::chrono::seconds(1);
+  // Used fraction of the local room from which other data centres are told of the calls of this
+  // instance, before calls leave for idle upstreams there: their cost of distance is that of a load
+  // of 0.8.
+  static constexpr double kLocalTightLevel = 0.7;
+  static constexpr double kLocalRelaxedLevel = 0.55;
+  // Time for which a service without any usable upstream counts as tight after a call for it.
+  static constexpr Duration kUnservedMemory = std::chrono::seconds(1);
   // Cost of a failed attempt, which requires a second one.
   static constexpr Duration kFailurePenalty = std::chrono::milliseconds(400);
 
@@ -196,7 +204,10 @@
   struct ServiceEntry {
     std::vector<std::shared_ptr<BalancedUpstream>> upstreams;
     LatencyEstimator latency_estimator;
+    // Of the upstreams of all data centres, and of the local ones. The calls of instances in other
+    // data centres are unknown until these are tight, so that the first is too low before.
     ServicePressure pressure;
+    ServicePressure local_pressure{kLocalTightLevel, kLocalRelaxedLevel};
     // When an upstream was last requested for a call.
     Instant last_requested;
     // When the last call was placed above the concurrency limit.
--- a/include/primroseweir/balance/service_pressure.h
+++ b/include/primroseweir/balance/service_pressure.h
@@ -12,6 +12,11 @@
 // after the burst.
 class ServicePressure {
  public:
+  ServicePressure() = default;
+  // `tight_level` and `relaxed_level` replace the defaults below.
+  ServicePressure(double tight_level, double relaxed_level)
+      : tight_level_(tight_level), relaxed_level_(relaxed_level) {}
+
   // Records that `calls` are in flight at upstreams that should have at most `room`, from all
   // instances as far as known. Called at each load report.
   void Update(double calls, double room);
@@ -19,7 +24,7 @@
   // Returns the used fraction of the room at the last update; 1 without room.
   double level() const { return level_; }
   // Returns whether calls may soon spill over to other data centres. Once true, it stays true until
-  // the level is below kRelaxedLevel, so that the reports do not start and stop several times a
+  // the level is below the relaxed level, so that the reports do not start and stop several times a
   // second.
   bool is_tight() const { return is_tight_; }
 
@@ -28,6 +33,8 @@
   static constexpr double kRelaxedLevel = 0.4;
 
  private:
+  double tight_level_ = kTightLevel;
+  double relaxed_level_ = kRelaxedLevel;
   double level_ = 0;
   bool is_tight_ = false;
 };
--- a/src/balance/load_balancer.cc
+++ b/src/balance/load_balancer.cc
@@ -384,19 +384,33 @@
   for (auto& [name, service] : services_) {
     double calls = 0;
     double room = 0;
+    double local_calls = 0;
+    double local_room = 0;
     for (const auto& upstream : service.upstreams) {
-      if (upstream->is_available(now) && !upstream->is_suspect()) {
-        calls += upstream->occupancy(now);
-        room += service.latency_estimator.ConcurrencyLimit(upstream->record().slots);
+      if (!upstream->is_available(now) || upstream->is_suspect()) {
+        continue;
       }
+      const double occupancy = upstream->occupancy(now);
+      const double limit = service.latency_estimator.ConcurrencyLimit(upstream->record().slots);
+      calls += occupancy;
+      room += limit;
+      local_calls += IsLocal(*upstream) ? occupancy : 0;
+      local_room += IsLocal(*upstream) ? limit : 0;
+    }
+    const bool is_requested =
+        service.last_requested != Instant() && now - service.last_requested <= kUnservedMemory;
+    if (room <= 0 && is_requested) {
+      calls = 1;
     }
     service.pressure.Update(calls, room);
+    service.local_pressure.Update(local_calls, local_room);
   }
 }
 
-bool LoadBalancer::IsAnyServiceTight() const {
-  return std::any_of(services_.begin(), services_.end(),
-                     [](const auto& entry) { return entry.second.pressure.is_tight(); });
+bool LoadBalancer::ShouldTellOtherDataCentres() const {
+  return std::any_of(services_.begin(), services_.end(), [](const auto& entry) {
+    return entry.second.pressure.is_tight() || entry.second.local_pressure.is_tight();
+  });
 }
 
 bool LoadBalancer::IsTight(const ServiceName& service) const {
--- a/src/balance/service_pressure.cc
+++ b/src/balance/service_pressure.cc
@@ -10,7 +10,7 @@
   } else {
     level_ = calls > 0 ? 1 : 0;
   }
-  is_tight_ = level_ >= (is_tight_ ? kRelaxedLevel : kTightLevel);
+  is_tight_ = level_ >= (is_tight_ ? relaxed_level_ : tight_level_);
 }
 
 }  // namespace primroseweir
--- a/src/gateway/fleet_service.cc
+++ b/src/gateway/fleet_service.cc
@@ -337,7 +337,7 @@
       caller_subset_ = AddressesFor(table_.self().data_centre);
     }
     targets.insert(caller_subset_.begin(), caller_subset_.end());
-    if (gateway_->balancer().IsAnyServiceTight()) {
+    if (gateway_->balancer().ShouldTellOtherDataCentres()) {
       if (remote_caller_subset_.empty()) {
         remote_caller_subset_ = RemoteCallerSubset(now);
       }
--- a/src/gateway/routed_call.cc
+++ b/src/gateway/routed_call.cc
@@ -102,14 +102,15 @@
     Refuse("crashes_upstreams", now);
     return;
   }
+  // A call above the quota needs no room, so that it does not count as an arrival.
+  if (!AcquireQuota(now)) {
+    return;
+  }
   if (IsRefusedForUrgentCalls(now)) {
     gateway_->metrics().CountEvent("less_urgent_refused");
     Refuse("less_urgent", now);
     return;
   }
-  if (!AcquireQuota(now)) {
-    return;
-  }
   PlaceOrEnqueue(RetryPolicy::Step::kRefuse, now);
 }
 
--- a/src/gateway/routed_call_placement.cc
+++ b/src/gateway/routed_call_placement.cc
@@ -155,7 +155,8 @@
   if (may_wait && TryLastResort(now)) {
     return;
   }
-  if (may_wait) {
+  // What a customer sends above its share shows no shortage for others.
+  if (may_wait && !is_above_share_) {
     RecordPlacement(false, now);
   }
   const char* reason = may_wait && is_above_share_                 ? "above_share"
@@ -221,6 +222,10 @@
 void RoutedCall::OnDisplaced(Instant now) {
   ticket_.reset();
   wait_timer_.Cancel();
+  if (TryLastResort(now)) {
+    return;
+  }
+  RecordPlacement(false, now);
   RefuseUnplaced("displaced", now);
 }
 
--- a/tests/balance/load_balancer_test.cc
+++ b/tests/balance/load_balancer_test.cc
@@ -443,14 +443,14 @@
   fixture.Add("b");
   fixture.Apply();
   fixture.balancer.MeasurePressure(fixture.now);
-  CHECK_FALSE(fixture.balancer.IsAnyServiceTight());
+  CHECK_FALSE(fixture.balancer.ShouldTellOtherDataCentres());
   fixture.At("a").SetPeerInFlight(4);
   fixture.balancer.MeasurePressure(fixture.now);
-  CHECK(fixture.balancer.IsAnyServiceTight());
+  CHECK(fixture.balancer.ShouldTellOtherDataCentres());
   // An upstream that is lost takes its calls along.
   fixture.At("a").MarkSuspect(BalancedUpstream::SuspectCause::kConnectionLost, fixture.now);
   fixture.balancer.MeasurePressure(fixture.now);
-  CHECK_FALSE(fixture.balancer.IsAnyServiceTight());
+  CHECK_FALSE(fixture.balancer.ShouldTellOtherDataCentres());
 }
 
 }  // namespace
--- a/tests/balance/service_pressure_test.cc
+++ b/tests/balance/service_pressure_test.cc
@@ -1,6 +1,10 @@
 #include "primroseweir/balance/service_pressure.h"
 
 #include <catch2/catch.hpp>
+#include <chrono>
+#include <string>
+
+#include "balance_fixture.h"
 
 namespace primroseweir {
 namespace {
@@ -28,5 +32,45 @@
   CHECK(pressure.is_tight());
 }
 
+// Load: calls while no upstream is usable. Guards against a service that counts as idle at that
+// moment, so that other data centres aren't told.
+TEST_CASE("a service whose upstreams are all out is tight while it gets calls", "[balance]") {
+  BalanceFixture fixture;
+  fixture.Add("u");
+  fixture.data_centres_out = {DataCentre("here")};
+  fixture.Apply();
+  fixture.balancer.MeasurePressure(fixture.now);
+  CHECK_FALSE(fixture.balancer.IsTight(ServiceName("s")));
+  REQUIRE(fixture.PickId().empty());
+  fixture.balancer.MeasurePressure(fixture.now);
+  CHECK(fixture.balancer.IsTight(ServiceName("s")));
+  fixture.now += std::chrono::seconds(2);
+  fixture.balancer.MeasurePressure(fixture.now);
+  CHECK_FALSE(fixture.balancer.IsTight(ServiceName("s")));
+}
+
+// Load: the local data centre fills up, and nothing is known of calls in the others. Guards against
+// calls that leave for upstreams whose instances don't know of them, and against refusals while
+// other data centres have room.
+TEST_CASE("other data centres are told before calls leave for them", "[balance]") {
+  BalanceFixture fixture;
+  for (const std::string id : {"a", "b"}) {
+    fixture.Add(id);
+    fixture.Add(id + "1", "there");
+    fixture.Add(id + "2", "there");
+  }
+  fixture.Apply();
+  int calls = 0;
+  auto upstream = fixture.Pick().upstream;
+  for (; upstream->record().data_centre == DataCentre("here"); upstream = fixture.Pick().upstream) {
+    fixture.balancer.RecordStart(upstream.get(), fixture.now);
+    ++calls;
+  }
+  REQUIRE(calls >= 4);
+  fixture.balancer.MeasurePressure(fixture.now);
+  CHECK(fixture.balancer.ShouldTellOtherDataCentres());
+  CHECK_FALSE(fixture.balancer.IsTight(ServiceName("s")));
+}
+
 }  // namespace
 }  // namespace primroseweir
--- a/tests/gateway/customer_fairness_test.cc
+++ b/tests/gateway/customer_fairness_test.cc
@@ -10,11 +10,12 @@
 namespace primroseweir::testing {
 namespace {
 
-// An upstream with one slot, and two customers.
+// An upstream with one slot unless stated otherwise, and two customers.
 class FairnessFixture : public GatewayFixture {
  public:
   explicit FairnessFixture(Duration work = std::chrono::milliseconds(100),
-                           Duration upstream_is_cold_for = Duration::zero()) {
+                           Duration upstream_is_cold_for = Duration::zero(),
+                           std::uint32_t slots = 1) {
     warm_up_left = upstream_is_cold_for;
     service_settings.cold_rate = 10;
     upstream = &AddUpstream(
@@ -22,7 +23,7 @@
           order += r.head.fields.Get("X-Customer");
           return Reply{FormatResponse(r, 200, "ok"), {}, work};
         },
-        "here", 1);
+        "here", slots);
     std::vector<CustomerTable::Entry> entries(2);
     entries[0].customer.name = CustomerName("a");
     entries[0].keys = {"key-a"};
@@ -116,5 +117,67 @@
   CHECK(fixture.order == "aaab");
 }
 
+// Load: one customer sends more than its share while another one's call waits. Guards against a
+// busy customer that makes the service count as short of room, so that less urgent calls of all
+// customers are refused.
+TEST_CASE("calls above a customer's share are no shortage", "[gateway]") {
+  FairnessFixture fixture(std::chrono::milliseconds(300), Duration::zero(), 2);
+  fixture.Send("a");
+  fixture.Send("a");
+  RunUntil(&fixture.loop(), [&] { return fixture.order.size() == 2; });
+  fixture.Send("b");
+  for (int i = 0; i < 10; ++i) {
+    auto* above_share = fixture.Send("a");
+    fixture.RunUntilEnd(above_share);
+    REQUIRE(Contains(above_share->received(), "above_share"));
+  }
+  CHECK(fixture.gateway().admission(ServiceName("s")).Shortage(EventLoop::Now()) == 0);
+}
+
+// Load: as in the first test. Guards against a shortage that stays unknown because the calls that
+// find no room are displaced after waiting, not refused at once.
+TEST_CASE("a displaced call is a sign of shortage", "[gateway]") {
+  FairnessFixture fixture(std::chrono::milliseconds(300));
+  const auto& admission = fixture.gateway().admission(ServiceName("s"));
+  LoopCaller* busy = nullptr;
+  do {
+    busy = fixture.Send("a");
+    RunUntil(&fixture.loop(), [&] {
+      return busy->status() != 0 || fixture.gateway().calls() == fixture.callers.size();
+    });
+  } while (busy->status() == 0);
+  const double shortage = admission.Shortage(EventLoop::Now());
+  fixture.Send("b");
+  CHECK(admission.Shortage(EventLoop::Now()) > shortage);
+}
+
+// Load: downloads fill the local data centre while another one has room. Guards against a download
+// that is refused because a call with a better claim takes its place, although others that find no
+// place are served elsewhere.
+TEST_CASE("a displaced download is served in another data centre", "[gateway]") {
+  FairnessFixture fixture(std::chrono::milliseconds(300));
+  auto& remote = fixture.AddUpstream(
+      [](const Request& r) {
+        return Reply{FormatResponse(r, 200, "ok"), {}, {}};
+      },
+      "there", 4);
+  fixture.Apply(CallKind::kDownload);
+  auto& elsewhere = *fixture.gateway().balancer().Find(UpstreamId("u2"));
+  elsewhere.SetPeerInFlight(4);
+  LoopCaller* busy = nullptr;
+  do {
+    busy = fixture.Send("a");
+    RunUntil(&fixture.loop(), [&] {
+      return busy->status() != 0 || fixture.gateway().calls() == fixture.callers.size();
+    });
+  } while (busy->status() == 0);
+  busy = fixture.callers[fixture.callers.size() - 2].get();
+  elsewhere.SetPeerInFlight(0);
+  fixture.Send("b");
+  fixture.RunUntilEnd(busy);
+  CHECK(busy->status() == 200);
+  CHECK(remote.requests().size() == 1);
+}
+
 }  // namespace
 }  // namespace primroseweir::testing
--- a/tests/gateway/customer_quota_test.cc
+++ b/tests/gateway/customer_quota_test.cc
@@ -10,7 +10,7 @@
 namespace primroseweir::testing {
 namespace {
 
-const char kKey[] = "Authorization: Token key-a\r\n";
+constexpr char kKey[] = "Authorization: Token key-a\r\n";
 
 class QuotaFixture : public GatewayFixture {
  public:
@@ -132,5 +132,20 @@
   CHECK(Contains(fixture.gateway().metrics().Text(), "decision=\"refunded\"} 1"));
 }
 
+// Load: a customer exceeds its quota of urgent calls while a service is short of room. Guards
+// against less urgent calls that are refused for calls which are not served either.
+TEST_CASE("calls above the quota need no room", "[gateway]") {
+  QuotaFixture fixture(Answer(200));
+  // The bucket of a new instance is empty.
+  REQUIRE(fixture.Call()->status() == 429);
+  const auto now = EventLoop::Now();
+  auto& admission = fixture.gateway().admission(ServiceName("s"));
+  admission.RecordArrival(2, now);
+  for (int i = 0; i < 100; ++i) {
+    admission.RecordPlacement(false, now);
+  }
+  CHECK_FALSE(admission.ShouldRefuse(2, 0, now));
+}
+
 }  // namespace
 }  // namespace primroseweir::testing
