Keep the logs of a site when a check of its test failed

Cause: the site kept its folder only while an exception was propagating, so the logs of a test that only a CHECK failed were removed, and two listed failures could not be traced.

--- a/tests/support/site.cc
+++ b/tests/support/site.cc
@@ -8,6 +8,7 @@
 #include <exception>
 #include <filesystem>
 #include <fstream>
+#include <functional>
 #include <iostream>
 #include <stdexcept>
 #include <utility>
@@ -47,6 +48,13 @@
                                     : Site::Binary("apps/primroseweir-entry/primroseweir-entry");
 }
 
+std::function<std::uint64_t()>& FailureCounter() {
+  static std::function<std::uint64_t()> counter;
+  return counter;
+}
+
+std::uint64_t CountFailures() { return FailureCounter() ? FailureCounter()() : 0; }
+
 std::string CreateFolder(const std::string& name) {
   static int count = 0;
   const std::string folder = Site::Binary("sites/" + name + "-" + std::to_string(getpid()) + "-" +
@@ -77,11 +85,16 @@
 
 }  // namespace
 
+void Site::SetFailureCounter(std::function<std::uint64_t()> counter) {
+  FailureCounter() = std::move(counter);
+}
+
 Site::Site(SitePlan plan)
     : plan_(std::move(plan)),
       folder_(CreateFolder(plan_.name)),
       fleet_key_(RandomSecret()),
       operator_token_(RandomSecret()),
+      failures_at_start_(CountFailures()),
       exceptions_at_start_(std::uncaught_exceptions()) {
   StartUpstreams();
   StartConfiguration();
@@ -105,7 +118,7 @@
   for (Entry& entry : entries_) {
     if (entry.process != nullptr) entry.process->Kill();
   }
-  if (std::uncaught_exceptions() > exceptions_at_start_) {
+  if (std::uncaught_exceptions() > exceptions_at_start_ || CountFailures() != failures_at_start_) {
     std::cerr << "logs=" << folder_ << "\n";
     return;
   }
--- a/tests/support/site.h
+++ b/tests/support/site.h
@@ -1,6 +1,8 @@
 #ifndef TESTS_SUPPORT_SITE_H_
 #define TESTS_SUPPORT_SITE_H_
 
+#include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -29,8 +31,9 @@
   // Starts all processes and waits until the address response of each entry instance lists all
   // instances.
   explicit Site(SitePlan plan);
-  // Removes the folder, unless an exception is propagating, as after a failed REQUIRE: then prints
-  // the path of the folder to standard error and keeps it.
+  // Removes the folder, unless an exception is propagating, as after a failed REQUIRE, or a check
+  // failed since the start of the site: then prints the path of the folder to standard error and
+  // keeps it.
   ~Site();
   Site(const Site&) = delete;
   Site& operator=(const Site&) = delete;
@@ -96,6 +99,10 @@
   const Network& network() const { return network_; }
   const std::string& operator_token() const { return operator_token_; }
 
+  // Sets the function that returns the number of failed checks of the process so far. The demo,
+  // which has no checks, sets none.
+  static void SetFailureCounter(std::function<std::uint64_t()> counter);
+
   // Returns the path of a binary of this build; `path` is relative to the build folder.
   static std::string Binary(const std::string& path);
 
@@ -129,6 +136,7 @@
   const std::string folder_;
   const std::string fleet_key_;
   const std::string operator_token_;
+  const std::uint64_t failures_at_start_;
   const int exceptions_at_start_;
   std::unique_ptr<ChildProcess> configuration_;
   std::map<std::string, Upstream> upstreams_;
