Send a hedge later if no upstream has room when it is due

Cause of unit.filters "a slow read is hedged": the hedge was tried once, when its delay had passed. On a busy machine the other upstream's window had just been reset, which is not used for 400 ms, so the read waited for its deadline. Change: while no other upstream has room, the hedge is tried again every 20 ms. It sets CallRequest::hedge, which nothing did, so that it takes only slots that the instance owns (docs/design.md 7.5).

--- a/include/primroseweir/filters/detail/call_dispatch.h
+++ b/include/primroseweir/filters/detail/call_dispatch.h
@@ -43,7 +43,9 @@
   // attempt that failed, was refused or was shed is discarded instead, and the result is false.
   absl::StatusOr<bool> CheckHead(std::unique_ptr<Attempt>* attempt,
                                  const std::unique_ptr<Attempt>& other);
-  void StartHedge();
+  // Sends the call to another upstream with a free owned slot. Returns the time of the next attempt
+  // to do so, which is never unless no upstream has room now.
+  Instant TryStartHedge();
   Instant HedgeTime() const;
   void SelectWinner(std::unique_ptr<Attempt>* winner, std::unique_ptr<Attempt>* loser);
 
--- a/src/filters/detail/call_dispatch.cc
+++ b/src/filters/detail/call_dispatch.cc
@@ -25,6 +25,9 @@
 constexpr int kMaxResendsAfterRefusal = 3;
 // A hedge that cannot connect at once is not worth its token of the retry budget.
 constexpr auto kHedgeConnectTimeout = std::chrono::milliseconds(20);
+// Time between attempts to start a hedge while no other upstream has room. A warm-up window that
+// was reset has none for 400 ms.
+constexpr auto kHedgeRetryInterval = std::chrono::milliseconds(20);
 
 // Time allowed for the host of a crashed upstream to refuse a connection.
 constexpr auto kRefusalProbeTimeout = std::chrono::milliseconds(50);
@@ -183,8 +186,7 @@
     auto status = WaitForAny({{current_descriptor, POLLIN}, {hedge_descriptor, POLLIN}},
                              call_->caller->socket()->descriptor(), wait_until);
     if (absl::IsDeadlineExceeded(status) && wait_until < call_->deadline) {
-      hedge_at = Instant::max();
-      StartHedge();
+      hedge_at = TryStartHedge();
     } else if (!status.ok()) {
       return status;
     }
@@ -237,20 +239,27 @@
   return delay ? MonotonicNow() + *delay : Instant::max();
 }
 
-void CallDispatch::StartHedge() {
-  auto lease = dependencies_.router->TryAcquire(request_, MonotonicNow());
-  if (!lease.ok() || !TryAcquireRetry()) {
-    return;
+Instant CallDispatch::TryStartHedge() {
+  const auto now = MonotonicNow();
+  auto hedge_request = request_;
+  hedge_request.hedge = true;
+  auto lease = dependencies_.router->TryAcquire(hedge_request, now);
+  if (!lease.ok()) {
+    return absl::IsResourceExhausted(lease.status()) ? now + kHedgeRetryInterval : Instant::max();
+  }
+  if (!TryAcquireRetry()) {
+    return Instant::max();
   }
   auto attempt = Connect(std::move(*lease), MonotonicNow() + kHedgeConnectTimeout);
   if (!attempt.ok()) {
-    return;
+    return Instant::max();
   }
   if (Send(attempt->get()).ok()) {
     hedge_ = std::move(*attempt);
   } else {
     (*attempt)->Finish(AttemptEnd::kConnectionLost);
   }
+  return Instant::max();
 }
 
 // ---- decisions ----
--- a/tests/filters/at_most_once_test.cc
+++ b/tests/filters/at_most_once_test.cc
@@ -11,6 +11,7 @@
 #include <thread>
 
 #include "filters/call_fixture.h"
+#include "primroseweir/upstream/upstream_state.h"
 
 namespace primroseweir {
 namespace {
@@ -186,6 +187,58 @@
   CHECK(cancelled == 1);
 }
 
+// Serves reads at once, except those of "/slow", which get no response up to the count
+// `max_stalled`.
+class SlowReads {
+ public:
+  explicit SlowReads(int max_stalled)
+      : upstreams("board", [this, max_stalled](ServerConnection* connection) {
+          if (connection->request()->target == "/slow" &&
+              slow_requests.fetch_add(1) < max_stalled) {
+            connection->socket()->WaitReadable(TestDeadline()).IgnoreError();
+            return;
+          }
+          RespondWithText("quick")(connection);
+        }) {
+    // Enough responses for a hedge delay.
+    for (int i = 0; i < 200; ++i) {
+      REQUIRE(upstreams.entry.Send(CallFixture::Request("GET", "/board/x")).body == "quick");
+    }
+    upstreams.entry.FillRetryBudgets();
+  }
+
+  std::atomic<int> slow_requests{0};
+  TwoUpstreams upstreams;
+};
+
+// Guards against a slow read that waits for its deadline because the other upstream had no room at
+// the moment when the hedge was due: a window that was reset is not used for 400 ms.
+TEST_CASE("a hedge is sent later if no other upstream has room when it is due") {
+  SlowReads test(1);
+  const auto& entry = test.upstreams.entry;
+  const auto state = test.upstreams.entry.router()->Upstreams().front();
+  const auto give_up_at = TestDeadline();
+  while (state->window().epoch_window().window == 1 || !state->window().Reset(MonotonicNow())) {
+    REQUIRE(MonotonicNow() < give_up_at);
+    REQUIRE(entry.Send(CallFixture::Request("GET", "/board/x")).body == "quick");
+  }
+  CHECK(entry.Send(CallFixture::Request("GET", "/board/slow")).body == "quick");
+  CHECK(test.slow_requests == 2);
+}
+
+// Guards against hedges that take the slots of other instances: a hedge of every instance at the
+// same slow moment would overload the upstreams that are not slow.
+TEST_CASE("a hedge only takes a slot that this instance owns") {
+  SlowReads test(2);
+  for (const auto& state : test.upstreams.entry.router()->Upstreams()) {
+    state->SetOwnedSlots(0);
+  }
+  auto head = CallFixture::Request("GET", "/board/slow");
+  head.fields.Add("Primroseweir-Deadline-Ms", "500");
+  test.upstreams.entry.Send(head);
+  CHECK(test.slow_requests == 1);
+}
+
 // Guards against a caller that occupies a slot by stalling within a large body, and against a
 // second execution of an upload that partly reached an upstream.
 TEST_CASE("[at-most-once] an upload whose caller stalls times out and is not sent again",
--- a/tests/support/site.cc
+++ b/tests/support/site.cc
@@ -362,9 +362,10 @@
   const SocketAddress control = network_.Host(upstream.host, kUpstreamControlPort);
   const bool is_running = WaitUntil(
       [&control] { return standins::Get(control, "/state", kFetchTimeout).ok(); }, kStartTimeout);
-  if (!is_running)
+  if (!is_running) {
     throw std::runtime_error("upstream " + id + " did not respond within 15 s after its restart: " +
                              upstream.process->Log());
+  }
 }
 
 std::vector<std::string> Site::UpstreamIds(const std::string& service) const {
