--- a/src/filters/detail/call_dispatch.cc
+++ b/src/filters/detail/call_dispatch.cc
@@ -263,7 +263,7 @@
     return Instant::max();
   }
   if (!ConfirmCaller()) {
-    return;
+    return Instant::max();
   }
   if (Send(attempt->get()).ok()) {
     hedge_ = std::move(*attempt);
