--- a/src/gateway/routed_call_placement.cc
+++ b/src/gateway/routed_call_placement.cc
@@ -110,6 +110,9 @@
                                 MakeClaim().customer, gateway_->balancer().fleet_size(), now)) {
     return PlacementResult::kNoBudget;
   }
+  if (pick.is_exploration) {
+    gateway_->metrics().CountEvent("limit_explored");
+  }
   StartAttempt(std::move(pick.upstream), now);
   return PlacementResult::kStarted;
 }
@@ -152,7 +155,8 @@
   if (may_wait && TryLastResort(now)) {
     return;
   }
-  if (may_wait) {
+  // What a customer sends above its share shows no shortage for others.
+  if (may_wait && !is_above_share_) {
     RecordPlacement(false, now);
   }
   const char* reason = may_wait && is_above_share_                 ? "above_share"
@@ -218,6 +222,10 @@
 void RoutedCall::OnDisplaced(Instant now) {
   ticket_.reset();
   wait_timer_.Cancel();
+  if (TryLastResort(now)) {
+    return;
+  }
+  RecordPlacement(false, now);
   RefuseUnplaced("displaced", now);
 }
 
