--- a/include/primroseweir/customers/fleet_quota.h
+++ b/include/primroseweir/customers/fleet_quota.h
@@ -137,9 +137,11 @@
   // reports, so that a small customer is served at each of a few instances. The debt is paid back.
   static constexpr double kFleetAllowance = 12;
   // Calls of a customer that the instances which callers use may admit together right after a
-  // start, before their buckets refill. Half of what the operators accept above a quota in any
-  // case.
+  // start, before their buckets refill: a number and a part of the calls of a window. Half of what
+  // the operators accept above a quota, 20 calls and a quarter, since the calls of the last seconds
+  // before the start are not known.
   static constexpr double kStartAllowance = 10;
+  static constexpr double kStartAllowanceShare = 0.125;
   // Limit on the customers in a report; those with the most recent calls.
   static constexpr std::size_t kMaxReportedCustomers = 256;
   // A state without calls anywhere is kept this long; a peer's counts are dropped earlier than the
@@ -220,6 +222,11 @@
     Instant reporting_since;
   };
 
+  // Returns what identifies the customer in reports and here.
+  std::uint32_t IdOf(const Customer& customer) const;
+  // Gives customers with the same lowest bits of their hashes different ids, which follow from the
+  // set of customers, so that all instances with the same configuration agree.
+  void AssignIds(const CustomerTable& customers);
   State* FindOrCreate(std::uint32_t customer, Instant now);
   void Refill(State* state, Instant now);
   // Recomputes the shares if they are older than a slot. A share that falls lowers the buckets.
@@ -251,6 +258,8 @@
 
   const std::uint64_t seed_;
   std::uint32_t own_address_ = 0;
+  // Ids of the customers whose lowest bits are those of another one, by hash.
+  std::unordered_map<std::uint64_t, std::uint32_t> other_ids_;
   std::unordered_map<std::uint32_t, Limits> limits_;
   std::unordered_map<std::uint32_t, State> states_;
   std::map<std::uint32_t, Peer> peers_;
