Calls by customer in metrics, /status and primroseweir-ctl status

Operators could not see which customer was refused and why. Entry instances count the calls of each customer by result and, for refusals, by step; forwarded calls count at the issuer of their call key. /status and /metrics show them and the share of the quotas that the instance may use, status of primroseweir-ctl the sums. None of it exists without customers.

--- a/include/primroseweir/admin/metrics.h
+++ b/include/primroseweir/admin/metrics.h
@@ -11,7 +11,10 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <tuple>
+#include <vector>
 
+#include "primroseweir/admin/customer_metric.h"
 #include "primroseweir/admin/detail/atomic_histogram.h"
 #include "primroseweir/admin/service_metrics.h"
 #include "primroseweir/base/ids.h"
@@ -40,6 +43,11 @@
   // Sets the number of upstreams in `state`, such as "warm", "warming" or "leaving".
   void SetUpstreams(const std::string& state, std::size_t count);
 
+  // Sets the calls by customer; those that the list does not have any more are dropped.
+  void SetCustomerCalls(const std::vector<CustomerMetric>& calls);
+  // Sets the share of the customers' quotas that this instance may use, from 0 to 1.
+  void SetQuotaShare(double share);
+
   // Returns all metrics in the Prometheus text format.
   std::string Text() const;
 
@@ -56,6 +64,10 @@
   prometheus::Gauge* revision_;
   std::mutex mutex_;
   std::map<ServiceName, std::unique_ptr<ServiceMetrics>> services_;
+  // By customer, result and reason. The families exist once there are customers.
+  std::map<std::tuple<std::string, std::string, std::string>, prometheus::Counter*> customer_calls_;
+  prometheus::Family<prometheus::Counter>* customer_family_ = nullptr;
+  prometheus::Gauge* quota_share_ = nullptr;
 };
 
 }  // namespace primroseweir
--- a/include/primroseweir/entry/admin_pages.h
+++ b/include/primroseweir/entry/admin_pages.h
@@ -6,6 +6,7 @@
 
 #include "primroseweir/configuration/configuration_rejection.h"
 #include "primroseweir/configuration/configuration_snapshot.h"
+#include "primroseweir/filters/customer_calls.h"
 #include "primroseweir/membership/membership_view.h"
 #include "primroseweir/routing/explanation.h"
 
@@ -27,6 +28,10 @@
                           const std::vector<ConfigurationRejection>& rejections,
                           const MembershipView& view);
 
+// Adds the customers and their calls to the body of /status, if the configuration has customers.
+void AddCustomers(const ConfigurationSnapshot& snapshot,
+                  const CustomerCalls::CountsByCustomer& calls, nlohmann::json* page);
+
 // Returns the body of /explain: the state of a service and, for each of its upstreams, why it is or
 // is not used.
 nlohmann::json ExplainPage(const ServiceExplanation& explanation,
--- a/include/primroseweir/entry/entry_instance.h
+++ b/include/primroseweir/entry/entry_instance.h
@@ -16,6 +16,7 @@
 #include "primroseweir/entry/entry_settings.h"
 #include "primroseweir/entry/freshness_check.h"
 #include "primroseweir/filters/connection_pool.h"
+#include "primroseweir/filters/customer_calls.h"
 #include "primroseweir/filters/customer_quotas.h"
 #include "primroseweir/filters/filter_chain.h"
 #include "primroseweir/filters/service_table.h"
@@ -75,6 +76,7 @@
   void Refresh(Duration timeout);
   void RunMaintenance();
   void UpdateTrafficMetrics();
+  void UpdateCustomerMetrics();
   void StopMaintenance();
 
   const EntrySettings settings_;
@@ -87,6 +89,7 @@
   CallKeyIssuer issuer_;
   StartedCallTable started_calls_;
   CustomerQuotas quotas_;
+  CustomerCalls customer_calls_;
   std::atomic<bool> is_seat_taken_{false};
   std::unique_ptr<GossipController> gossip_;
   // Null if the settings name no configuration service.
--- a/include/primroseweir/filters/call.h
+++ b/include/primroseweir/filters/call.h
@@ -47,6 +47,8 @@
   // Whether the configuration had customers when the caller was identified, now or earlier: the
   // Authorization field then holds a key, which upstreams must not see.
   bool must_hide_key = false;
+  // Whether the response is that of the issuer of the call key, which counts the call.
+  bool was_forwarded = false;
 
   // ---- body ----
   // The whole body, or at least its first 64 KB when is_body_complete is false.
--- a/include/primroseweir/filters/customer_filter.h
+++ b/include/primroseweir/filters/customer_filter.h
@@ -7,12 +7,15 @@
 
 namespace primroseweir {
 
+class CustomerCalls;
+
 // Identifies the customer of a call by its key, before the body is read, and refuses callers
 // without a key, unless the service is public or the configuration has no customers.
 class CustomerFilter : public Filter {
  public:
-  // `services` must outlive the filter.
-  explicit CustomerFilter(const RcuCell<ServiceTable>* services) : services_(services) {}
+  // `services` and `calls` must outlive the filter. With `calls` null, calls are not counted.
+  explicit CustomerFilter(const RcuCell<ServiceTable>* services, CustomerCalls* calls = nullptr)
+      : services_(services), calls_(calls) {}
 
   CallOutcome Handle(Call* call, const Next& next) override;
 
@@ -23,7 +26,10 @@
   static CallOutcome Refusal();
 
  private:
+  CallOutcome Run(Call* call, bool is_allowed, const Next& next) const;
+
   const RcuCell<ServiceTable>* const services_;
+  CustomerCalls* const calls_;
 };
 
 }  // namespace primroseweir
--- a/src/admin/metrics.cc
+++ b/src/admin/metrics.cc
@@ -60,6 +60,38 @@
   upstreams_.Add({{"state", state}}).Set(static_cast<double>(count));
 }
 
+void Metrics::SetCustomerCalls(const std::vector<CustomerMetric>& calls) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  if (customer_family_ == nullptr && !calls.empty()) {
+    customer_family_ = &RegisterCounters(&registry_, "primroseweir_customer_calls_total",
+                                         "Calls by customer, result and reason of a refusal");
+  }
+  auto before = std::move(customer_calls_);
+  customer_calls_.clear();
+  for (const CustomerMetric& metric : calls) {
+    const auto found = before.find(metric.Key());
+    prometheus::Counter* counter = found != before.end()
+                                       ? found->second
+                                       : &customer_family_->Add({{"customer", metric.customer},
+                                                                 {"result", metric.result},
+                                                                 {"reason", metric.reason}});
+    if (metric.calls > counter->Value()) counter->Increment(metric.calls - counter->Value());
+    customer_calls_[metric.Key()] = counter;
+    if (found != before.end()) before.erase(found);
+  }
+  for (const auto& [key, counter] : before) customer_family_->Remove(counter);
+}
+
+void Metrics::SetQuotaShare(double share) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  if (quota_share_ == nullptr) {
+    quota_share_ = &RegisterGauges(&registry_, "primroseweir_quota_share",
+                                   "Share of the customers' quotas that this instance may use")
+                        .Add({});
+  }
+  quota_share_->Set(share);
+}
+
 std::string Metrics::Text() const {
   std::vector<prometheus::MetricFamily> families = registry_.Collect();
   for (auto& family : added_time_.Collect()) families.push_back(std::move(family));
--- a/src/admin/operator_report.cc
+++ b/src/admin/operator_report.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <map>
 #include <tuple>
 #include <utility>
 
@@ -72,6 +73,30 @@
   return {event.time.microseconds, event.time.counter, process, event.sequence, FormatEvent(event)};
 }
 
+// Appends a line for each customer with the sums of its calls over the instances.
+void AppendCustomerLines(const std::vector<AdminResponse>& responses,
+                         std::vector<std::string>* lines) {
+  std::map<std::string, std::map<std::string, std::uint64_t>> sums;
+  for (const AdminResponse& response : responses) {
+    if (!response.body.is_object() || !response.body.contains("customers")) continue;
+    for (const json& customer : response.body.at("customers")) {
+      auto& sum = sums[customer.at("customer").get<std::string>()];
+      for (const char* field : {"asked", "served", "unknown"}) {
+        sum[field] += customer.at(field).get<std::uint64_t>();
+      }
+      for (const auto& [reason, calls] : customer.at("refused").items()) {
+        sum["refused"] += calls.get<std::uint64_t>();
+        sum["refused_" + reason] += calls.get<std::uint64_t>();
+      }
+    }
+  }
+  for (const auto& [customer, sum] : sums) {
+    Fields fields = {{"customer", customer}};
+    for (const auto& [name, calls] : sum) fields.emplace_back(name, std::to_string(calls));
+    lines->push_back(FormatFields(std::move(fields)));
+  }
+}
+
 }  // namespace
 
 std::vector<std::string> StatusLines(const std::vector<AdminResponse>& responses) {
@@ -88,6 +113,11 @@
     fields.emplace_back("behind", RevisionOf(response) < highest ? "1" : "0");
     lines.push_back(FormatFields(std::move(fields)));
   }
+  try {
+    AppendCustomerLines(responses, &lines);
+  } catch (const json::exception& error) {
+    lines.push_back(FormatErrorLine({"customers", JsonErrorReason(error), {}}));
+  }
   return lines;
 }
 
--- a/src/entry/admin_pages.cc
+++ b/src/entry/admin_pages.cc
@@ -1,8 +1,10 @@
 #include "primroseweir/entry/admin_pages.h"
 
 #include <string>
+#include <utility>
 
 #include "primroseweir/configuration/validation_error.h"
+#include "primroseweir/customers/customer_table.h"
 
 namespace primroseweir {
 namespace {
@@ -96,6 +98,25 @@
           {"members", MembersJson(view)}};
 }
 
+void AddCustomers(const ConfigurationSnapshot& snapshot,
+                  const CustomerCalls::CountsByCustomer& calls, json* page) {
+  if (snapshot.customers == nullptr) return;
+  json customers = json::array();
+  const auto add = [&](const std::string& name) {
+    const auto found = calls.find(name);
+    const CustomerCalls::Counts counts =
+        found == calls.end() ? CustomerCalls::Counts() : found->second;
+    customers.push_back({{"customer", name},
+                         {"asked", counts.asked},
+                         {"served", counts.served},
+                         {"unknown", counts.unknown},
+                         {"refused", counts.refused}});
+  };
+  for (const Customer& customer : snapshot.customers->customers()) add(customer.name.value());
+  add(CustomerCalls::kAnonymous);
+  (*page)["customers"] = std::move(customers);
+}
+
 json ExplainPage(const ServiceExplanation& explanation, const ConfigurationSnapshot& snapshot) {
   json upstreams = json::array();
   for (const UpstreamExplanation& upstream : explanation.upstreams) {
--- a/src/entry/entry_instance.cc
+++ b/src/entry/entry_instance.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "primroseweir/admin/admin_server.h"
+#include "primroseweir/admin/customer_metric.h"
 #include "primroseweir/admin/metrics.h"
 #include "primroseweir/base/random.h"
 #include "primroseweir/configuration/configuration_snapshot.h"
@@ -224,7 +225,7 @@
   filters.push_back(std::make_unique<AddressFilter>(fleet_.get(), &issuer_));
   filters.push_back(std::make_unique<SeatFilter>([this] { return is_seat_taken_.load(); }));
   filters.push_back(std::make_unique<RouteFilter>(&services_));
-  filters.push_back(std::make_unique<CustomerFilter>(&services_));
+  filters.push_back(std::make_unique<CustomerFilter>(&services_, &customer_calls_));
   filters.push_back(std::make_unique<BodyFilter>());
   filters.push_back(std::make_unique<CallKeyFilter>(fleet_.get(), &issuer_, &started_calls_));
   filters.push_back(std::make_unique<QuotaFilter>(&quotas_));
@@ -260,7 +261,12 @@
     status.leaving = leaving_.load();
     status.connections = server_->connection_count();
     status.since_contact = MonotonicNow() - configuration_.LastContact();
-    return StatusPage(status, *configuration_.Current(), configuration_.Rejections(), *view);
+    auto page = StatusPage(status, *configuration_.Current(), configuration_.Rejections(), *view);
+    AddCustomers(*configuration_.Current(), customer_calls_.Snapshot(), &page);
+    if (quotas_.has_quotas()) {
+      page["quota_share"] = quotas_.UsableShare(MonotonicNow());
+    }
+    return page;
   };
   providers.explain = [this](const ServiceName& service) -> absl::StatusOr<nlohmann::json> {
     const auto explanation = router_.Explain(service, MonotonicNow());
@@ -313,6 +319,7 @@
 void EntryInstance::ApplyConfiguration(const std::shared_ptr<const ConfigurationSnapshot>& snapshot,
                                        Instant now) {
   quotas_.Apply(snapshot->customers.get(), now);
+  customer_calls_.Apply(snapshot->customers.get());
   services_.Store(std::make_shared<const ServiceTable>(snapshot->services, snapshot->customers));
   pool_.Apply(*snapshot);
   router_.Apply(snapshot, now);
@@ -364,6 +371,7 @@
     if (++ticks % kTicksPerMaintenance == 0) {
       pool_.CloseExpired(now);
       UpdateTrafficMetrics();
+      UpdateCustomerMetrics();
     }
   }
 }
@@ -378,6 +386,21 @@
   counted_bytes_received_ = traffic.bytes_received;
 }
 
+void EntryInstance::UpdateCustomerMetrics() {
+  std::vector<CustomerMetric> metrics;
+  for (const auto& [customer, counts] : customer_calls_.Snapshot()) {
+    metrics.push_back({customer, "served", "", static_cast<double>(counts.served)});
+    metrics.push_back({customer, "unknown", "", static_cast<double>(counts.unknown)});
+    for (const auto& [reason, calls] : counts.refused) {
+      metrics.push_back({customer, "refused", reason, static_cast<double>(calls)});
+    }
+  }
+  metrics_->SetCustomerCalls(metrics);
+  if (quotas_.has_quotas()) {
+    metrics_->SetQuotaShare(quotas_.UsableShare(MonotonicNow()));
+  }
+}
+
 void EntryInstance::StopMaintenance() {
   {
     const std::lock_guard<std::mutex> lock(maintenance_mutex_);
--- a/src/filters/call_key_filter.cc
+++ b/src/filters/call_key_filter.cc
@@ -70,6 +70,7 @@
 
 // Forwards the issuer's response unchanged, except for the fields of the connection.
 CallOutcome RelayIssuerResponse(Call* call, ClientConnection* issuer, ResponseHead head) {
+  call->was_forwarded = true;
   CallOutcome call_outcome;
   call_outcome.has_response_begun = true;
   call_outcome.outcome = OutcomeOf(head);
--- a/src/filters/customer_filter.cc
+++ b/src/filters/customer_filter.cc
@@ -1,8 +1,11 @@
 #include "primroseweir/filters/customer_filter.h"
 
+#include <string>
+
 #include "primroseweir/configuration/customer_priority.h"
 #include "primroseweir/customers/caller_credentials.h"
 #include "primroseweir/filters/call.h"
+#include "primroseweir/filters/customer_calls.h"
 #include "primroseweir/http/request_head.h"
 
 namespace primroseweir {
@@ -25,7 +28,22 @@
 
 CallOutcome CustomerFilter::Handle(Call* call, const Next& next) {
   const auto table = services_->Load();
-  if (!Identify(*table, call)) {
+  const bool is_allowed = Identify(*table, call);
+  if (table->customers == nullptr || calls_ == nullptr) {
+    return Run(call, is_allowed, next);
+  }
+  // A copy, since the caller may be identified again.
+  const std::string name =
+      call->customer ? call->customer->name.value() : CustomerCalls::kAnonymous;
+  auto call_outcome = Run(call, is_allowed, next);
+  if (!call->was_forwarded) {
+    calls_->Record(name, call_outcome);
+  }
+  return call_outcome;
+}
+
+CallOutcome CustomerFilter::Run(Call* call, bool is_allowed, const Next& next) const {
+  if (!is_allowed) {
     return Refusal();
   }
   if (call->customer) {
--- a/tests/admin/operator_report_test.cc
+++ b/tests/admin/operator_report_test.cc
@@ -24,6 +24,31 @@
                                           "admin=a:3 result=no-answer error=refused"});
 }
 
+// Guards against sums by customer that leave out an instance or a reason.
+TEST_CASE("StatusLines sums the calls of customers over the instances") {
+  const auto page = [](int asked, int quota, int unknown) {
+    return nlohmann::json{{"configuration_revision", 7},
+                          {"customers",
+                           {{{"customer", "desk"},
+                             {"asked", asked},
+                             {"served", asked - quota - unknown},
+                             {"unknown", unknown},
+                             {"refused", {{"quota", quota}}}},
+                            {{"customer", "(none)"},
+                             {"asked", 2},
+                             {"served", 0},
+                             {"unknown", 0},
+                             {"refused", {{"customer", 2}}}}}}};
+  };
+  const auto lines =
+      StatusLines({{"a:1", "", page(10, 3, 0)}, {"a:2", "", page(5, 0, 1)}, {"a:3", "down", {}}});
+  REQUIRE(lines.size() == 5);
+  CHECK(lines[3] == "customer=(none) asked=4 refused=4 refused_customer=4 served=0 unknown=0");
+  CHECK(lines[4] == "customer=desk asked=15 refused=3 refused_quota=3 served=11 unknown=1");
+  const auto damaged = StatusLines({{"a:1", "", {{"customers", {{{"customer", 5}}}}}}});
+  CHECK(damaged.back().find("result=no-answer") != std::string::npos);
+}
+
 TEST_CASE("ExplainLines returns one line for each upstream") {
   const auto lines = ExplainLines(
       {"a:1",
--- a/tests/filters/customer_filter_test.cc
+++ b/tests/filters/customer_filter_test.cc
@@ -1,7 +1,9 @@
 #include "primroseweir/filters/customer_filter.h"
 
 #include <catch2/catch.hpp>
+#include <cstdint>
 #include <future>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -13,6 +15,7 @@
 #include "primroseweir/configuration/customer_priority.h"
 #include "primroseweir/customers/customer_table.h"
 #include "primroseweir/filters/call.h"
+#include "primroseweir/filters/customer_calls.h"
 
 namespace primroseweir {
 namespace {
@@ -328,6 +331,43 @@
   CHECK_FALSE(call.customer);
 }
 
+// Guards against calls that operators don't find by customer.
+TEST_CASE("calls are counted by customer, result and reason") {
+  RcuCell<ServiceTable> services(std::make_shared<const ServiceTable>(
+      std::vector<Service>(), MakeTable({{"a", "key-a"}, {"b", "key-b"}})));
+  CustomerCalls calls;
+  CustomerFilter filter(&services, &calls);
+  const auto run = [&](const std::string& key, const CallOutcome& call_outcome,
+                       bool was_forwarded = false) {
+    RequestHead head = WithKey(key);
+    Call call;
+    call.request = &head;
+    filter.Handle(&call, [&](Call* next_call) {
+      next_call->was_forwarded = was_forwarded;
+      return call_outcome;
+    });
+  };
+  run("key-a", CallOutcome());
+  run("key-a", CallOutcome());
+  run("key-a", CallOutcome(), true);
+  run("key-a", CallOutcome::NotExecuted("quota", "above", 429));
+  run("key-b", CallOutcome::Unknown("answer", "lost"));
+  run("key-c", CallOutcome());
+  auto counts = calls.Snapshot();
+  CHECK(counts.size() == 3);
+  CHECK(counts["a"].asked == 3);
+  CHECK(counts["a"].served == 2);
+  CHECK(counts["a"].refused == std::map<std::string, std::uint64_t>{{"quota", 1}});
+  CHECK(counts["b"].unknown == 1);
+  CHECK(counts[CustomerCalls::kAnonymous].refused ==
+        std::map<std::string, std::uint64_t>{{"customer", 1}});
+  calls.Apply(MakeTable({{"b", "key-b"}}).get());
+  CHECK(calls.Snapshot().count("a") == 0);
+  CHECK(calls.Snapshot().count("b") == 1);
+  calls.Apply(nullptr);
+  CHECK(calls.Snapshot().empty());
+}
+
 // Guards against the priority of a customer that callers can change, or that delays bookings.
 TEST_CASE("the priority of a customer replaces that of its calls") {
   RcuCell<ServiceTable> services(std::make_shared<const ServiceTable>());
--- a/tests/process/customers_test.cc
+++ b/tests/process/customers_test.cc
@@ -99,6 +99,26 @@
   // Calls of a customer far below its quota.
   CHECK(calm_refused <= 6);
 
+  std::map<std::string, std::size_t> served_sums;
+  std::map<std::string, int> quota_sums;
+  for (int i = 0; i < 3; ++i) {
+    const Json status = site.FetchStatus(i);
+    REQUIRE(status.contains("customers"));
+    CHECK(status["quota_share"] > 0);
+    for (const Json& customer : status["customers"]) {
+      const auto name = customer["customer"].get<std::string>();
+      served_sums[name] += customer["served"].get<std::size_t>();
+      quota_sums[name] += customer["refused"].value("quota", 0);
+    }
+    const auto metrics = site.Admin(i, "/metrics");
+    REQUIRE(metrics.ok());
+    CHECK(metrics->body.find("primroseweir_customer_calls_total{customer=\"flood\"") !=
+          std::string::npos);
+    CHECK(metrics->body.find("key-") == std::string::npos);
+  }
+  CHECK(served_sums["flood"] == served.count());
+  CHECK(quota_sums["flood"] == refused.load());
+
   revision = site.SetValue("text", TextWith(site, Json::array({customers[0], customers[1]})));
   REQUIRE(WaitForRevision(site, {0, 1, 2}, revision, kMaxReactionTime));
   for (int i = 0; i < 3; ++i) CHECK(StatusWith(site, i, "key-old") == 401);
