Fault soak with a customer that sends many times its quota

The soak drew customers and withdrawn keys, but no customer had a quota. A fourth customer now sends up to several hundred calls a second through random instances, under limits that versions of the configuration lower and raise. The first execution of each of its calls at any upstream is compared with (rate x 5 + burst) x 1.25 + 20 in any 5 s, and refused calls must not have been executed. The stand-in platform gets the page /first-executions. Faults keep their sequence for each seed.

--- a/standins/platform/main.cc
+++ b/standins/platform/main.cc
@@ -91,6 +91,13 @@
       }
       return PageServer::Page{200, "text/plain", text};
     });
+    port_.Add("/first-executions", [this](const Query&) {
+      std::string text;
+      for (const auto& [request, time] : first_executions_) {
+        text += request + " " + std::to_string(time) + "\n";
+      }
+      return PageServer::Page{200, "text/plain", text};
+    });
     port_.Add("/ledger", [this](const Query&) {
       std::string text;
       for (const auto& [request, count] : execution_counts_) {
@@ -123,8 +130,8 @@
     options.listed_address = listed_relay.ok() ? *listed_relay : *address;
     options.execution_time =
         std::chrono::milliseconds(std::atoi(QueryValue(query, "work_ms").c_str()));
-    auto upstream =
-        std::make_unique<PlatformUpstream>(loop_, options, &execution_counts_, &caller_lines_);
+    auto upstream = std::make_unique<PlatformUpstream>(loop_, options, &execution_counts_,
+                                                       &first_executions_, &caller_lines_);
     const auto status = upstream->Start();
     if (!status.ok()) {
       return {kNotFound, "text/plain", MessageOf(status)};
@@ -148,6 +155,7 @@
   PlatformStore* const store_;
   PageServer port_;
   PlatformUpstream::ExecutionCounts execution_counts_;
+  PlatformUpstream::FirstExecutions first_executions_;
   PlatformUpstream::CallerLines caller_lines_;
   std::map<std::string, std::unique_ptr<PlatformUpstream>> upstreams_;
 };
@@ -186,7 +194,7 @@
       "control port: /put?key=&value=&repeat=&end=, /erase?key=, /compact, /down?for=no|all, "
       "/stale?reads=no|yes, "
       "/upstream?id=&service=&zone=&address=&listed=&work_ms=, /mode?id=&mode=, "
-      "/state?id=&state=, /restart?id=, /requests, /runs, /ledger",
+      "/state?id=&state=, /restart?id=, /requests, /runs, /first-executions, /ledger",
       true, "", "IP:PORT", command);
   try {
     command.parse(argc, argv);
--- a/standins/platform/platform_upstream.cc
+++ b/standins/platform/platform_upstream.cc
@@ -19,10 +19,12 @@
 }  // namespace
 
 PlatformUpstream::PlatformUpstream(EventLoop* loop, Options options,
-                                   ExecutionCounts* execution_counts, CallerLines* caller_lines)
+                                   ExecutionCounts* execution_counts,
+                                   FirstExecutions* first_executions, CallerLines* caller_lines)
     : loop_(loop),
       options_(std::move(options)),
       execution_counts_(execution_counts),
+      first_executions_(first_executions),
       caller_lines_(caller_lines),
       port_(loop, this, [] { return CallerLimits(); }) {}
 
@@ -99,6 +101,7 @@
                                const std::string& body) {
   ++executions_;
   ++(*execution_counts_)[request];
+  first_executions_->try_emplace(request, ToMilliseconds(MonotonicNow().time_since_epoch()));
   if (mode_ == "reset") {
     stream->Abort();
     return;
--- a/standins/platform/platform_upstream.h
+++ b/standins/platform/platform_upstream.h
@@ -38,13 +38,16 @@
   // Number of executions of each request id at all upstreams.
   using ExecutionCounts = std::map<std::string, int>;
 
+  // Milliseconds of the monotonic clock at the first execution of each request id at any upstream.
+  using FirstExecutions = std::map<std::string, std::int64_t>;
+
   // One line "REQUEST CUSTOMER AUTHORIZATION" for each request with one of these two fields, also
   // for those that were refused and those for health; "-" for an absent field.
   using CallerLines = std::vector<std::string>;
 
-  // `execution_counts` and `caller_lines` outlive the upstream.
+  // `execution_counts`, `first_executions` and `caller_lines` outlive the upstream.
   PlatformUpstream(EventLoop* loop, Options options, ExecutionCounts* execution_counts,
-                   CallerLines* caller_lines);
+                   FirstExecutions* first_executions, CallerLines* caller_lines);
 
   absl::Status Start() { return port_.Listen(options_.address); }
   // Returns the entry of this upstream in the store, with the given state.
@@ -86,6 +89,7 @@
   EventLoop* const loop_;
   const Options options_;
   ExecutionCounts* const execution_counts_;
+  FirstExecutions* const first_executions_;
   CallerLines* const caller_lines_;
   HttpPort port_;
   std::string mode_ = "ok";
--- a/tests/platform/soak.h
+++ b/tests/platform/soak.h
@@ -19,6 +19,7 @@
 #include "platform_site.h"
 #include "primroseweir/base/random.h"
 #include "soak_keys.h"
+#include "soak_quota.h"
 #include "support/relay.h"
 #include "wire/http_reader.h"
 #include "wire/socket.h"
@@ -29,7 +30,8 @@
 // observe: bookings are executed at most once, those reported as not executed were not, responses
 // are complete and belong to their request, and after the faults all instances serve with the
 // newest configuration. Each call has a key: of a customer, one that a later configuration
-// withdraws, or an unknown one. Upstreams get the name of the key's customer and no key.
+// withdraws, or an unknown one. Upstreams get the name of the key's customer and no key. One
+// customer has a quota, which changes, and sends many times of it.
 class Soak {
  public:
   // kWithoutStatements leaves out upstreams that state that they leave or ask for a pause: seeds
@@ -37,7 +39,11 @@
   enum class Faults { kAll, kWithoutStatements };
 
   Soak(std::uint64_t seed, Duration time, Faults faults = Faults::kAll)
-      : random_(seed), time_(time), faults_(faults), site_(kInstances, kStoreRelayPort) {
+      : seed_(seed),
+        random_(seed),
+        time_(time),
+        faults_(faults),
+        site_(kInstances, kStoreRelayPort) {
     relays_.push_back(std::make_unique<Relay>(site_.Address(1, kStoreRelayPort),
                                               site_.Address(1, PlatformSite::kStorePort)));
     for (int i = 0; i < kUpstreams; ++i) {
@@ -62,6 +68,9 @@
       callers.emplace_back(
           [this, i, seed = random_.UniformBelow(1'000'000)] { RunCaller(i, seed); });
     }
+    for (std::uint64_t i = 0; i < kFloodingCallers; ++i) {
+      callers.emplace_back([this, i] { RunFloodingCaller(i); });
+    }
     const auto end = MonotonicNow() + time_;
     while (MonotonicNow() < end) {
       InjectFault();
@@ -80,19 +89,24 @@
   }
 
   std::uint64_t calls() const { return calls_; }
+  // Number of calls above a quota.
+  std::uint64_t refused_by_quota() const { return refused_by_quota_; }
   const std::string& fault_log() const { return fault_log_; }
 
  private:
   static constexpr int kInstances = 4;
   static constexpr int kUpstreams = 8;
   static constexpr int kCallers = 5;
+  static constexpr std::uint64_t kFloodingCallers = 2;
   static constexpr int kStoreRelayPort = 7005;
   static constexpr int kUpstreamRelayPort = 9100;
   static constexpr Duration kRecoveryTimeout = std::chrono::seconds(12);
 
   void PublishConfiguration() {
-    site_.Configure(configuration_version_, "reads",
-                    keys_.CustomersOfVersion(configuration_version_));
+    auto customers = keys_.CustomersOfVersion(configuration_version_);
+    customers.push_back(SoakQuota::RecordOfVersion(configuration_version_));
+    quota_.RecordVersion(configuration_version_, MonotonicNow());
+    site_.Configure(configuration_version_, "reads", customers);
     keys_.RecordVersion(configuration_version_, MonotonicNow());
   }
 
@@ -288,6 +302,28 @@
     }
   }
 
+  // Alternates each second at random between about 4 and up to 200 calls a second. Its numbers are
+  // drawn apart, so that the seeds keep their sequence of faults.
+  void RunFloodingCaller(std::uint64_t caller) {
+    Random random(seed_ * kFloodingCallers + caller);
+    bool is_flooding = true;
+    auto next_draw = MonotonicNow();
+    for (int number = 0; !is_stopping_; ++number) {
+      if (MonotonicNow() >= next_draw) {
+        is_flooding = random.UniformBelow(4) != 0;
+        next_draw = MonotonicNow() + std::chrono::seconds(1);
+      }
+      const auto socket = Connect(static_cast<int>(random.UniformBelow(kInstances)));
+      if (socket != nullptr) {
+        standins::HttpReader reader(socket.get(), standins::HttpReader::Kind::kResponses);
+        const auto id =
+            SoakQuota::kRequestPrefix + std::to_string(caller) + "-" + std::to_string(number);
+        SendCall(socket.get(), &reader, id, false, SoakQuota::KeyUse());
+      }
+      std::this_thread::sleep_for(std::chrono::milliseconds(is_flooding ? 5 : 250));
+    }
+  }
+
   std::unique_ptr<standins::Socket> Connect(int instance) {
     auto socket = standins::Socket::Connect(site_.CallerAddress(instance),
                                             MonotonicNow() + std::chrono::milliseconds(500));
@@ -338,8 +374,9 @@
       const std::lock_guard<std::mutex> lock(mutex_);
       not_executed_.push_back(id);
     }
-    if (is_booking &&
-        (response->status == 503 || response->status == 421 || response->status == 429)) {
+    refused_by_quota_ += response->status == 429 ? 1 : 0;
+    if (response->status == 429 ||
+        (is_booking && (response->status == 503 || response->status == 421))) {
       const std::lock_guard<std::mutex> lock(mutex_);
       not_executed_.push_back(id);
     }
@@ -417,8 +454,12 @@
          keys_.FindViolations(site_.SendCommand("/callers"), site_.SendCommand("/ledger"))) {
       RecordViolation(violation);
     }
+    for (const auto& violation : quota_.FindViolations(site_.SendCommand("/first-executions"))) {
+      RecordViolation(violation);
+    }
   }
 
+  const std::uint64_t seed_;
   Random random_;
   const Duration time_;
   const Faults faults_;
@@ -428,9 +469,11 @@
   std::map<int, bool> is_down_;
   int configuration_version_ = 1;
   SoakKeys keys_;
+  SoakQuota quota_;
   int final_booking_number_ = 0;
   std::atomic<bool> is_stopping_{false};
   std::atomic<std::uint64_t> calls_{0};
+  std::atomic<std::uint64_t> refused_by_quota_{0};
   std::mutex mutex_;
   std::set<std::string> booking_ids_;
   std::vector<std::string> not_executed_;
--- a/tests/platform/soak_test.cc
+++ b/tests/platform/soak_test.cc
@@ -15,11 +15,15 @@
 void RunSeed(std::uint64_t seed, Duration time, Soak::Faults faults = Soak::Faults::kAll) {
   Soak soak(seed, time, faults);
   const auto violations = soak.Run();
-  INFO("seed " << seed << ", " << soak.calls() << " calls, faults:\n" << soak.fault_log());
+  INFO("seed " << seed << ", " << soak.calls() << " calls, " << soak.refused_by_quota()
+               << " refused by a quota, faults:\n"
+               << soak.fault_log());
   for (const auto& violation : violations) {
     UNSCOPED_INFO(violation);
   }
   CHECK(violations.empty());
+  // Else the check of the quota shows nothing.
+  CHECK(soak.refused_by_quota() > 0);
 }
 
 // Checks the guarantees to callers under random mixes of faults. PRIMROSEWEIR_SOAK_SEED sets the
