--- a/include/primroseweir/gateway/fleet_service.h
+++ b/include/primroseweir/gateway/fleet_service.h
@@ -18,6 +18,7 @@
 #include "primroseweir/fleet/fleet_table.h"
 #include "primroseweir/fleet/peer_loads.h"
 #include "primroseweir/gateway/page_server.h"
+#include "primroseweir/gateway/stop_detector.h"
 #include "primroseweir/loop/timer.h"
 #include "primroseweir/loop/udp_socket.h"
 
@@ -143,6 +144,12 @@
   void SendUsageReport();
   // Recomputes usage_targets_ if the configuration has customers. O(n log n).
   void RefreshUsageTargets(Instant now);
+  // Sets how much of the fleet this instance hears, as far as it matters to quotas.
+  void UpdateQuotaView(Instant now);
+  void AnswerUsage(const std::string& ip, Instant now);
+  // Checks whether silent instances have ended, while there are quotas.
+  void ProbeSilentPeers(Instant now);
+  void RecordStopped(const std::string& ip);
   // Schedules a load report after kLoadReportInterval unless one is already scheduled.
   void ScheduleLoadReport();
   void Receive(const std::string& ip, std::string_view datagram);
@@ -159,7 +166,8 @@
   // Merges the heartbeats of a message and requests missing records from its sender. Forwards
   // heartbeats from another data centre to the local peers.
   void ReceiveHeartbeats(const FleetMessage& message, Instant now);
-  // Records that an instance became live, according to a message from `reported_by`.
+  // Records that an instance became live, according to a message from `reported_by`. Receive then
+  // updates the size of the fleet.
   void RecordLive(const std::string& ip, const std::string& reported_by, Instant now);
   // Sets the calls of the peers at each upstream from their reports, without those that are too
   // old.
@@ -183,6 +191,7 @@
   PeerLoads loads_;
   UdpSocket socket_;
   std::set<std::string> live_peers_;
+  bool is_fleet_size_stale_ = false;
   bool has_received_from_peer_ = false;
   bool is_stopping_ = false;
   std::uint64_t heartbeat_count_ = 0;
@@ -198,6 +207,7 @@
   // Recomputed after each heartbeat, when empty. The next report begins with next_usage_target_.
   std::vector<std::string> usage_targets_;
   std::size_t next_usage_target_ = 0;
+  StopDetector stop_detector_;
   Instant started_at_;
   // Time until which only seeds read the store, if a reader is known and if none is.
   Instant reader_grace_end_;
--- a/src/gateway/routed_call.cc
+++ b/src/gateway/routed_call.cc
@@ -102,14 +102,15 @@
     Refuse("crashes_upstreams", now);
     return;
   }
+  // A call above the quota needs no room, so that it does not count as an arrival.
+  if (!AcquireQuota(now)) {
+    return;
+  }
   if (IsRefusedForUrgentCalls(now)) {
     gateway_->metrics().CountEvent("less_urgent_refused");
     Refuse("less_urgent", now);
     return;
   }
-  if (!AcquireQuota(now)) {
-    return;
-  }
   PlaceOrEnqueue(RetryPolicy::Step::kRefuse, now);
 }
 
@@ -411,7 +412,8 @@
   gateway_->CountResponseBytes(piece.size());
   stream_unacked_bytes_ = caller_->unacked_bytes();
   if (!is_complete) {
-    if (caller_->pending_bytes() > kResponseHighWaterMark) {
+    if (caller_->pending_bytes() >
+        (gateway_->IsShortOfMemory() ? kResponseHighWaterMarkIfShort : kResponseHighWaterMark)) {
       attempt->stream()->PauseReading();
     }
     return;
