--- a/src/filters/detail/call_dispatch.cc
+++ b/src/filters/detail/call_dispatch.cc
@@ -9,6 +9,7 @@
 #include "primroseweir/base/error.h"
 #include "primroseweir/filters/call.h"
 #include "primroseweir/filters/connection_pool.h"
+#include "primroseweir/filters/customer_filter.h"
 #include "primroseweir/filters/detail/response_relay.h"
 #include "primroseweir/http/server_connection.h"
 #include "primroseweir/http/socket_wait.h"
@@ -25,6 +26,9 @@
 constexpr int kMaxResendsAfterRefusal = 3;
 // A hedge that cannot connect at once is not worth its token of the retry budget.
 constexpr auto kHedgeConnectTimeout = std::chrono::milliseconds(20);
+// Time between attempts to start a hedge while no other upstream has room. A warm-up window that
+// was reset has none for 400 ms.
+constexpr auto kHedgeRetryInterval = std::chrono::milliseconds(20);
 
 // Time allowed for the host of a crashed upstream to refuse a connection.
 constexpr auto kRefusalProbeTimeout = std::chrono::milliseconds(50);
@@ -119,6 +123,13 @@
     return attempt.status();
   }
   current_ = std::move(*attempt);
+  if (!ConfirmCaller()) {
+    current_.reset();
+    lease_failed_ = true;
+    is_caller_refused_ = true;
+    step_ = "customer";
+    return absl::PermissionDeniedError("the key was withdrawn");
+  }
   return Send(current_.get());
 }
 
@@ -183,8 +194,7 @@
     auto status = WaitForAny({{current_descriptor, POLLIN}, {hedge_descriptor, POLLIN}},
                              call_->caller->socket()->descriptor(), wait_until);
     if (absl::IsDeadlineExceeded(status) && wait_until < call_->deadline) {
-      hedge_at = Instant::max();
-      StartHedge();
+      hedge_at = TryStartHedge();
     } else if (!status.ok()) {
       return status;
     }
@@ -237,20 +247,30 @@
   return delay ? MonotonicNow() + *delay : Instant::max();
 }
 
-void CallDispatch::StartHedge() {
-  auto lease = dependencies_.router->TryAcquire(request_, MonotonicNow());
-  if (!lease.ok() || !TryAcquireRetry()) {
-    return;
+Instant CallDispatch::TryStartHedge() {
+  const auto now = MonotonicNow();
+  auto hedge_request = request_;
+  hedge_request.hedge = true;
+  auto lease = dependencies_.router->TryAcquire(hedge_request, now);
+  if (!lease.ok()) {
+    return absl::IsResourceExhausted(lease.status()) ? now + kHedgeRetryInterval : Instant::max();
+  }
+  if (!TryAcquireRetry()) {
+    return Instant::max();
   }
   auto attempt = Connect(std::move(*lease), MonotonicNow() + kHedgeConnectTimeout);
   if (!attempt.ok()) {
-    return;
+    return Instant::max();
+  }
+  if (!ConfirmCaller()) {
+    return Instant::max();
   }
   if (Send(attempt->get()).ok()) {
     hedge_ = std::move(*attempt);
   } else {
     (*attempt)->Finish(AttemptEnd::kConnectionLost);
   }
+  return Instant::max();
 }
 
 // ---- decisions ----
@@ -259,6 +279,11 @@
   return limits_ != nullptr && limits_->retry_budget.TryAcquire();
 }
 
+bool CallDispatch::ConfirmCaller() {
+  return dependencies_.services == nullptr ||
+         CustomerFilter::Identify(*dependencies_.services->Load(), call_);
+}
+
 void CallDispatch::RecordLoss(const Attempt& attempt, const absl::Status& failure) {
   if (!attempt.has_sent_bytes() || attempt.head() != nullptr ||
       AttemptEndOf(failure) != AttemptEnd::kConnectionLost) {
@@ -356,6 +381,9 @@
 }
 
 CallOutcome CallDispatch::MakeFailureOutcome(const absl::Status& failure) const {
+  if (is_caller_refused_ && !may_have_executed_) {
+    return CustomerFilter::Refusal();
+  }
   const bool deadline_passed = absl::IsDeadlineExceeded(failure);
   const std::string reason(failure.message());
   auto call_outcome = may_have_executed_
--- a/src/gateway/fleet_service_receiving.cc
+++ b/src/gateway/fleet_service_receiving.cc
@@ -59,10 +59,12 @@
     // Once for each message: the size is computed from all records, of which a message may have
     // hundreds.
     gateway_->balancer().SetFleetSize(table_.PeakSize(now));
+    UpdateQuotaView(now);
   }
   if (message->usage) {
     gateway_->quota().MergeUsage(AddressBits(ip), message->members.front().incarnation,
                                  *message->usage, now);
+    AnswerUsage(ip, now);
   } else {
     // A message with usage has no load report, and doesn't mean that the peer has no load.
     ReceiveLoadReport(ip, message->load, now);
