Tell refused callers when to return while a service is short of room

Cause: callers that were refused in a burst of seconds all returned after 50 to 300 ms, met the burst again, and most callers return only once or twice.

Change: while a service is short of room (PriorityAdmission), ReturnSchedule spreads their returns at the rate at which calls get room, urgent ones first, within a third of the time that they have. A call that comes back early keeps its time and takes no second place. Without a shortage the Retry-After is as before.

--- a/include/primroseweir/gateway/gateway.h
+++ b/include/primroseweir/gateway/gateway.h
@@ -17,6 +17,7 @@
 #include "primroseweir/balance/admission_queue.h"
 #include "primroseweir/balance/load_balancer.h"
 #include "primroseweir/balance/priority_admission.h"
+#include "primroseweir/balance/return_schedule.h"
 #include "primroseweir/balance/windowed_retry_budget.h"
 #include "primroseweir/base/ids.h"
 #include "primroseweir/base/random.h"
@@ -141,6 +142,7 @@
   UpstreamConnectionPool& pool() { return pool_; }
   AdmissionQueue& queue(const ServiceName& service) { return queues_[service]; }
   PriorityAdmission& admission(const ServiceName& service) { return admissions_[service]; }
+  ReturnSchedule& return_schedule(const ServiceName& service) { return return_schedules_[service]; }
   WindowedRetryBudget& retry_budget(const ServiceName& service);
   WeightedServicePicker& service_picker() { return service_picker_; }
   CrashGuard& crash_guard() { return crash_guard_; }
@@ -219,6 +221,7 @@
   std::map<CustomerName, QuotaRefusals> quota_refusals_;
   std::map<ServiceName, AdmissionQueue> queues_;
   std::map<ServiceName, PriorityAdmission> admissions_;
+  std::map<ServiceName, ReturnSchedule> return_schedules_;
   std::map<ServiceName, WindowedRetryBudget> retry_budgets_;
   std::map<UpstreamId, std::vector<SuspectedCrash>> suspected_crashes_;
   std::unordered_map<HttpServerExchange*, std::unique_ptr<RoutedCall>> calls_;
--- a/src/gateway/routed_call_placement.cc
+++ b/src/gateway/routed_call_placement.cc
@@ -41,6 +41,9 @@
 void RoutedCall::RecordPlacement(bool found_room, Instant now) {
   if (!std::exchange(is_placement_recorded_, true)) {
     gateway_->admission(service_).RecordPlacement(found_room, now);
+    if (found_room) {
+      gateway_->return_schedule(service_).RecordRoom(now);
+    }
   }
 }
 
--- a/src/gateway/routed_call_responses.cc
+++ b/src/gateway/routed_call_responses.cc
@@ -1,4 +1,5 @@
 // Events that end a call (caller, deadline, body errors), the final responses and the log entry.
+#include <algorithm>
 #include <cstdio>
 #include <utility>
 
@@ -126,6 +127,16 @@
 }
 
 void RoutedCall::Refuse(std::string_view reason, Instant now) {
+  if (route_ != nullptr && !retry_may_succeed_at_once_ &&
+      gateway_->admission(service_).Shortage(now) > 0) {
+    gateway_->metrics().CountEvent("return_scheduled");
+    const auto latest =
+        std::max(Duration::zero(), (deadline_ - now) / RetryPolicy::kRetryAfterDivisor);
+    const auto retry_after = gateway_->return_schedule(service_).RetryAfter(
+        fingerprint_, priority(), latest, gateway_->random().UniformUnit(), now);
+    SendLocalReply(kUnavailable, "refused", reason, retry_after, now);
+    return;
+  }
   const auto expected_wait =
       gateway_->balancer().ExpectedWait(service_, gateway_->queue(service_).size(), now);
   const auto refusal_reason = retry_may_succeed_at_once_
--- a/tests/gateway/hard_load_test.cc
+++ b/tests/gateway/hard_load_test.cc
@@ -1,4 +1,5 @@
 // Calls through the whole gateway while callers send requests ahead or a service is short of room.
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <string>
@@ -84,4 +85,36 @@
   CHECK(fixture.request_count() == static_cast<std::size_t>(12 - refused));
 }
 
+// Load: calls that are refused while a service is short of room. Guards against callers that all
+// return within the burst, and against repeats of one call that push the others back.
+TEST_CASE("refused callers return over the time that they have", "[gateway]") {
+  GatewayFixture fixture;
+  fixture.priority = 2;
+  fixture.AddUpstream([](const Request&) { return Reply{}; }, "here", 1);
+  fixture.Apply(CallKind::kIdempotent);
+  auto& admission = fixture.gateway().admission(ServiceName("s"));
+  fixture.gateway().balancer().Find(UpstreamId("u1"))->SetPeerInFlight(1);
+  double longest = 0;
+  double shortest = 1;
+  for (int i = 0; i < 20; ++i) {
+    const auto now = EventLoop::Now();
+    fixture.gateway().balancer().MeasurePressure(now);
+    admission.RecordArrival(0, now);
+    for (int call = 0; call < 100; ++call) {
+      admission.RecordPlacement(false, now);
+    }
+    const auto caller = fixture.Call("/x/" + std::to_string(i));
+    REQUIRE(caller->status() == 503);
+    const auto field = caller->received().find("Retry-After: ");
+    REQUIRE(field != std::string::npos);
+    const double retry_after = std::stod(caller->received().substr(field + 13));
+    longest = std::max(longest, retry_after);
+    shortest = std::min(shortest, retry_after);
+  }
+  // Callers follow it up to a third of the 2 s that they have.
+  CHECK(longest > 0.4);
+  CHECK(longest <= 0.667);
+  CHECK(longest - shortest > 0.1);
+}
+
 }  // namespace primroseweir::testing
