--- a/src/gateway/routed_call_responses.cc
+++ b/src/gateway/routed_call_responses.cc
@@ -167,7 +167,7 @@
   head.fields.Add("Content-Type", "text/plain");
   LogCompletion(status, outcome, reason, now);
   gateway_->CountLocalReply(status);
-  if (status == kUnavailable && identity_.customer()) {
+  if (status == kUnavailable && route_ != nullptr && identity_.customer()) {
     gateway_->metrics().CountCustomerRefusal(identity_.customer()->name.value(),
                                              std::string(reason));
     gateway_->log().WriteCall("customer_refused",
