--- a/include/primroseweir/filters/detail/call_dispatch.h
+++ b/include/primroseweir/filters/detail/call_dispatch.h
@@ -43,7 +43,9 @@
   // attempt that failed, was refused or was shed is discarded instead, and the result is false.
   absl::StatusOr<bool> CheckHead(std::unique_ptr<Attempt>* attempt,
                                  const std::unique_ptr<Attempt>& other);
-  void StartHedge();
+  // Sends the call to another upstream with a free owned slot. Returns the time of the next attempt
+  // to do so, which is never unless no upstream has room now.
+  Instant TryStartHedge();
   Instant HedgeTime() const;
   void SelectWinner(std::unique_ptr<Attempt>* winner, std::unique_ptr<Attempt>* loser);
 
@@ -55,6 +57,8 @@
   bool ShouldRetryAfterShedding();
   bool MayExecuteAgain() const;
   bool TryAcquireRetry();
+  // Identifies the caller by the configuration in force. Returns whether it may use the service.
+  bool ConfirmCaller();
   // Adds a crash strike to the request when the connection loss looks like an upstream crash.
   void RecordLoss(const Attempt& attempt, const absl::Status& failure);
 
@@ -82,6 +86,7 @@
   bool may_have_executed_ = false;
   bool body_consumed_ = false;
   bool lease_failed_ = false;
+  bool is_caller_refused_ = false;
   std::string step_ = "admission";
   std::string peer_;
 };
