--- a/include/primroseweir/gateway/gateway.h
+++ b/include/primroseweir/gateway/gateway.h
@@ -18,6 +18,7 @@
 #include "primroseweir/balance/customer_retry_budget.h"
 #include "primroseweir/balance/load_balancer.h"
 #include "primroseweir/balance/priority_admission.h"
+#include "primroseweir/balance/return_schedule.h"
 #include "primroseweir/balance/windowed_retry_budget.h"
 #include "primroseweir/base/ids.h"
 #include "primroseweir/base/random.h"
@@ -143,6 +144,7 @@
   AdmissionQueue& queue(const ServiceName& service) { return queues_[service]; }
   PriorityAdmission& admission(const ServiceName& service) { return admissions_[service]; }
   CustomerRetryBudget& retry_budget(const ServiceName& service);
+  ReturnSchedule& return_schedule(const ServiceName& service) { return return_schedules_[service]; }
   WeightedServicePicker& service_picker() { return service_picker_; }
   CrashGuard& crash_guard() { return crash_guard_; }
   Random& random() { return random_; }
@@ -221,6 +223,7 @@
   std::map<ServiceName, AdmissionQueue> queues_;
   std::map<ServiceName, PriorityAdmission> admissions_;
   std::map<ServiceName, CustomerRetryBudget> retry_budgets_;
+  std::map<ServiceName, ReturnSchedule> return_schedules_;
   std::map<UpstreamId, std::vector<SuspectedCrash>> suspected_crashes_;
   std::unordered_map<HttpServerExchange*, std::unique_ptr<RoutedCall>> calls_;
   // Ended calls whose functions may still be on the stack; destroyed at the next tick, or in the
