Send the crash strikes to instances that start, before they serve

Change: the first message of each peer to an instance that started, and each reply to a request for the store's readers, holds the known strikes (at most 4,000 bytes, quarantined requests first). An instance that received none sends none in its first second.

--- a/include/primroseweir/fleet/fleet_message.h
+++ b/include/primroseweir/fleet/fleet_message.h
@@ -24,13 +24,16 @@
   // IPv4 addresses of instances whose records the sender requests.
   std::vector<std::string> requested_records;
   PeerLoadReport load;
-  // Whether the sender knows of no other instance that reads the store and requests the records of
-  // those that do.
+  // Whether the sender knows of no other instance that reads the store, or lacks the crash strikes
+  // of its peers, and requests the records of the readers and the strikes.
   bool requests_readers = false;
   // Encoded PublishedSnapshot of the newest change if that is small, else empty.
   std::string change;
   // Calls of customers with quotas at the sender; absent if it has none.
   std::optional<UsageReport> usage;
+  // Crash strikes that the sender knows, for an instance that started; present in the first message
+  // to it even if there are none, otherwise absent.
+  std::optional<std::vector<CrashStrike>> known_strikes;
 };
 
 }  // namespace primroseweir
--- a/include/primroseweir/gateway/fleet_service.h
+++ b/include/primroseweir/gateway/fleet_service.h
@@ -88,6 +88,8 @@
   bool is_seed() const { return is_seed_; }
   // Whether a valid datagram of any peer was received since the start.
   bool has_received_from_peer() const { return has_received_from_peer_; }
+  // Whether a peer has sent the crash strikes that it knows since the start.
+  bool has_known_strikes() const { return has_known_strikes_; }
 
   // Returns the IP addresses of the instances that callers in data centre `caller` should use.
   std::vector<std::string> AddressesFor(const DataCentre& caller) const;
@@ -128,6 +130,13 @@
   // Maximum size of a change that is included in its notification, so that peers need not fetch it.
   // It is bounded since a notification is sent to a whole data centre over one link.
   static constexpr std::size_t kMaxInlineChangeBytes = 4000;
+  // Maximum size of the crash strikes in the first message to an instance that started: those of
+  // about sixty quarantined requests. It is bounded as kMaxInlineChangeBytes is.
+  static constexpr std::size_t kMaxKnownStrikesBytes = 4000;
+  // Time after the start from which an instance's own strikes count as known although no peer has
+  // sent any. Until then it sends none: after a power failure the instances would take each other's
+  // empty lists for those of instances that were not lost.
+  static constexpr Duration kStrikesKnownTime = std::chrono::milliseconds(1000);
   // Time after the start by which an instance has heard of enough others to tell whether callers
   // are told to use it.
   static constexpr Duration kServingKnownTime = std::chrono::milliseconds(300);
@@ -151,6 +160,10 @@
   // of all live peers if it is in the local data centre, otherwise those that HeartbeatsFor
   // selects, mainly of its own and of the local data centre.
   void IntroducePeers(const FleetMember& member, Instant now);
+  // Adds the crash strikes that this instance knows, if it may have learnt all of them.
+  void AddKnownStrikes(FleetMessage* message, Instant now);
+  void ReceiveKnownStrikes(const std::string& ip, const std::vector<CrashStrike>& strikes,
+                           Instant now);
   // Applies a change that arrived by datagram, and forwards it to the local peers if the sender is
   // in another data centre.
   void ReceiveChange(const FleetMember& sender, const std::string& change, Instant now);
@@ -184,6 +197,7 @@
   UdpSocket socket_;
   std::set<std::string> live_peers_;
   bool has_received_from_peer_ = false;
+  bool has_known_strikes_ = false;
   bool is_stopping_ = false;
   std::uint64_t heartbeat_count_ = 0;
   // Moving averages of calls and response bytes per second, and the counts at the last heartbeat.
--- a/include/primroseweir/limits/crash_guard.h
+++ b/include/primroseweir/limits/crash_guard.h
@@ -73,6 +73,11 @@
   // Returns the strikes and successes younger than kQuarantineTime, newest first, for gossip.
   std::vector<CrashStrike> Strikes(Instant now) const;
 
+  // Returns those of Strikes for an instance that started, as many as `max_bytes` hold. The strikes
+  // of quarantined requests come first: crashes of loaded upstreams leave single strikes of many
+  // requests, which would displace them. Each strike counts as its upstream's id plus kStrikeBytes.
+  std::vector<CrashStrike> StrikesForStart(std::size_t max_bytes, Instant now) const;
+
   static constexpr Duration kQuarantineTime = std::chrono::minutes(10);
   // Maximum number of fingerprints with a record; the one with the oldest last strike is evicted
   // first.
@@ -84,6 +89,8 @@
   // Each message adds its transmission time to the reported time of the event; without this window
   // the time would advance with every instance that forwards the event.
   static constexpr Duration kSameEventWindow = std::chrono::seconds(1);
+  // Size of an encoded strike in a message, without the id of its upstream.
+  static constexpr std::size_t kStrikeBytes = 18;
 
  private:
   struct Record {
--- a/src/fleet/fleet_codec.cc
+++ b/src/fleet/fleet_codec.cc
@@ -36,6 +36,10 @@
 // the sender is active, its customers packed by PackUsage, and addresses of active instances.
 using UsageTuple = std::tuple<bool, std::string, std::vector<std::uint32_t>>;
 constexpr std::uint32_t kUsageIndex = std::tuple_size<MessageTuple>::value;
+// Optional element after the usage, which is nil if only this one is present: known strikes.
+constexpr std::uint32_t kKnownStrikesIndex = kUsageIndex + 1;
+// Bound on what a message is trusted with; a sender stays below it.
+constexpr std::size_t kMaxKnownStrikes = 1024;
 // Bytes of one customer: hash, admitted calls and recently admitted calls.
 constexpr std::size_t kCustomerBytes = 10;
 // Bounds on what a message is trusted with. A sender stays below FleetQuota's limits.
@@ -107,6 +111,37 @@
   return usage;
 }
 
+std::vector<StrikeTuple> ToTuples(const std::vector<CrashStrike>& strikes) {
+  std::vector<StrikeTuple> tuples;
+  for (const auto& strike : strikes) {
+    tuples.emplace_back(strike.fingerprint, strike.upstream.value(), ToMilliseconds(strike.age),
+                        strike.succeeded);
+  }
+  return tuples;
+}
+
+std::vector<CrashStrike> FromTuples(const std::vector<StrikeTuple>& tuples) {
+  std::vector<CrashStrike> strikes;
+  for (const auto& [fingerprint, upstream, age, succeeded] : tuples) {
+    strikes.push_back(
+        {fingerprint, UpstreamId(upstream), std::chrono::milliseconds(age), succeeded});
+  }
+  return strikes;
+}
+
+// Reads the optional element of a message, as ReadUsage.
+std::optional<std::vector<CrashStrike>> ReadKnownStrikes(const msgpack::object& message) {
+  if (message.via.array.size <= kKnownStrikesIndex) {
+    return std::nullopt;
+  }
+  try {
+    const auto tuples = message.via.array.ptr[kKnownStrikesIndex].as<std::vector<StrikeTuple>>();
+    return tuples.size() > kMaxKnownStrikes ? std::nullopt : std::make_optional(FromTuples(tuples));
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+}
+
 MessageTuple ToTuple(const FleetMessage& message) {
   MessageTuple result;
   auto& [format, members, upstream_loads, strikes, requests_readers, change, heartbeats, forwarded,
@@ -133,10 +168,7 @@
     upstream_loads.emplace_back(upstream_load.upstream, upstream_load.in_flight,
                                 upstream_load.slowdown_percent, upstream_load.age_ms);
   }
-  for (const auto& strike : message.load.strikes) {
-    strikes.emplace_back(strike.fingerprint, strike.upstream.value(), ToMilliseconds(strike.age),
-                         strike.succeeded);
-  }
+  strikes = ToTuples(message.load.strikes);
   return result;
 }
 
@@ -158,10 +190,7 @@
   for (const auto& [upstream, in_flight, slowdown, age] : std::get<2>(tuple)) {
     message.load.upstream_loads.push_back({upstream, in_flight, slowdown, age});
   }
-  for (const auto& [fingerprint, upstream, age, succeeded] : std::get<3>(tuple)) {
-    message.load.strikes.push_back(
-        {fingerprint, UpstreamId(upstream), std::chrono::milliseconds(age), succeeded});
-  }
+  message.load.strikes = FromTuples(std::get<3>(tuple));
   message.requests_readers = std::get<4>(tuple);
   message.change = std::get<5>(tuple);
   for (const auto packed : std::get<6>(tuple)) {
@@ -178,12 +207,21 @@
 
 std::string EncodeFleetMessage(const FleetMessage& message) {
   msgpack::sbuffer buffer;
+  std::optional<UsageTuple> usage;
   if (message.usage) {
-    const UsageTuple usage(message.usage->is_active, PackUsage(message.usage->customers),
-                           message.usage->active_peers);
-    msgpack::pack(buffer, std::tuple_cat(ToTuple(message), std::make_tuple(usage)));
+    usage.emplace(message.usage->is_active, PackUsage(message.usage->customers),
+                  message.usage->active_peers);
+  }
+  const auto tuple = ToTuple(message);
+  if (message.known_strikes) {
+    msgpack::zone zone;
+    const auto usage_or_nil = usage ? msgpack::object(*usage, zone) : msgpack::object();
+    msgpack::pack(buffer, std::tuple_cat(tuple, std::make_tuple(usage_or_nil,
+                                                                ToTuples(*message.known_strikes))));
+  } else if (usage) {
+    msgpack::pack(buffer, std::tuple_cat(tuple, std::make_tuple(*usage)));
   } else {
-    msgpack::pack(buffer, ToTuple(message));
+    msgpack::pack(buffer, tuple);
   }
   return {buffer.data(), buffer.size()};
 }
@@ -198,6 +236,7 @@
     }
     auto message = FromTuple(tuple);
     message.usage = ReadUsage(handle.get());
+    message.known_strikes = ReadKnownStrikes(handle.get());
     return message;
   } catch (const std::exception& error) {
     return MakeError(absl::StatusCode::kInvalidArgument, {"peer message", ""}, error.what());
--- a/src/gateway/fleet_service.cc
+++ b/src/gateway/fleet_service.cc
@@ -203,8 +203,8 @@
   const auto targets = table_.PickGossipTargets(heartbeat_count_, now);
   std::set<std::string> own_record_only(targets.own_record_only.begin(),
                                         targets.own_record_only.end());
-  const bool requests_readers =
-      heartbeat_count_ < kMaxReaderQueryHeartbeats && table_.StoreReaderRecords(now).size() <= 1;
+  const bool requests_readers = heartbeat_count_ < kMaxReaderQueryHeartbeats &&
+                                (table_.StoreReaderRecords(now).size() <= 1 || !has_known_strikes_);
   if (live_peers_.empty() || requests_readers || heartbeat_count_ % kHeartbeatsPerSeedRound == 0) {
     own_record_only.insert(seeds_.begin(), seeds_.end());
   }
@@ -286,9 +286,16 @@
   message.members = table_.StoreReaderRecords(now);
   message.heartbeats = table_.IsLocal(member) ? table_.AllHeartbeats(now)
                                               : table_.HeartbeatsFor(member.data_centre, now);
+  AddKnownStrikes(&message, now);
   Send(member.ip, EncodeFleetMessage(message));
 }
 
+void FleetService::AddKnownStrikes(FleetMessage* message, Instant now) {
+  if (has_known_strikes_ || now - started_at_ > kStrikesKnownTime) {
+    message->known_strikes = gateway_->crash_guard().StrikesForStart(kMaxKnownStrikesBytes, now);
+  }
+}
+
 // Sends the load report to the instances that callers of the local data centre use, since those
 // share its upstreams, and while a service is short of room to those of all data centres. A report
 // with crash strikes is sent to all live peers.
--- a/src/gateway/fleet_service_receiving.cc
+++ b/src/gateway/fleet_service_receiving.cc
@@ -33,9 +33,13 @@
     Send(ip, EncodeFleetMessage(reply));
   }
   has_received_from_peer_ = true;
+  if (message->known_strikes) {
+    ReceiveKnownStrikes(ip, *message->known_strikes, now);
+  }
   if (message->requests_readers) {
     FleetMessage reply;
     reply.members = table_.StoreReaderRecords(now);
+    AddKnownStrikes(&reply, now);
     Send(ip, EncodeFleetMessage(reply));
   }
   if (!message->requested_records.empty()) {
@@ -97,6 +101,19 @@
   }
 }
 
+void FleetService::ReceiveKnownStrikes(const std::string& ip,
+                                       const std::vector<CrashStrike>& strikes, Instant now) {
+  gateway_->crash_guard().Merge(strikes, now);
+  if (std::exchange(has_known_strikes_, true)) {
+    return;
+  }
+  log_->Write("crash_strikes", {{"peer", ip}, {"count", std::to_string(strikes.size())}}, now);
+  // The instance may have waited only for these.
+  if (cache_->revision() != Revision()) {
+    on_snapshot_(false);
+  }
+}
+
 void FleetService::RecordLive(const std::string& ip, const std::string& reported_by, Instant now) {
   live_peers_.insert(ip);
   log_->Write("peer_live", {{"peer", ip}, {"told_by", reported_by}}, now);
--- a/src/limits/crash_guard.cc
+++ b/src/limits/crash_guard.cc
@@ -115,6 +115,21 @@
   return strikes;
 }
 
+std::vector<CrashStrike> CrashGuard::StrikesForStart(std::size_t max_bytes, Instant now) const {
+  auto strikes = Strikes(now);
+  std::stable_partition(strikes.begin(), strikes.end(), [this, now](const CrashStrike& strike) {
+    return Check(strike.fingerprint, now) == Classification::kQuarantined;
+  });
+  std::size_t bytes = 0;
+  const auto first_left_out =
+      std::find_if(strikes.begin(), strikes.end(), [&](const CrashStrike& strike) {
+        bytes += strike.upstream.value().size() + kStrikeBytes;
+        return bytes > max_bytes;
+      });
+  strikes.erase(first_left_out, strikes.end());
+  return strikes;
+}
+
 // ---- records, under the mutex ----
 
 CrashGuard::Record& CrashGuard::FindOrCreate(std::uint64_t fingerprint, Instant now) {
--- a/standins/platform/main.cc
+++ b/standins/platform/main.cc
@@ -70,6 +70,11 @@
         store_->Put("servers/" + upstream->id(), upstream->StoreEntry("ready"));
       });
     });
+    port_.Add("/crash", [this](const Query& query) {
+      return upstreams_.erase(QueryValue(query, "id")) == 0
+                 ? PageServer::Page{kNotFound, "text/plain", "no such upstream\n"}
+                 : DonePage();
+    });
     port_.Add("/requests", [this](const Query&) {
       std::string text;
       for (const auto& [id, upstream] : upstreams_) {
@@ -186,7 +191,7 @@
       "control port: /put?key=&value=&repeat=&end=, /erase?key=, /compact, /down?for=no|all, "
       "/stale?reads=no|yes, "
       "/upstream?id=&service=&zone=&address=&listed=&work_ms=, /mode?id=&mode=, "
-      "/state?id=&state=, /restart?id=, /requests, /runs, /ledger",
+      "/state?id=&state=, /restart?id=, /crash?id=, /requests, /runs, /ledger",
       true, "", "IP:PORT", command);
   try {
     command.parse(argc, argv);
--- a/tests/gateway/fleet_service_test.cc
+++ b/tests/gateway/fleet_service_test.cc
@@ -275,5 +275,60 @@
   CHECK(call_until(429));
 }
 
+// Guards against a restarted instance that sends a request on that crashed upstreams before: no
+// peer told it which ones its peers hold in quarantine.
+TEST_CASE("an instance that starts gets the crash strikes in the first message of each peer",
+          "[fleet]") {
+  ServiceFixture fixture;
+  fixture.Start();
+  auto& guard = fixture.gateway_fixture().gateway().crash_guard();
+  auto& peer = fixture.AddPeer("here");
+  // Strikes of another peer, which make this instance one that knows them.
+  FleetMessage first;
+  first.known_strikes = {{{7, UpstreamId("a"), Duration::zero(), false},
+                          {7, UpstreamId("b"), Duration::zero(), false}}};
+  peer.Send(fixture.ip(), first);
+  REQUIRE(fixture.WaitUntil([&] { return fixture.service().has_known_strikes(); }));
+  CHECK(guard.Check(7, EventLoop::Now()) == CrashGuard::Classification::kQuarantined);
+  const auto is_told = [](const FleetMessage& m) {
+    return m.known_strikes && m.known_strikes->size() == 2 &&
+           (*m.known_strikes)[0].fingerprint == 7;
+  };
+  auto& started = fixture.AddPeer("there");
+  started.Send(fixture.ip());
+  REQUIRE(fixture.WaitUntil([&] { return !started.messages().empty(); }));
+  CHECK(is_told(started.messages().front()));
+  // If that message was lost, the instance asks again.
+  auto& asking = fixture.AddPeer("there");
+  asking.Send(fixture.ip());
+  REQUIRE(fixture.WaitUntil([&] { return !asking.messages().empty(); }));
+  const auto count = asking.messages().size();
+  FleetMessage request;
+  request.requests_readers = true;
+  asking.Send(fixture.ip(), request);
+  CHECK(fixture.WaitUntil([&] {
+    const auto& messages = asking.messages();
+    return std::any_of(messages.begin() + static_cast<std::ptrdiff_t>(count), messages.end(),
+                       is_told);
+  }));
+}
+
+// Guards against instances that take each other's empty lists for those of instances that were not
+// lost, when most of a fleet is restarted at once.
+TEST_CASE("an instance that started sends no crash strikes before it has learnt them", "[fleet]") {
+  ServiceFixture fixture;
+  fixture.Start();
+  auto& peer = fixture.AddPeer("here");
+  peer.Send(fixture.ip());
+  REQUIRE(fixture.WaitUntil([&] { return !peer.messages().empty(); }));
+  CHECK_FALSE(HasMessage(peer, [](const auto& m) { return m.known_strikes.has_value(); }));
+  REQUIRE_FALSE(fixture.WaitUntil([] { return false; },
+                                  FleetService::kStrikesKnownTime + std::chrono::milliseconds(50)));
+  auto& late = fixture.AddPeer("here");
+  late.Send(fixture.ip());
+  REQUIRE(fixture.WaitUntil([&] { return !late.messages().empty(); }));
+  CHECK(late.messages().front().known_strikes.has_value());
+}
+
 }  // namespace
 }  // namespace primroseweir::testing
--- a/tests/limits/crash_guard_test.cc
+++ b/tests/limits/crash_guard_test.cc
@@ -174,5 +174,29 @@
   CHECK(sent[1].succeeded);
 }
 
+// Guards against a first message to a restarted instance that exceeds a datagram, or that is filled
+// by single strikes of ordinary requests so that a quarantined one is left out.
+TEST_CASE("the strikes for an instance that starts are bounded, quarantined requests first") {
+  CrashGuard guard;
+  Instant now(seconds(1000));
+  guard.AddStrike(1, Upstream(1), now);
+  guard.AddStrike(1, Upstream(2), now);
+  for (std::uint64_t ordinary = 10; ordinary < 200; ++ordinary) {
+    now += milliseconds(1);
+    guard.AddStrike(ordinary, Upstream(3), now);
+  }
+  constexpr std::size_t kMaxBytes = 1000;
+  const auto strikes = guard.StrikesForStart(kMaxBytes, now);
+  REQUIRE(strikes.size() > 10);
+  CHECK(strikes.size() * (Upstream(3).value().size() + CrashGuard::kStrikeBytes) <= kMaxBytes);
+  CHECK(strikes[0].fingerprint == 1);
+  CHECK(strikes[1].fingerprint == 1);
+  CHECK(strikes[2].fingerprint == 199);
+  CrashGuard restarted;
+  restarted.Merge(strikes, now);
+  CHECK(restarted.Check(1, now) == Classification::kQuarantined);
+  CHECK(guard.StrikesForStart(100'000, now).size() == guard.Strikes(now).size());
+}
+
 }  // namespace
 }  // namespace primroseweir
--- a/tests/platform/restart_test.cc
+++ b/tests/platform/restart_test.cc
@@ -7,6 +7,7 @@
 
 #include <atomic>
 #include <catch2/catch.hpp>
+#include <future>
 #include <memory>
 #include <string>
 #include <thread>
@@ -92,6 +93,50 @@
   restart_all("at o1");
 }
 
+// Guards against a request that crashes further upstreams at instances that were restarted since
+// its first crashes: they had lost what they knew of it.
+TEST_CASE("a restarted instance refuses a request that its peers hold in quarantine",
+          "[platform][not-run]") {
+  RestartSite site;
+  for (const std::string id : {"r1", "r2"}) {
+    site.SendCommand("/mode", {{"id", id}, {"mode", "silent"}});
+  }
+  const std::string target = "/read/poison";
+  for (int crashes = 0; crashes < 2; ++crashes) {
+    auto poison =
+        std::async(std::launch::async, [&] { return site.CallStatus(0, "GET", target, "poison"); });
+    std::string running;
+    REQUIRE(WaitUntil(
+        [&] {
+          const auto runs = site.SendCommand("/runs");
+          for (const std::string id : {"r1", "r2"}) {
+            const bool is_running = Contains(runs, id + "=") && !Contains(runs, id + "=0");
+            running = is_running ? id : running;
+          }
+          return !running.empty();
+        },
+        seconds(5)));
+    site.SendCommand("/crash", {{"id", running}});
+    CHECK(poison.get() != 200);
+    // A probe confirms the crash.
+    std::this_thread::sleep_for(milliseconds(500));
+  }
+  const auto is_refused = [&](int instance) {
+    return site.CallStatus(instance, "GET", target, "poison") == 503 &&
+           !site.WaitForLogLine(instance, {"request=poison", "crashes_upstreams"}).empty();
+  };
+  REQUIRE(WaitUntil([&] { return is_refused(0) && is_refused(1); }, seconds(8)));
+  site.AddUpstream("r1", "reads", 1);
+  site.AddUpstream("r2", "reads", 2);
+  REQUIRE(WaitUntil([&] { return site.CallStatus(0, "GET", "/read/1", "ok") == 200; }, seconds(8)));
+  site.Instance(2).Kill();
+  site.StartInstance(2);
+  REQUIRE(site.WaitUntilReady(2));
+  CHECK(site.CallStatus(2, "GET", target, "again") == 503);
+  CHECK_FALSE(Contains(site.SendCommand("/ledger"), "again"));
+  CHECK(WaitUntil([&] { return site.CallStatus(2, "GET", "/read/1", "ok") == 200; }, seconds(8)));
+}
+
 // Calls one instance until it accepts no more connections, on a new connection each time or on a
 // reused one. Counts calls that were completed, and calls on a new connection whose request was
 // sent completely but whose response did not arrive completely.
