Let the retry allowance grow with the time since the start of a process

Change: in the first window after the start of the process the allowance grows with the time since then. The part that is proportional to the instance's own first attempts is not affected. Lost: an instance that just started allows no retry before its sixth call of a service, and at half of the window (budget 62 for 17 instances) 1 instead of 3 retries of the allowance. Test of the load: 17 instances of which 9 are killed three times within a window exceeded the budget before, and stay within it in every window now.

--- a/include/primroseweir/balance/windowed_retry_budget.h
+++ b/include/primroseweir/balance/windowed_retry_budget.h
@@ -24,6 +24,9 @@
     double ratio = 0.2;
     double allowance = 0;
     Duration window = std::chrono::seconds(10);
+    // Start of the process. In the first window after it, the allowance grows with the time since
+    // then: an earlier process of this instance may have spent its share in the same window.
+    Instant started_at{};
   };
 
   explicit WindowedRetryBudget(const Limits& limits);
@@ -52,6 +55,8 @@
   };
 
   Bucket& BucketAt(Instant now);
+  // Returns the part of the allowance that this process may use by now, between 0 and 1.
+  double AllowancePart(Instant now) const;
   std::uint64_t SumOverWindow(std::uint32_t Bucket::*counter, Instant now);
 
   const Limits limits_;
--- a/src/balance/windowed_retry_budget.cc
+++ b/src/balance/windowed_retry_budget.cc
@@ -9,8 +9,8 @@
 void WindowedRetryBudget::RecordFirstAttempt(Instant now) { ++BucketAt(now).first_attempts; }
 
 bool WindowedRetryBudget::TryAcquire(std::size_t instances, Instant now) {
-  const double allowance_share =
-      limits_.allowance / static_cast<double>(std::max<std::size_t>(instances, 1));
+  const double allowance_share = AllowancePart(now) * limits_.allowance /
+                                 static_cast<double>(std::max<std::size_t>(instances, 1));
   const double max_retries =
       kMaxUtilization *
       (limits_.ratio * static_cast<double>(first_attempts(now)) + allowance_share);
@@ -21,6 +21,11 @@
   return true;
 }
 
+double WindowedRetryBudget::AllowancePart(Instant now) const {
+  const auto since_start = std::chrono::duration<double>(now - limits_.started_at);
+  return std::clamp(since_start / std::chrono::duration<double>(limits_.window), 0.0, 1.0);
+}
+
 std::uint64_t WindowedRetryBudget::first_attempts(Instant now) {
   return SumOverWindow(&Bucket::first_attempts, now);
 }
--- a/tests/balance/policies_test.cc
+++ b/tests/balance/policies_test.cc
@@ -1,4 +1,7 @@
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <deque>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -101,6 +104,82 @@
   CHECK(fleet[0].retries(now + seconds(11)) == 0);
 }
 
+// Load pattern: upstreams that shed a part of their calls while 55% of the instances are killed
+// three times within one window. Guards against new processes that spend the allowance of their
+// instance again: the sum over all processes exceeded the budget (review: 137 to 155 retries of 129
+// to 150).
+TEST_CASE("restarted instances do not spend the allowance of their retry budget again",
+          "[balance]") {
+  constexpr std::size_t kInstances = 17;
+  constexpr std::size_t kKilled = 9;
+  WindowedRetryBudget::Limits limits;
+  limits.ratio = 0.2;
+  limits.allowance = 62;
+  std::vector<std::unique_ptr<WindowedRetryBudget>> fleet;
+  for (std::size_t i = 0; i < kInstances; ++i) {
+    fleet.push_back(std::make_unique<WindowedRetryBudget>(limits));
+  }
+  const Instant start(seconds(1000));
+  // Times of all first attempts and retries that reached upstreams.
+  std::deque<Instant> first_attempts;
+  std::deque<Instant> retries;
+  const auto forget = [&](std::deque<Instant>* times, Instant now) {
+    while (!times->empty() && times->front() <= now - limits.window) {
+      times->pop_front();
+    }
+  };
+  std::size_t most_retries = 0;
+  for (int step = 0; step < 600; ++step) {
+    const auto now = start + step * milliseconds(50);
+    const bool is_kill =
+        now - start == seconds(12) || now - start == seconds(14) || now - start == seconds(16);
+    for (std::size_t i = 0; is_kill && i < kKilled; ++i) {
+      auto restarted = limits;
+      restarted.started_at = now;
+      fleet[i] = std::make_unique<WindowedRetryBudget>(restarted);
+    }
+    for (auto& retry_budget : fleet) {
+      retry_budget->RecordFirstAttempt(now);
+      first_attempts.push_back(now);
+      while (retry_budget->TryAcquire(kInstances, now)) {
+        retries.push_back(now);
+      }
+    }
+    forget(&first_attempts, now);
+    forget(&retries, now);
+    most_retries = std::max(most_retries, retries.size());
+    CHECK(static_cast<double>(retries.size()) <=
+          limits.ratio * static_cast<double>(first_attempts.size()) + limits.allowance);
+  }
+  CHECK(most_retries > 0);
+}
+
+// Guards against a fleet that does not retry at all after its start: the retries for its own first
+// attempts are allowed at once, and the allowance grows over the first window.
+TEST_CASE("an instance that just started retries in proportion to its calls", "[balance]") {
+  WindowedRetryBudget::Limits limits;
+  limits.ratio = 0.2;
+  limits.allowance = 62;
+  limits.started_at = Instant(seconds(1000));
+  const auto count_retries = [&limits](int calls, Duration since_start) {
+    WindowedRetryBudget retry_budget(limits);
+    const auto now = limits.started_at + since_start;
+    for (int i = 0; i < calls; ++i) {
+      retry_budget.RecordFirstAttempt(now);
+    }
+    int retries = 0;
+    while (retry_budget.TryAcquire(17, now)) {
+      ++retries;
+    }
+    return retries;
+  };
+  CHECK(count_retries(5, Duration::zero()) == 0);
+  CHECK(count_retries(6, Duration::zero()) == 1);
+  CHECK(count_retries(100, Duration::zero()) == 18);
+  CHECK(count_retries(0, seconds(5)) == 1);
+  CHECK(count_retries(0, seconds(10)) == 3);
+}
+
 // Guards against urgent calls that wait behind less urgent ones, and against calls that start out
 // of order.
 TEST_CASE("waiting calls start by priority, then by arrival", "[balance]") {
