--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -11,6 +11,7 @@
 #include "primroseweir/base/line_log.h"
 #include "primroseweir/gateway/gateway_metrics.h"
 #include "primroseweir/published/published_cache.h"
+#include "primroseweir/published/published_snapshot.h"
 #include "support/flood_server.h"
 #include "support/loop_server.h"
 
@@ -120,6 +121,36 @@
   }
 }
 
+// Guards against an entry that stays for good although it was deleted: its put arrived in a watch's
+// response after a peer's newer snapshot, which held the deletion.
+TEST_CASE("events of a watch that are older than a peer's snapshot are ignored", "[platform]") {
+  PublishedCache* cache = nullptr;
+  int watches = 0;
+  StoreFixture fixture([&](const LoopServer::Request& request) {
+    if (request.head.target.find("kv-range") != std::string::npos) {
+      return LoopServer::Reply{OkResponse(kEmptyRange), {}, {}};
+    }
+    if (++watches > 1) {
+      return LoopServer::Reply();
+    }
+    PublishedSnapshot snapshot;
+    snapshot.after = Revision(7);
+    snapshot.revision = Revision(10);
+    snapshot.items = {{"servers/i-2", "x", Revision(10)}};
+    snapshot.tombstones = {{"servers/i-1", Revision(9), Duration::zero()}};
+    CHECK(cache->Merge(snapshot, EventLoop::Now()));
+    return LoopServer::Reply{
+        OkResponse(R"({"events":[{"key":"servers/i-1","value":"aQ==","revision":8}],"at":8})"),
+        {},
+        {}};
+  });
+  cache = &fixture.cache;
+  REQUIRE(RunUntil(&fixture.loop, [&] { return watches == 2; }));
+  REQUIRE(fixture.cache.Items().size() == 1);
+  CHECK(fixture.cache.Items()[0]->key == "servers/i-2");
+  CHECK(fixture.cache.revision() == Revision(10));
+}
+
 // Guards against a full read of the store by each instance of a fleet that starts at the same time.
 TEST_CASE("the first read is skipped once a peer's state is in the cache", "[platform]") {
   std::vector<std::string> targets;
