Reset connections whose request has no response when the attempt is given up

Change: HttpClientStream resets such a connection when it is destroyed. The new loop test failed before (end of stream instead of ECONNRESET at the server) and passes now.

--- a/include/primroseweir/loop/http_client_stream.h
+++ b/include/primroseweir/loop/http_client_stream.h
@@ -38,6 +38,8 @@
 
   // Starts connecting.
   HttpClientStream(EventLoop* loop, const SocketAddress& address);
+  // Closes the connection; resets it if its last request has no complete response, so that the
+  // server doesn't get the request later.
   ~HttpClientStream() override;
 
   // Sends a request, at once or as soon as the connection is open. `callbacks` must outlive the
@@ -108,6 +110,8 @@
   std::string unsent_;
   Echo echo_;
   HttpClientCallbacks* callbacks_ = nullptr;
+  // Whether the last request has no complete response.
+  bool awaits_response_ = false;
   bool is_head_request_ = false;
   // Whether more of the request's body follows.
   bool is_sending_body_ = false;
--- a/src/loop/http_client_stream.cc
+++ b/src/loop/http_client_stream.cc
@@ -37,7 +37,13 @@
   stream_ = TcpStream::Connect(loop, address, this);
 }
 
-HttpClientStream::~HttpClientStream() { loop_->connections().memory().Charge(-charged_bytes_); }
+HttpClientStream::~HttpClientStream() {
+  loop_->connections().memory().Charge(-charged_bytes_);
+  if (awaits_response_ && is_connected_) {
+    // After a regular close the kernel would still deliver a request that a cut link has held up.
+    stream_->Reset();
+  }
+}
 
 void HttpClientStream::UpdateCharge() {
   const auto bytes = static_cast<std::int64_t>(AllocatedBytes(input_) + AllocatedBytes(body_));
@@ -47,6 +53,7 @@
 void HttpClientStream::Send(const RequestHead& head, const std::string& body, Echo echo,
                             HttpClientCallbacks* callbacks) {
   callbacks_ = callbacks;
+  awaits_response_ = true;
   echo_ = std::move(echo);
   is_reusable_ = false;
   is_head_request_ = head.method == "HEAD";
@@ -203,6 +210,7 @@
 
 void HttpClientStream::Complete() {
   auto* head = parser_.response();
+  awaits_response_ = false;
   may_receive_copies_ = true;
   keep_alive_timeout_ = KeepAliveTimeoutOf(head->fields);
   idle_since_ = EventLoop::Now();
--- a/tests/loop/http_client_stream_test.cc
+++ b/tests/loop/http_client_stream_test.cc
@@ -1,6 +1,11 @@
 #include "primroseweir/loop/http_client_stream.h"
 
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <catch2/catch.hpp>
+#include <cerrno>
 #include <chrono>
 #include <cstdlib>
 #include <memory>
@@ -11,6 +16,7 @@
 #include "primroseweir/http/request_head.h"
 #include "primroseweir/http/response_head.h"
 #include "support/loop_server.h"
+#include "support/loopback.h"
 
 namespace primroseweir::testing {
 namespace {
@@ -293,5 +299,42 @@
   CHECK(*listener.failure == HttpClientCallbacks::Failure::kConnect);
 }
 
+// Guards against a request that reaches its server long after its caller was answered: an attempt
+// was given up at the deadline, its connection was closed regularly, and the kernel delivered the
+// bytes that a cut link had held up once the link was back (incident retina-leaving-once).
+TEST_CASE("a connection whose request has no response is reset when the attempt is given up",
+          "[loop]") {
+  const bool is_abandoned = GENERATE(false, true);
+  const SocketAddress address{RandomLoopback().ip, 39124};
+  const int listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in native{};
+  native.sin_family = AF_INET;
+  native.sin_port = htons(address.port);
+  REQUIRE(inet_pton(AF_INET, address.ip.c_str(), &native.sin_addr) == 1);
+  REQUIRE(bind(listener, reinterpret_cast<const sockaddr*>(&native), sizeof native) == 0);
+  REQUIRE(listen(listener, 1) == 0);
+  EventLoop loop;
+  KeptConnection::Result result;
+  auto stream = std::make_unique<HttpClientStream>(&loop, address);
+  RequestHead head;
+  head.fields.Add("Host", "test");
+  stream->Send(head, "", {}, &result);
+  REQUIRE(RunUntil(&loop, [&] { return stream->is_connected() && stream->pending_bytes() == 0; }));
+  const int connection = accept4(listener, nullptr, nullptr, SOCK_CLOEXEC);
+  REQUIRE(connection >= 0);
+  char buffer[1024];
+  REQUIRE(recv(connection, buffer, sizeof buffer, 0) > 0);
+  if (is_abandoned) {
+    stream->Abandon();
+  }
+  stream.reset();
+  RunUntil(
+      &loop, [] { return false; }, std::chrono::milliseconds(20));
+  CHECK(recv(connection, buffer, sizeof buffer, 0) == -1);
+  CHECK(errno == ECONNRESET);
+  close(connection);
+  close(listener);
+}
+
 }  // namespace
 }  // namespace primroseweir::testing
