--- a/src/filters/detail/call_dispatch.cc
+++ b/src/filters/detail/call_dispatch.cc
@@ -9,6 +9,7 @@
 #include "primroseweir/base/error.h"
 #include "primroseweir/filters/call.h"
 #include "primroseweir/filters/connection_pool.h"
+#include "primroseweir/filters/customer_filter.h"
 #include "primroseweir/filters/detail/response_relay.h"
 #include "primroseweir/http/server_connection.h"
 #include "primroseweir/http/socket_wait.h"
@@ -122,6 +123,13 @@
     return attempt.status();
   }
   current_ = std::move(*attempt);
+  if (!ConfirmCaller()) {
+    current_.reset();
+    lease_failed_ = true;
+    is_caller_refused_ = true;
+    step_ = "customer";
+    return absl::PermissionDeniedError("the key was withdrawn");
+  }
   return Send(current_.get());
 }
 
@@ -254,6 +262,9 @@
   if (!attempt.ok()) {
     return Instant::max();
   }
+  if (!ConfirmCaller()) {
+    return Instant::max();
+  }
   if (Send(attempt->get()).ok()) {
     hedge_ = std::move(*attempt);
   } else {
@@ -268,6 +279,11 @@
   return limits_ != nullptr && limits_->retry_budget.TryAcquire();
 }
 
+bool CallDispatch::ConfirmCaller() {
+  return dependencies_.services == nullptr ||
+         CustomerFilter::Identify(*dependencies_.services->Load(), call_);
+}
+
 void CallDispatch::RecordLoss(const Attempt& attempt, const absl::Status& failure) {
   if (!attempt.has_sent_bytes() || attempt.head() != nullptr ||
       AttemptEndOf(failure) != AttemptEnd::kConnectionLost) {
@@ -365,6 +381,9 @@
 }
 
 CallOutcome CallDispatch::MakeFailureOutcome(const absl::Status& failure) const {
+  if (is_caller_refused_ && !may_have_executed_) {
+    return CustomerFilter::Refusal();
+  }
   const bool deadline_passed = absl::IsDeadlineExceeded(failure);
   const std::string reason(failure.message());
   auto call_outcome = may_have_executed_
