Answer a peer's usage reports at most once in 50 ms

Cause: an answer is itself a report, and the first one of its sender. Two instances that got their first calls at the same moment answered each other's answers for 400 ms without pause.

Change: FleetQuota::AnswerTo returns nothing within kMinAnswerInterval of the last answer to that peer. Each regular report is still answered.

--- a/include/primroseweir/customers/fleet_quota.h
+++ b/include/primroseweir/customers/fleet_quota.h
@@ -82,8 +82,9 @@
   // Takes the calls that a peer reports from the buckets. Linear in the report.
   void MergeUsage(std::uint32_t peer, Incarnation incarnation, const UsageReport& usage,
                   Instant now);
-  // Returns the report that answers one of `peer` at once; none if the peer has been reporting for
-  // longer than kAnsweredPeriod, and receives regular reports if this instance has calls.
+  // Returns the report that answers one of `peer` at once; none if the peer was answered within
+  // kMinAnswerInterval, or has been reporting for longer than kAnsweredPeriod, and receives regular
+  // reports if this instance has calls.
   std::optional<UsageReport> AnswerTo(std::uint32_t peer, Instant now);
   // Records that an instance runs with that incarnation: an earlier run of it admits no more calls.
   void RecordRun(std::uint32_t peer, Incarnation incarnation);
@@ -123,6 +124,9 @@
   // The reports of a peer are answered for this long after its first one; three answers may be
   // lost.
   static constexpr Duration kAnsweredPeriod = std::chrono::milliseconds(400);
+  // Half of kReportInterval, so that each report of a peer is answered, but not each answer of one
+  // that also answers this instance: two instances that start together would send without pause.
+  static constexpr Duration kMinAnswerInterval = std::chrono::milliseconds(50);
   // A silent instance counts as possibly admitting calls for this long.
   static constexpr Duration kSilentPeerRetention = std::chrono::seconds(60);
   // Least time after the start in which an instance takes all others to be active: it has not heard
@@ -220,6 +224,8 @@
     Instant expected_at;
     // Time of the first of its reports without a pause.
     Instant reporting_since;
+    // When a report of it was last answered.
+    Instant answered_at;
   };
 
   // Returns what identifies the customer in reports and here.
--- a/src/customers/fleet_quota.cc
+++ b/src/customers/fleet_quota.cc
@@ -454,9 +454,11 @@
 std::optional<UsageReport> FleetQuota::AnswerTo(std::uint32_t peer, Instant now) {
   const auto found = peers_.find(peer);
   if (found == peers_.end() || !found->second.is_active ||
-      now - found->second.reporting_since > kAnsweredPeriod) {
+      now - found->second.reporting_since > kAnsweredPeriod ||
+      now - found->second.answered_at < kMinAnswerInterval) {
     return std::nullopt;
   }
+  found->second.answered_at = now;
   if (is_reporting_) {
     return UsageToReport(now);
   }
@@ -522,12 +524,13 @@
            now,
            usage.is_active,
            known.expected_at,
-           is_first ? now : known.reporting_since};
+           is_first ? now : known.reporting_since,
+           known.answered_at};
   for (const auto address : usage.active_peers) {
     // Counts as silent until it is heard.
     if (address != own_address_ && peers_.size() < kMaxPeers) {
       const auto told =
-          peers_.try_emplace(address, Peer{Incarnation(), Instant(), now, true, {}, {}}).first;
+          peers_.try_emplace(address, Peer{Incarnation(), Instant(), now, true, {}, {}, {}}).first;
       told->second.known_at = now;
     }
   }
--- /dev/null
+++ b/tests/customers/usage_answers_test.cc
@@ -0,0 +1,53 @@
+// Answers to the first reports of a peer.
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <cstdint>
+
+#include "primroseweir/customers/customer_table.h"
+#include "primroseweir/customers/fleet_quota.h"
+#include "quota_calls.h"
+
+namespace primroseweir::testing {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::uint32_t kFirst = 1;
+constexpr std::uint32_t kSecond = 2;
+const Incarnation kRun = Incarnation().Next();
+
+// Load: two instances get their first calls at the same moment, as after a power failure. Guards
+// against answers that are answered in turn: until kAnsweredPeriod had passed, each pair sent as
+// many datagrams as the network carries.
+TEST_CASE("an answer to a report does not cause answers without end", "[customers]") {
+  const auto table = OneCustomer();
+  const Instant now{std::chrono::hours(1)};
+  FleetQuota first(1);
+  FleetQuota second(2);
+  for (auto* quota : {&first, &second}) {
+    quota->Apply(table.get(), now);
+    quota->TryAcquire(table->customers()[0], 1, now);
+  }
+  first.SetOwnAddress(kFirst);
+  second.SetOwnAddress(kSecond);
+  int answers = 0;
+  auto report = first.UsageToReport(now);
+  REQUIRE(report);
+  auto* receiver = &second;
+  while (report && answers < 100) {
+    const auto sender = receiver == &second ? kFirst : kSecond;
+    receiver->MergeUsage(sender, kRun, *report, now);
+    report = receiver->AnswerTo(sender, now);
+    answers += report ? 1 : 0;
+    receiver = receiver == &second ? &first : &second;
+  }
+  CHECK(answers >= 1);
+  CHECK(answers <= 2);
+  // An answer may be lost, so that the next report is answered again.
+  const auto later = now + FleetQuota::kReportInterval;
+  second.MergeUsage(kFirst, kRun, *first.UsageToReport(later), later);
+  CHECK(second.AnswerTo(kFirst, later));
+}
+
+}  // namespace
+}  // namespace primroseweir::testing
