Keep the last usage reports for all active instances

Cause: after its last call, an instance states three times that it has no more calls. Answers to peers that begin to report were taken from these three, so that the other peers heard nothing, took the instance for one that was cut off and lowered their shares for up to a minute.

Change: FleetQuota::AnswerTo makes such an answer itself.

Figures: new test, five answers: no last report was left before, three after.

--- a/src/customers/fleet_quota.cc
+++ b/src/customers/fleet_quota.cc
@@ -459,9 +459,10 @@
     return std::nullopt;
   }
   found->second.answered_at = now;
-  if (is_reporting_) {
+  if (is_reporting_ && now - last_asked_at_ <= kActivePeriod) {
     return UsageToReport(now);
   }
+  // Not from UsageToReport, whose last reports are for all active instances.
   UsageReport report;
   report.is_active = false;
   return report;
--- a/tests/customers/usage_answers_test.cc
+++ b/tests/customers/usage_answers_test.cc
@@ -49,5 +49,28 @@
   CHECK(second.AnswerTo(kFirst, later));
 }
 
+// Guards against answers that take the place of the last reports: the other peers then took the
+// instance for one that was cut off, and lowered their shares for a minute.
+TEST_CASE("answers do not use up the reports that calls have ended", "[customers]") {
+  const auto table = OneCustomer();
+  Instant now{std::chrono::hours(1)};
+  FleetQuota quota(1);
+  quota.Apply(table.get(), now);
+  quota.TryAcquire(table->customers()[0], 1, now);
+  now += FleetQuota::kActivePeriod + milliseconds(50);
+  for (std::uint32_t peer = kSecond; peer < kSecond + 5; ++peer) {
+    quota.MergeUsage(peer, kRun, UsageReport(), now);
+    const auto answer = quota.AnswerTo(peer, now);
+    REQUIRE(answer);
+    CHECK_FALSE(answer->is_active);
+  }
+  int last_reports = 0;
+  while (const auto report = quota.UsageToReport(now)) {
+    CHECK_FALSE(report->is_active);
+    ++last_reports;
+  }
+  CHECK(last_reports == 3);
+}
+
 }  // namespace
 }  // namespace primroseweir::testing
