Bound the peers that report usage

Cause: kMaxPeers bounded the peers that reports name, but not those that send them, so that forged sender addresses filled memory.

Change: FleetQuota::MergeUsage ignores a further peer at the limit.

--- a/src/customers/fleet_quota.cc
+++ b/src/customers/fleet_quota.cc
@@ -514,6 +514,9 @@
   }
   // Before the new report: the peer may have been silent until now.
   RefreshFleet(now);
+  if (peers_.size() >= kMaxPeers && peers_.count(peer) == 0) {
+    return;
+  }
   auto& known = peers_[peer];
   if (incarnation < known.incarnation) {
     return;
--- a/tests/customers/usage_answers_test.cc
+++ b/tests/customers/usage_answers_test.cc
@@ -72,5 +72,17 @@
   CHECK(last_reports == 3);
 }
 
+// Load: forged reports of ever new addresses. Guards against memory that grows with them.
+TEST_CASE("reports of too many addresses are ignored", "[customers]") {
+  const auto table = OneCustomer();
+  const Instant now{std::chrono::hours(1)};
+  FleetQuota quota(1);
+  quota.Apply(table.get(), now);
+  for (std::uint32_t peer = kSecond; peer < 2 * FleetQuota::kMaxPeers; ++peer) {
+    quota.MergeUsage(peer, kRun, UsageReport(), now);
+  }
+  CHECK(quota.ActivePeers(now).size() <= FleetQuota::kMaxPeers);
+}
+
 }  // namespace
 }  // namespace primroseweir::testing
