--- a/tests/customers/usage_answers_test.cc
+++ b/tests/customers/usage_answers_test.cc
@@ -14,7 +14,7 @@
 
 constexpr std::uint32_t kFirst = 1;
 constexpr std::uint32_t kSecond = 2;
-const Incarnation kRun = Incarnation().Next();
+Incarnation FirstRun() { return Incarnation().Next(); }
 
 // Load: two instances get their first calls at the same moment, as after a power failure. Guards
 // against answers that are answered in turn: until kAnsweredPeriod had passed, each pair sent as
@@ -36,7 +36,7 @@
   auto* receiver = &second;
   while (report && answers < 100) {
     const auto sender = receiver == &second ? kFirst : kSecond;
-    receiver->MergeUsage(sender, kRun, *report, now);
+    receiver->MergeUsage(sender, FirstRun(), *report, now);
     report = receiver->AnswerTo(sender, now);
     answers += report ? 1 : 0;
     receiver = receiver == &second ? &first : &second;
@@ -45,7 +45,7 @@
   CHECK(answers <= 2);
   // An answer may be lost, so that the next report is answered again.
   const auto later = now + FleetQuota::kReportInterval;
-  second.MergeUsage(kFirst, kRun, *first.UsageToReport(later), later);
+  second.MergeUsage(kFirst, FirstRun(), *first.UsageToReport(later), later);
   CHECK(second.AnswerTo(kFirst, later));
 }
 
@@ -59,7 +59,7 @@
   quota.TryAcquire(table->customers()[0], 1, now);
   now += FleetQuota::kActivePeriod + milliseconds(50);
   for (std::uint32_t peer = kSecond; peer < kSecond + 5; ++peer) {
-    quota.MergeUsage(peer, kRun, UsageReport(), now);
+    quota.MergeUsage(peer, FirstRun(), UsageReport(), now);
     const auto answer = quota.AnswerTo(peer, now);
     REQUIRE(answer);
     CHECK_FALSE(answer->is_active);
@@ -79,7 +79,7 @@
   FleetQuota quota(1);
   quota.Apply(table.get(), now);
   for (std::uint32_t peer = kSecond; peer < 2 * FleetQuota::kMaxPeers; ++peer) {
-    quota.MergeUsage(peer, kRun, UsageReport(), now);
+    quota.MergeUsage(peer, FirstRun(), UsageReport(), now);
   }
   CHECK(quota.ActivePeers(now).size() <= FleetQuota::kMaxPeers);
 }
