Search for bookings to forget at most once in 50 ms

Cause: with kMaxBookings calls that are yet to return, each further refusal visited all 2,048 bookings, most of the time for nothing, just when refusals are many.

Change: ReturnSchedule searches once in kSweepInterval. A known call is still updated while there is no room.

--- a/include/primroseweir/balance/return_schedule.h
+++ b/include/primroseweir/balance/return_schedule.h
@@ -35,6 +35,9 @@
   static constexpr std::size_t kMaxBookings = 2048;
   // Shortest time after which a call returns.
   static constexpr Duration kMinRetryAfter = std::chrono::milliseconds(50);
+  // Least time between two searches for bookings whose time has come. One search a refusal would be
+  // linear in the bookings while these are many.
+  static constexpr Duration kSweepInterval = kMinRetryAfter;
 
  private:
   struct Booking {
@@ -51,6 +54,7 @@
   // By priority: the first time without a booked return of that priority or a more urgent one.
   std::map<std::uint32_t, Instant> next_returns_;
   std::map<std::uint64_t, Booking> bookings_;
+  Instant next_sweep_;
 };
 
 }  // namespace primroseweir
--- a/src/balance/return_schedule.cc
+++ b/src/balance/return_schedule.cc
@@ -55,12 +55,14 @@
 }
 
 void ReturnSchedule::Remember(std::uint64_t fingerprint, const Booking& booking, Instant now) {
-  if (bookings_.size() >= kMaxBookings) {
+  const bool is_known = bookings_.count(fingerprint) > 0;
+  if (!is_known && bookings_.size() >= kMaxBookings && now >= next_sweep_) {
+    next_sweep_ = now + kSweepInterval;
     for (auto it = bookings_.begin(); it != bookings_.end();) {
       it = it->second.returns_at <= now ? bookings_.erase(it) : std::next(it);
     }
   }
-  if (bookings_.size() < kMaxBookings) {
+  if (is_known || bookings_.size() < kMaxBookings) {
     bookings_[fingerprint] = booking;
   }
 }
