Tell other data centres of calls of a service without local upstreams

Cause: without usable local upstreams the local pressure was 0, although all calls of the service leave for other data centres. The instances there were not told of these calls until all upstreams together were half full.

Change: LoadBalancer::MeasurePressure takes a requested service without local room for one whose local room is full.

Figures: new test failed before (not told), passes after.

--- a/src/balance/load_balancer.cc
+++ b/src/balance/load_balancer.cc
@@ -402,6 +402,10 @@
     if (room <= 0 && is_requested) {
       calls = 1;
     }
+    if (local_room <= 0 && is_requested) {
+      // All calls leave for other data centres.
+      local_calls = 1;
+    }
     service.pressure.Update(calls, room);
     service.local_pressure.Update(local_calls, local_room);
   }
--- a/tests/balance/service_pressure_test.cc
+++ b/tests/balance/service_pressure_test.cc
@@ -72,5 +72,25 @@
   CHECK_FALSE(fixture.balancer.IsTight(ServiceName("s")));
 }
 
+// Load: the local data centre has no usable upstream, so that all calls leave. Guards against calls
+// of which the instances there don't know.
+TEST_CASE("other data centres are told of calls of a service without local upstreams",
+          "[balance]") {
+  BalanceFixture fixture;
+  fixture.Add("a", "there");
+  fixture.Add("b", "there");
+  fixture.Apply();
+  fixture.balancer.MeasurePressure(fixture.now);
+  CHECK_FALSE(fixture.balancer.ShouldTellOtherDataCentres());
+  REQUIRE(fixture.PickId() != "");
+  fixture.balancer.MeasurePressure(fixture.now);
+  CHECK(fixture.balancer.ShouldTellOtherDataCentres());
+  CHECK_FALSE(fixture.balancer.IsTight(ServiceName("s")));
+  // Without calls there is nothing to tell.
+  fixture.now += std::chrono::seconds(2);
+  fixture.balancer.MeasurePressure(fixture.now);
+  CHECK_FALSE(fixture.balancer.ShouldTellOtherDataCentres());
+}
+
 }  // namespace
 }  // namespace primroseweir
