--- a/src/customers/fleet_quota_reports.cc
+++ b/src/customers/fleet_quota_reports.cc
@@ -18,12 +18,15 @@
 std::optional<UsageReport> FleetQuota::AnswerTo(std::uint32_t peer, Instant now) {
   const auto found = peers_.find(peer);
   if (found == peers_.end() || !found->second.is_active ||
-      now - found->second.reporting_since > kAnsweredPeriod) {
+      now - found->second.reporting_since > kAnsweredPeriod ||
+      now - found->second.answered_at < kMinAnswerInterval) {
     return std::nullopt;
   }
-  if (is_reporting_) {
+  found->second.answered_at = now;
+  if (is_reporting_ && now - last_asked_at_ <= kActivePeriod) {
     return UsageToReport(now);
   }
+  // Not from UsageToReport, whose last reports are for all active instances.
   UsageReport report;
   report.is_active = false;
   return report;
@@ -75,6 +78,9 @@
   }
   // Before the new report: the peer may have been silent until now.
   RefreshFleet(now);
+  if (peers_.size() >= kMaxPeers && peers_.count(peer) == 0) {
+    return;
+  }
   auto& known = peers_[peer];
   if (incarnation < known.incarnation) {
     return;
@@ -86,12 +92,13 @@
            now,
            usage.is_active,
            known.expected_at,
-           is_first ? now : known.reporting_since};
+           is_first ? now : known.reporting_since,
+           known.answered_at};
   for (const auto address : usage.active_peers) {
     // Counts as silent until it is heard.
     if (address != own_address_ && peers_.size() < kMaxPeers) {
       const auto told =
-          peers_.try_emplace(address, Peer{Incarnation(), Instant(), now, true, {}, {}}).first;
+          peers_.try_emplace(address, Peer{Incarnation(), Instant(), now, true, {}, {}, {}}).first;
       told->second.known_at = now;
     }
   }
