Require a key for public paths that some servers read as private ones

A path with parameters (/public/..;/x, /private;v=1/x) or with escaped escapes (/public/%252e%252e/x) was compared with the routes after one decoding and with its parameters, so that it was public by the shortest prefix. Servers that drop parameters or decode twice serve such a path as one that needs a key.

Now a path is public only if each reading is: after up to three decodings, with and without parameters.

--- a/include/primroseweir/routes/route_table.h
+++ b/include/primroseweir/routes/route_table.h
@@ -32,8 +32,9 @@
   const Route* Find(std::string_view host, std::string_view target) const;
 
   // Returns whether a call to `target`, for which Find returned `route`, needs no customer's key.
-  // An upstream may decode percent escapes and remove dot segments and repeated slashes; the route
-  // of the resulting path must then be public, too.
+  // An upstream may decode percent escapes, also repeatedly, and remove parameters of segments
+  // (";v=1"), dot segments and repeated slashes, in any order; the route of each resulting path
+  // must then be public, too.
   bool IsPublic(const Route& route, std::string_view target) const;
 
   // Returns the settings of a service; null when the configuration does not contain it.
@@ -60,6 +61,9 @@
   };
 
   const Route* FindPath(const std::string& host_key, std::string_view path) const;
+  // Whether the routes of the path after each decoding, with and without its parameters, are
+  // public.
+  bool IsEachReadingPublic(const std::string& host_key, std::string path) const;
 
   // By lower-case host without port.
   std::unordered_map<std::string, HostRoutes> by_host_;
--- a/src/routes/route_table.cc
+++ b/src/routes/route_table.cc
@@ -7,6 +7,9 @@
 namespace primroseweir {
 namespace {
 
+// A path with more layers of percent escapes is not public. Servers decode once or twice.
+constexpr int kMaxDecodings = 3;
+
 char ToLower(char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c; }
 
 std::string HostKey(std::string_view host) {
@@ -41,9 +44,21 @@
   return result;
 }
 
-// Returns the path without percent escapes, dot segments and repeated slashes.
-std::string NormalizePath(std::string_view encoded_path) {
-  const auto path = DecodePercent(encoded_path);
+// Returns the path without the parameters of its segments, from a semicolon to the next slash.
+std::string WithoutParameters(std::string_view path) {
+  std::string result;
+  bool is_parameter = false;
+  for (const char c : path) {
+    is_parameter = c == ';' || (is_parameter && c != '/');
+    if (!is_parameter) {
+      result += c;
+    }
+  }
+  return result;
+}
+
+// Returns the path without dot segments and repeated slashes.
+std::string NormalizePath(std::string_view path) {
   std::string result = "/";
   std::size_t begin = 0;
   while (begin < path.size()) {
@@ -54,7 +69,8 @@
       result.erase(result.rfind('/') == std::string::npos ? 0 : result.rfind('/') + 1);
       result = result.empty() ? "/" : result;
     } else if (!segment.empty() && segment != ".") {
-      result += segment + (slash < path.size() ? "/" : "");
+      result += segment;
+      result += slash < path.size() ? "/" : "";
     }
     begin = slash + 1;
   }
@@ -105,14 +121,32 @@
 
 bool RouteTable::IsPublic(const Route& route, std::string_view target) const {
   const auto path = target.substr(0, target.find('?'));
-  const bool is_plain = path.find('%') == std::string_view::npos &&
+  const bool is_plain = path.find_first_of("%;") == std::string_view::npos &&
                         path.find("//") == std::string_view::npos &&
                         path.find("/.") == std::string_view::npos;
   if (!route.is_public || is_plain) {
     return route.is_public;
   }
-  const auto* normalized_route = FindPath(HostKey(route.host), NormalizePath(path));
-  return normalized_route != nullptr && normalized_route->is_public;
+  const auto host_key = HostKey(route.host);
+  return IsEachReadingPublic(host_key, std::string(path)) &&
+         IsEachReadingPublic(host_key, WithoutParameters(path));
+}
+
+bool RouteTable::IsEachReadingPublic(const std::string& host_key, std::string path) const {
+  for (int decodings = 0; decodings <= kMaxDecodings; ++decodings) {
+    for (const auto& reading : {NormalizePath(path), NormalizePath(WithoutParameters(path))}) {
+      const auto* route = FindPath(host_key, reading);
+      if (route == nullptr || !route->is_public) {
+        return false;
+      }
+    }
+    auto decoded = DecodePercent(path);
+    if (decoded == path) {
+      return true;
+    }
+    path = std::move(decoded);
+  }
+  return false;
 }
 
 const ServiceSettings* RouteTable::FindService(const ServiceName& name) const {
--- a/tests/routes/route_table_test.cc
+++ b/tests/routes/route_table_test.cc
@@ -94,6 +94,31 @@
   }
 }
 
+// Guards against a call without a key whose path an upstream reads as one that needs a key: servers
+// that drop parameters after a semicolon, or that decode escapes once more than this instance.
+TEST_CASE("a path with parameters or escaped escapes is public only if each reading is",
+          "[routes]") {
+  auto routes = std::vector<Route>{RouteTo("h", "/p/", "s"), RouteTo("h", "/p/q/", "s")};
+  routes[0].is_public = true;
+  const auto table = TableOf(routes);
+  const auto is_public = [&table](const std::string& target) {
+    const auto* route = table.Find("h", target);
+    return route != nullptr && table.IsPublic(*route, target);
+  };
+  for (const auto* target : {"/p/1;v=2", "/p/;v=2", "/p/x;v/1", "/p/1%3bv", "/p/100%25", "/p/%2541",
+                             "/p/1?x=..;/%252e", "/p/a;q/1"}) {
+    CAPTURE(target);
+    CHECK(is_public(target));
+  }
+  for (const auto* target :
+       {"/p/q;v/1", "/p/;v/q/1", "/p/..;/1", "/p/x/..;v=1/q/1", "/p/.;/q/1", "/p/..%3b/1",
+        "/p/x;%2f../q/1", "/p/x%3b%2f../q/1", "/p/%252e%252e/1", "/p/%2571/1", "/p/q%253bv/1",
+        "/p/x%252f..%252fq%252f1", "/p/%25252e%25252e/1", "/p/%2525252525252571/1"}) {
+    CAPTURE(target);
+    CHECK_FALSE(is_public(target));
+  }
+}
+
 // Guards against shares that deviate from the weights over a short span of calls.
 TEST_CASE("after each call the shares of services are within 1.5 calls of their weights",
           "[routes]") {
