Bound the quotas of entry instances by the members that they hear

An entry instance that was cut off while it had no calls took itself for the whole fleet, since FleetQuota learns of others by their reports only and SetFleetView was never called.

CustomerQuotas now passes on how many of the members that have not ended are alive or leaving. MembershipView states which dead members have ended, so that planned stops and restarts don't count as silent.

--- a/include/primroseweir/filters/customer_quotas.h
+++ b/include/primroseweir/filters/customer_quotas.h
@@ -16,6 +16,7 @@
 
 class CustomerTable;
 struct Customer;
+struct MembershipView;
 
 // FleetQuota of an entry instance, whose threads share it under a mutex. The lock is taken for
 // calls of customers with quotas only. Instances are identified by a hash of their ids, since
@@ -26,8 +27,9 @@
 
   // Applies the quotas of a configuration; null if it has no customers.
   void Apply(const CustomerTable* customers, Instant now);
-  // Sets the number of live instances that callers are told to use, and whether this is one.
-  void SetServingInstances(std::size_t instances, bool includes_self);
+  // Applies what is known of the fleet. `is_serving` states whether callers are told to use this
+  // instance.
+  void SetFleet(const MembershipView& view, bool is_serving);
   // Records that an instance runs with that incarnation.
   void RecordRun(const InstanceId& instance, Incarnation incarnation);
 
--- a/include/primroseweir/membership/member.h
+++ b/include/primroseweir/membership/member.h
@@ -22,6 +22,9 @@
   MemberState state = MemberState::kAlive;
   // Revision of the configuration in force at the member.
   Revision revision;
+  // In a MembershipView: whether the member has declared its end, or a later incarnation at its
+  // address proves it. A dead member that has not ended may be cut off and serving calls.
+  bool has_ended = false;
 };
 
 }  // namespace primroseweir
--- a/src/entry/entry_instance.cc
+++ b/src/entry/entry_instance.cc
@@ -336,9 +336,7 @@
 void EntryInstance::ApplyMembership(const MembershipView& view, Instant now) {
   std::set<Seat> live_seats;
   std::set<Seat> local_live_seats;
-  std::size_t serving_instances = 0;
   for (const auto& member : view.members) {
-    serving_instances += member.state == MemberState::kAlive ? 1 : 0;
     if (member.id != settings_.id) {
       quotas_.RecordRun(member.id, member.incarnation);
     }
@@ -349,7 +347,7 @@
       local_live_seats.insert(member.seat);
     }
   }
-  quotas_.SetServingInstances(serving_instances, !leaving_.load());
+  quotas_.SetFleet(view, !leaving_.load());
   is_seat_taken_.store(view.is_seat_taken);
   pool_.SetSeatTaken(view.is_seat_taken);
   router_.SetLiveSeats(live_seats, now);
--- a/src/filters/customer_quotas.cc
+++ b/src/filters/customer_quotas.cc
@@ -4,6 +4,7 @@
 
 #include "primroseweir/base/rendezvous.h"
 #include "primroseweir/customers/customer_table.h"
+#include "primroseweir/membership/membership_view.h"
 
 namespace primroseweir {
 
@@ -24,11 +25,20 @@
                             [](const auto& customer) { return customer.has_quota(); });
 }
 
-void CustomerQuotas::SetServingInstances(std::size_t instances, bool includes_self) {
+void CustomerQuotas::SetFleet(const MembershipView& view, bool is_serving) {
+  std::size_t alive = 0;
+  std::size_t live = 0;
+  std::size_t possible = 0;
+  for (const auto& member : view.members) {
+    alive += member.state == MemberState::kAlive ? 1 : 0;
+    live += member.state == MemberState::kAlive || member.state == MemberState::kLeaving ? 1 : 0;
+    possible += member.has_ended ? 0 : 1;
+  }
   const std::lock_guard<std::mutex> lock(mutex_);
-  peak_fleet_size_ = std::max(peak_fleet_size_, instances);
+  peak_fleet_size_ = std::max(peak_fleet_size_, alive);
   quota_.SetPeakFleetSize(peak_fleet_size_);
-  quota_.SetServingInstances(std::max<std::size_t>(instances, 1), includes_self);
+  quota_.SetServingInstances(std::max<std::size_t>(alive, 1), is_serving);
+  quota_.SetFleetView(std::max<std::size_t>(live, 1), possible);
 }
 
 void CustomerQuotas::RecordRun(const InstanceId& instance, Incarnation incarnation) {
--- a/src/membership/membership_table.cc
+++ b/src/membership/membership_table.cc
@@ -340,6 +340,7 @@
   for (const auto& [key, entry] : entries_) {
     view.members.push_back(entry.record.member);
     view.members.back().state = entry.state;
+    view.members.back().has_ended = entry.record.member.state == MemberState::kDead;
   }
   view.is_seat_taken = IsSeatTaken();
   return view;
--- a/tests/filters/customer_quotas_test.cc
+++ b/tests/filters/customer_quotas_test.cc
@@ -12,6 +12,7 @@
 #include "primroseweir/base/random.h"
 #include "primroseweir/customers/customer_table.h"
 #include "primroseweir/filters/quota_filter.h"
+#include "primroseweir/membership/membership_view.h"
 
 namespace primroseweir {
 namespace {
@@ -51,7 +52,7 @@
   }
   std::unique_ptr<CustomerQuotas> Start(std::size_t i, std::size_t instances) {
     auto quotas = std::make_unique<CustomerQuotas>(IdOf(i), i + 1);
-    quotas->SetServingInstances(instances, true);
+    quotas->SetFleet(ViewOf(i, instances, 0), true);
     quotas->Apply(table_.get(), now_);
     return quotas;
   }
@@ -64,6 +65,13 @@
     table_ = std::move(table);
     for (auto& instance : instances_) instance->Apply(table_.get(), now_);
   }
+  // Divides the fleet into parts that hear nothing of each other, which the heartbeats show.
+  void Cut(std::size_t parts) {
+    parts_ = parts;
+    for (std::size_t i = 0; i < instances_.size(); ++i) {
+      instances_[i]->SetFleet(ViewOf(i, instances_.size(), parts), true);
+    }
+  }
   // Runs for `duration` with `calls_per_second` calls at each instance.
   void Run(Duration duration, double calls_per_second, double loss = 0) {
     const auto end = now_ + duration;
@@ -94,13 +102,28 @@
   };
 
   static InstanceId IdOf(std::size_t i) { return InstanceId("entry-" + std::to_string(i)); }
+  // The view of instance `self`, which hears only the instances of its part.
+  static MembershipView ViewOf(std::size_t self, std::size_t instances, std::size_t parts) {
+    MembershipView view;
+    for (std::size_t i = 0; i < instances; ++i) {
+      Member member;
+      member.id = IdOf(i);
+      member.incarnation = Incarnation(1);
+      if (parts > 0 && i % parts != self % parts) {
+        member.state = MemberState::kDead;
+      }
+      view.members.push_back(std::move(member));
+    }
+    return view;
+  }
 
   void Report(double loss) {
     for (std::size_t from = 0; from < instances_.size(); ++from) {
       const auto usage = instances_[from]->UsageToReport(now_);
       for (std::size_t to = 0; usage && to < instances_.size(); ++to) {
         const bool is_lost = random_.UniformBelow(1000) < static_cast<std::uint64_t>(loss * 1000);
-        if (to != from && !is_lost)
+        const bool is_cut = parts_ > 0 && to % parts_ != from % parts_;
+        if (to != from && !is_lost && !is_cut)
           messages_.push_back({now_ + milliseconds(20), from, to, *usage});
       }
     }
@@ -117,6 +140,7 @@
   std::vector<std::unique_ptr<CustomerQuotas>> instances_;
   std::deque<Message> messages_;
   std::uint64_t incarnations_ = 1;
+  std::size_t parts_ = 0;
   std::uint64_t requests_ = 0;
   Random random_{20261207};
   Instant now_ = Instant() + std::chrono::hours(1);
@@ -140,6 +164,33 @@
   CHECK(calm.refused.size() - refused_at_start <= 12 * 20 / 10);
 }
 
+// Guards against instances that were cut off while they had no calls, so that no report showed it,
+// and that each admit the whole quota.
+TEST_CASE("the parts of a fleet that was cut without calls together admit a quota and little more",
+          "[cut]") {
+  for (const std::size_t parts : {2, 4}) {
+    INFO(parts << " parts");
+    SimulatedFleet fleet(4, QuotaTable(20, 20));
+    fleet.Run(seconds(10), 0);
+    fleet.Cut(parts);
+    fleet.Run(seconds(20), 50);
+    CHECK(static_cast<double>(MostWithinFiveSeconds(fleet.admitted)) <= MostAllowed(20, 20));
+    CHECK(fleet.admitted.size() > 20 * 20 / 2);
+  }
+}
+
+// Guards against quotas that stay reduced once a cut has healed.
+TEST_CASE("after a cut the whole quota can be used again", "[cut]") {
+  SimulatedFleet fleet(4, QuotaTable(20, 20));
+  fleet.Cut(4);
+  fleet.Run(seconds(5), 0);
+  fleet.Cut(0);
+  fleet.Run(seconds(10), 50);
+  fleet.admitted.clear();
+  fleet.Run(seconds(10), 50);
+  CHECK(fleet.admitted.size() > 20 * 10 * 4 / 5);
+}
+
 // Guards against a lowered limit that takes effect late, and against a restart that frees a quota.
 TEST_CASE("a lowered limit holds at once, and a restart does not add to a quota") {
   SimulatedFleet fleet(3, QuotaTable(100, 50));
@@ -174,7 +225,9 @@
     entry.AddUpstream("board", upstream.address());
     entry.AddUpstream("ledger", upstream.address());
     entry.snapshot()->customers = QuotaTable(rate, burst);
-    quotas.SetServingInstances(1, true);
+    MembershipView view;
+    view.members.emplace_back();
+    quotas.SetFleet(view, true);
     // Applied a while ago, so that the bucket is full.
     quotas.Apply(entry.snapshot()->customers.get(), MonotonicNow() - std::chrono::minutes(2));
     entry.inner_filters.push_back(std::make_unique<QuotaFilter>(&quotas));
--- a/tests/membership/membership_table_test.cc
+++ b/tests/membership/membership_table_test.cc
@@ -93,6 +93,26 @@
   CHECK(fixture.States().empty());
 }
 
+// Guards against a member that is taken for ended because its heartbeats are missing: it may be cut
+// off and serving calls.
+TEST_CASE("only a member that declared its end, or was restarted, has ended") {
+  TableFixture silent;
+  silent.AdvanceClock(seconds(4));
+  REQUIRE(silent.States() == States{MemberState::kDead});
+  CHECK_FALSE(silent.table.View().members.back().has_ended);
+  TableFixture stopped;
+  stopped.other.state = MemberState::kDead;
+  stopped.ReceiveHeartbeat();
+  REQUIRE(stopped.States() == States{MemberState::kDead});
+  CHECK(stopped.table.View().members.back().has_ended);
+  TableFixture restarted;
+  restarted.AdvanceClock(seconds(4));
+  restarted.table.Receive(MakeRecord(MakeMember("b", 21, 1), 1), {}, restarted.now);
+  for (const Member& member : restarted.table.View().members) {
+    CHECK(member.has_ended == (member.incarnation == Incarnation(20)));
+  }
+}
+
 // Guards against a process that declares all other members dead because it was paused itself.
 TEST_CASE("a process that was paused declares a member dead only after listening again") {
   TableFixture fixture;
