Use the whole quota at once after an entry instance has stopped

An instance with calls that stopped as planned counted as silent for 60 s, so that the other of two instances used 0.6 of a quota: 121 calls in 10 s at a rate of 20. CustomerQuotas now records members that have declared their end.

--- a/src/filters/customer_quotas.cc
+++ b/src/filters/customer_quotas.cc
@@ -1,6 +1,7 @@
 #include "primroseweir/filters/customer_quotas.h"
 
 #include <algorithm>
+#include <set>
 
 #include "primroseweir/base/rendezvous.h"
 #include "primroseweir/customers/customer_table.h"
@@ -29,15 +30,23 @@
   std::size_t alive = 0;
   std::size_t live = 0;
   std::size_t possible = 0;
+  std::set<InstanceId> running;
+  std::set<InstanceId> ended;
   for (const auto& member : view.members) {
     alive += member.state == MemberState::kAlive ? 1 : 0;
     live += member.state == MemberState::kAlive || member.state == MemberState::kLeaving ? 1 : 0;
     possible += member.has_ended ? 0 : 1;
+    (member.has_ended ? ended : running).insert(member.id);
   }
   const std::lock_guard<std::mutex> lock(mutex_);
   peak_fleet_size_ = std::max(peak_fleet_size_, alive);
   quota_.SetPeakFleetSize(peak_fleet_size_);
   quota_.SetServingInstances(std::max<std::size_t>(alive, 1), is_serving);
+  for (const auto& id : ended) {
+    if (running.count(id) == 0) {
+      quota_.RecordStopped(IdentityOf(id));
+    }
+  }
   quota_.SetFleetView(std::max<std::size_t>(live, 1), possible);
 }
 
--- a/tests/filters/customer_quotas_test.cc
+++ b/tests/filters/customer_quotas_test.cc
@@ -72,6 +72,15 @@
       instances_[i]->SetFleet(ViewOf(i, instances_.size(), parts), true);
     }
   }
+  // Ends the last instance, which declares that.
+  void StopLast() {
+    const auto last = instances_.size() - 1;
+    auto view = ViewOf(0, instances_.size(), 0);
+    view.members[last].state = MemberState::kDead;
+    view.members[last].has_ended = true;
+    instances_.pop_back();
+    for (auto& instance : instances_) instance->SetFleet(view, true);
+  }
   // Runs for `duration` with `calls_per_second` calls at each instance.
   void Run(Duration duration, double calls_per_second, double loss = 0) {
     const auto end = now_ + duration;
@@ -131,6 +140,7 @@
   void Deliver() {
     for (; !messages_.empty() && messages_.front().at <= now_; messages_.pop_front()) {
       const auto& message = messages_.front();
+      if (message.to >= instances_.size()) continue;
       instances_[message.to]->MergeUsage(IdOf(message.from), Incarnation(incarnations_),
                                          message.usage, now_);
     }
@@ -191,6 +201,18 @@
   CHECK(fleet.admitted.size() > 20 * 10 * 4 / 5);
 }
 
+// Guards against a planned stop that reduces the quota for a minute, as the loss of an instance
+// does.
+TEST_CASE("the other instances use the whole quota after one has stopped") {
+  SimulatedFleet fleet(2, QuotaTable(20, 20));
+  fleet.Run(seconds(10), 50);
+  fleet.StopLast();
+  fleet.Run(seconds(2), 50);
+  fleet.admitted.clear();
+  fleet.Run(seconds(10), 50);
+  CHECK(fleet.admitted.size() > 20 * 10 * 4 / 5);
+}
+
 // Guards against a lowered limit that takes effect late, and against a restart that frees a quota.
 TEST_CASE("a lowered limit holds at once, and a restart does not add to a quota") {
   SimulatedFleet fleet(3, QuotaTable(100, 50));
