Let callers of the same page return at times of their own

Cause: a refused call was known by its method, target and body, so that all callers of one page shared a place in the order of return and would come back together; found by review. A customer above its share took places before others.

--- a/include/primroseweir/balance/return_schedule.h
+++ b/include/primroseweir/balance/return_schedule.h
@@ -22,10 +22,10 @@
 
   // Returns the time after which a refused call of that priority (0 is the most urgent) should
   // return, at most `latest`. `draw` is uniform in [0, 1). Without a place before `latest`, the
-  // call returns in the second half of that time. `fingerprint` identifies the call: one that comes
-  // back early keeps its time, so that it takes no second place before others.
-  Duration RetryAfter(std::uint64_t fingerprint, std::uint32_t priority, Duration latest,
-                      double draw, Instant now);
+  // call returns in the second half of that time. `call` identifies the request and its caller:
+  // one that comes back early keeps its time, so that it takes no second place before others.
+  Duration RetryAfter(std::uint64_t call, std::uint32_t priority, Duration latest, double draw,
+                      Instant now);
 
   std::size_t booking_count() const { return bookings_.size(); }
 
@@ -46,7 +46,7 @@
   };
 
   // Remembers the booking of a call, and forgets those whose time has come when there are many.
-  void Remember(std::uint64_t fingerprint, const Booking& booking, Instant now);
+  void Remember(std::uint64_t call, const Booking& booking, Instant now);
 
   // Number of calls that got room, decayed to the time updated_at_.
   double calls_with_room_ = 0;
--- a/include/primroseweir/loop/http_server_exchange.h
+++ b/include/primroseweir/loop/http_server_exchange.h
@@ -2,6 +2,7 @@
 #define PRIMROSEWEIR_LOOP_HTTP_SERVER_EXCHANGE_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <string>
 
 #include "primroseweir/http/response_head.h"
@@ -14,6 +15,9 @@
  public:
   virtual ~HttpServerExchange() = default;
 
+  // Returns the IPv4 address of the caller as a number; 0 if it is not known.
+  virtual std::uint32_t caller_address() { return 0; }
+
   // ---- response ----
 
   // Sends a complete response.
--- a/include/primroseweir/loop/http_server_stream.h
+++ b/include/primroseweir/loop/http_server_stream.h
@@ -32,6 +32,7 @@
 
   // ---- exchange ----
 
+  std::uint32_t caller_address() override;
   void Respond(ResponseHead head, const std::string& body) override;
   void BeginResponse(ResponseHead head) override;
   void WritePiece(const std::string& piece) override;
--- a/include/primroseweir/loop/pipelined_exchange.h
+++ b/include/primroseweir/loop/pipelined_exchange.h
@@ -36,6 +36,7 @@
   // may destroy this object.
   void StartTurn();
 
+  std::uint32_t caller_address() override { return connection_->caller_address(); }
   void Respond(ResponseHead head, const std::string& body) override;
   void BeginResponse(ResponseHead head) override;
   void WritePiece(const std::string& piece) override;
--- a/src/balance/return_schedule.cc
+++ b/src/balance/return_schedule.cc
@@ -22,9 +22,9 @@
   ++calls_with_room_;
 }
 
-Duration ReturnSchedule::RetryAfter(std::uint64_t fingerprint, std::uint32_t priority,
-                                    Duration latest, double draw, Instant now) {
-  const auto booked = bookings_.find(fingerprint);
+Duration ReturnSchedule::RetryAfter(std::uint64_t call, std::uint32_t priority, Duration latest,
+                                    double draw, Instant now) {
+  const auto booked = bookings_.find(call);
   if (booked != bookings_.end() && booked->second.priority == priority &&
       booked->second.returns_at > now) {
     return std::min<Duration>(std::max<Duration>(booked->second.returns_at - now, kMinRetryAfter),
@@ -42,7 +42,7 @@
   const Duration wait = start - now + ToDuration(interval * draw);
   if (wait > latest) {
     const auto late = ToDuration(Seconds(std::max(latest, Duration::zero())) * (1 + draw) / 2);
-    Remember(fingerprint, {priority, now + late}, now);
+    Remember(call, {priority, now + late}, now);
     return late;
   }
   const auto next = start + ToDuration(interval);
@@ -50,12 +50,12 @@
   for (auto it = next_returns_.upper_bound(priority); it != next_returns_.end(); ++it) {
     it->second = std::max(it->second + ToDuration(interval), next);
   }
-  Remember(fingerprint, {priority, now + wait}, now);
+  Remember(call, {priority, now + wait}, now);
   return wait;
 }
 
-void ReturnSchedule::Remember(std::uint64_t fingerprint, const Booking& booking, Instant now) {
-  const bool is_known = bookings_.count(fingerprint) > 0;
+void ReturnSchedule::Remember(std::uint64_t call, const Booking& booking, Instant now) {
+  const bool is_known = bookings_.count(call) > 0;
   if (!is_known && bookings_.size() >= kMaxBookings && now >= next_sweep_) {
     next_sweep_ = now + kSweepInterval;
     for (auto it = bookings_.begin(); it != bookings_.end();) {
@@ -63,7 +63,7 @@
     }
   }
   if (is_known || bookings_.size() < kMaxBookings) {
-    bookings_[fingerprint] = booking;
+    bookings_[call] = booking;
   }
 }
 
--- a/src/gateway/routed_call_responses.cc
+++ b/src/gateway/routed_call_responses.cc
@@ -6,6 +6,7 @@
 #include "primroseweir/balance/retry_policy.h"
 #include "primroseweir/base/line_log.h"
 #include "primroseweir/base/random.h"
+#include "primroseweir/base/rendezvous.h"
 #include "primroseweir/gateway/call_header_names.h"
 #include "primroseweir/gateway/gateway.h"
 #include "primroseweir/gateway/gateway_metrics.h"
@@ -127,13 +128,17 @@
 }
 
 void RoutedCall::Refuse(std::string_view reason, Instant now) {
-  if (route_ != nullptr && !retry_may_succeed_at_once_ &&
+  // A customer above its share takes no place before others.
+  if (route_ != nullptr && !retry_may_succeed_at_once_ && !is_above_share_ &&
       gateway_->admission(service_).Shortage(now) > 0) {
     gateway_->metrics().CountEvent("return_scheduled");
     const auto latest =
         std::max(Duration::zero(), (deadline_ - now) / RetryPolicy::kRetryAfterDivisor);
+    // Callers of the same page return at times of their own.
+    const auto call =
+        StableHash(std::to_string(fingerprint_) + " " + std::to_string(caller_->caller_address()));
     const auto retry_after = gateway_->return_schedule(service_).RetryAfter(
-        fingerprint_, priority(), latest, gateway_->random().UniformUnit(), now);
+        call, priority(), latest, gateway_->random().UniformUnit(), now);
     SendLocalReply(kUnavailable, "refused", reason, retry_after, now);
     return;
   }
--- a/src/loop/http_server_stream_shortage.cc
+++ b/src/loop/http_server_stream_shortage.cc
@@ -13,15 +13,19 @@
 
 }  // namespace
 
-ConnectionLoad HttpServerStream::Load(Instant now) {
+std::uint32_t HttpServerStream::caller_address() {
   if (peer_address_ == 0) {
     peer_address_ = stream_->peer_address();
   }
+  return peer_address_;
+}
+
+ConnectionLoad HttpServerStream::Load(Instant now) {
   ConnectionLoad load;
   load.held_bytes = static_cast<std::uint64_t>(charged_bytes_);
   load.bytes_per_second = bytes_per_second_;
   load.stalled_for = now - last_progress_at_;
-  load.address = peer_address_;
+  load.address = caller_address();
   // A paused body waits for its upstream, and input after many requests in one turn for the next.
   const bool has_much_input =
       !is_receiving_body_ && input_.size() - input_begin_ > kMaxPipelinedBytes;
