Forward a large failure of an upstream as a whole

An upstream's 5xx response above 768 KB arrives in pieces, and the first piece was forwarded as the whole body with its own Content-Length.

A failure that is not complete is now streamed as other large responses are, once no retry follows, and its caller's connection is reset if the upstream does not send the rest.

--- a/include/primroseweir/gateway/routed_call.h
+++ b/include/primroseweir/gateway/routed_call.h
@@ -181,15 +181,20 @@
   // Whether a 421 response proves that another upstream has the address: it echoes the id of the
   // call, or names that upstream.
   bool IsFromOtherUpstream(const UpstreamAttempt& attempt, const ResponseHead& head) const;
+  // An upstream's error response. `piece` is the whole body or, of a large one, its first part.
+  struct FailureResponse {
+    ResponseHead* head;
+    const std::string& piece;
+    bool is_complete;
+  };
   // Ends an attempt that brought no usable response, and takes the next step of the retry policy.
-  // `failure` and `body` are the upstream's error response, for Step::kForwardFailure.
+  // `failure` is the upstream's error response, for Step::kForwardFailure, or null.
   void FinishAttempt(UpstreamAttempt* attempt, RetryPolicy::AttemptEnd outcome,
-                     UpstreamOutcome upstream_outcome, const ResponseHead* failure,
-                     const std::string& body, Instant now);
+                     UpstreamOutcome upstream_outcome, const FailureResponse* failure, Instant now);
   // Sends the response for `step` when no further attempt follows.
   void RespondWithoutRetry(RetryPolicy::Step step, const ResponseHead& failure,
                            const std::string& body, Instant now);
-  void RemoveAttempt(UpstreamAttempt* attempt);
+  std::unique_ptr<UpstreamAttempt> TakeAttempt(UpstreamAttempt* attempt);
   void Deliver(UpstreamAttempt* attempt, ResponseHead* head, const std::string& piece,
                bool is_complete, Instant now);
 
--- a/src/gateway/routed_call.cc
+++ b/src/gateway/routed_call.cc
@@ -284,7 +284,7 @@
     gateway_->log().WriteCall(
         "upstream_misdirected",
         {{"request", request_id_}, {"upstream", upstream.record().id.value()}}, now);
-    FinishAttempt(attempt, AttemptEnd::kNotExecuted, UpstreamOutcome::kRefused, nullptr, {}, now);
+    FinishAttempt(attempt, AttemptEnd::kNotExecuted, UpstreamOutcome::kRefused, nullptr, now);
     return;
   }
   if (head->status != kMisdirected) {
@@ -293,11 +293,12 @@
   if (head->status != kMisdirected && head->fields.Find(fields.not_executed).has_value()) {
     // A full upstream says nothing about the others, but room is likely to be scarce.
     retry_may_succeed_at_once_ = upstream.has_reported_room();
-    FinishAttempt(attempt, AttemptEnd::kNotExecuted, UpstreamOutcome::kRefused, nullptr, {}, now);
+    FinishAttempt(attempt, AttemptEnd::kNotExecuted, UpstreamOutcome::kRefused, nullptr, now);
   } else if (head->status >= kFirstServerError || RetryPolicy::IsNotExecutedStatus(head->status)) {
-    FinishAttempt(attempt, AttemptEnd::kFailed, UpstreamOutcome::kFailed, head, piece, now);
+    const FailureResponse failure{head, piece, is_complete};
+    FinishAttempt(attempt, AttemptEnd::kFailed, UpstreamOutcome::kFailed, &failure, now);
   } else if (IsSuccess(head->status) && !head->fields.Find(fields.signature).has_value()) {
-    FinishAttempt(attempt, AttemptEnd::kNoResponse, UpstreamOutcome::kFailed, nullptr, {}, now);
+    FinishAttempt(attempt, AttemptEnd::kNoResponse, UpstreamOutcome::kFailed, nullptr, now);
   } else {
     Deliver(attempt, head, piece, is_complete, now);
   }
@@ -339,15 +340,20 @@
   }
   const auto outcome =
       has_sent ? RetryPolicy::AttemptEnd::kNoResponse : RetryPolicy::AttemptEnd::kNotExecuted;
-  FinishAttempt(attempt, outcome, UpstreamOutcome::kConnectionLost, nullptr, {}, now);
+  FinishAttempt(attempt, outcome, UpstreamOutcome::kConnectionLost, nullptr, now);
 }
 
 void RoutedCall::FinishAttempt(UpstreamAttempt* attempt, RetryPolicy::AttemptEnd outcome,
-                               UpstreamOutcome upstream_outcome, const ResponseHead* failure,
-                               const std::string& body, Instant now) {
-  const auto failure_head = failure == nullptr ? ResponseHead() : *failure;
+                               UpstreamOutcome upstream_outcome, const FailureResponse* failure,
+                               Instant now) {
+  const auto failure_head = failure == nullptr ? ResponseHead() : *failure->head;
   attempt->Finish(upstream_outcome, now);
-  RemoveAttempt(attempt);
+  auto ended_attempt = TakeAttempt(attempt);
+  const bool is_failure_incomplete = failure != nullptr && !failure->is_complete;
+  if (!is_failure_incomplete) {
+    // A retry may use its connection.
+    ended_attempt.reset();
+  }
   if (!attempts_.empty()) {
     // The other attempt of a hedged call is still in progress.
     may_have_executed_ = may_have_executed_ || outcome != RetryPolicy::AttemptEnd::kNotExecuted;
@@ -360,8 +366,17 @@
   if (should_retry && step_without_retry != RetryPolicy::Step::kForwardFailure) {
     PlaceOrEnqueue(step_without_retry, now);
   } else if (!should_retry || TryStart(PickScope::kInTime, now) != PlacementResult::kStarted) {
-    RespondWithoutRetry(step_without_retry, failure_head, body, now);
+    if (is_failure_incomplete && !RetryPolicy::IsNotExecutedStatus(failure_head.status)) {
+      // The rest of the failure's body is still to come.
+      attempts_.push_back(std::move(ended_attempt));
+      Deliver(attempt, failure->head, failure->piece, false, now);
+    } else {
+      RespondWithoutRetry(step_without_retry, failure_head,
+                          failure == nullptr ? std::string() : failure->piece, now);
+    }
   }
+  // Closes the connection if the rest of a failure is not forwarded.
+  ended_attempt.reset();
   gateway_->StartWaitingCalls(service_, now);
 }
 
@@ -379,10 +394,15 @@
   }
 }
 
-void RoutedCall::RemoveAttempt(UpstreamAttempt* attempt) {
-  attempts_.erase(std::remove_if(attempts_.begin(), attempts_.end(),
-                                 [attempt](const auto& owned) { return owned.get() == attempt; }),
-                  attempts_.end());
+std::unique_ptr<UpstreamAttempt> RoutedCall::TakeAttempt(UpstreamAttempt* attempt) {
+  const auto found = std::find_if(attempts_.begin(), attempts_.end(),
+                                  [attempt](const auto& owned) { return owned.get() == attempt; });
+  if (found == attempts_.end()) {
+    return nullptr;
+  }
+  auto taken = std::move(*found);
+  attempts_.erase(found);
+  return taken;
 }
 
 void RoutedCall::Deliver(UpstreamAttempt* attempt, ResponseHead* head, const std::string& piece,
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -133,6 +133,47 @@
   CHECK(Contains(caller->received(), "X-Signature: s"));
 }
 
+// Guards against a failure whose body is cut at the size from which responses are streamed.
+TEST_CASE("an upstream's large failure is forwarded as a whole or aborted",
+          "[gateway][whole-answers]") {
+  const std::string body(1'000'000, 'x');
+  GatewayFixture fixture;
+  SECTION("whole") {
+    fixture.AddUpstream([&](const Request& r) {
+      return Reply{FormatResponse(r, 500, body), {}, {}};
+    });
+    fixture.Apply(CallKind::kIdempotent);
+    const auto caller = fixture.StartCall();
+    const auto& received = caller->received();
+    RunUntil(&fixture.loop(), [&] { return received.size() > body.size(); });
+    CHECK(caller->status() == 500);
+    const auto body_begin = received.find("\r\n\r\n");
+    REQUIRE(body_begin != std::string::npos);
+    CHECK(received.size() - body_begin - 4 == body.size());
+    CHECK(Contains(received, "Content-Length: 1000000\r\n"));
+  }
+  SECTION("truncated by the upstream") {
+    fixture.AddUpstream([&](const Request& r) {
+      return Reply{FormatResponse(r, 500, body).substr(0, 900'000), Then::kClose, {}};
+    });
+    fixture.Apply(CallKind::kIdempotent);
+    auto caller = fixture.StartCall();
+    CHECK(RunUntil(&fixture.loop(), [&] { return caller->ended(); }));
+    CHECK_FALSE(caller->clean());
+  }
+  SECTION("with a retry at another upstream") {
+    int requests = 0;
+    const auto fail_first = [&](const Request& r) {
+      return Reply{FormatResponse(r, ++requests == 1 ? 500 : 200, body), {}, {}};
+    };
+    fixture.AddUpstream(fail_first);
+    fixture.AddUpstream(fail_first);
+    fixture.Apply(CallKind::kIdempotent);
+    const auto caller = fixture.Call();
+    CHECK(caller->status() == 200);
+  }
+}
+
 // Guards against calls that are admitted late in a planned stop and aborted at its end (first seen
 // as a lost call in run trouble-2 of site donaueis-gw-large, seed 1066777908613).
 TEST_CASE("a stopping instance refuses new calls and completes those in progress",
