Bound what a change in a datagram inflates to

Changes in datagrams are refused above 4,000 bytes, the most that an instance sends, and above 64 times as much once inflated.

No test sends such a datagram to an instance.

--- a/include/primroseweir/gateway/fleet_service.h
+++ b/include/primroseweir/gateway/fleet_service.h
@@ -131,6 +131,10 @@
   // Maximum size of a change that is included in its notification, so that peers need not fetch it.
   // It is bounded since a notification is sent to a whole data centre over one link.
   static constexpr std::size_t kMaxInlineChangeBytes = 4000;
+  // Maximum size of such a change once inflated; JSON text of published items deflates to a fifth
+  // to a twentieth. Without this bound a forged datagram of 60 KB inflates to 32 MB. Peers fetch a
+  // larger change with the next snapshot.
+  static constexpr std::size_t kMaxInflatedChangeBytes = 64 * kMaxInlineChangeBytes;
   // Maximum size of the crash strikes in the first message to an instance that started: those of
   // about sixty quarantined requests. It is bounded as kMaxInlineChangeBytes is.
   static constexpr std::size_t kMaxKnownStrikesBytes = 4000;
--- a/include/primroseweir/published/published_snapshot.h
+++ b/include/primroseweir/published/published_snapshot.h
@@ -4,6 +4,7 @@
 #include <absl/status/statusor.h>
 
 #include <cstddef>
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -39,10 +40,13 @@
 // Encodes a snapshot as JSON:
 // {"after":N,"at":N,"items":[[key,value,revision],...],"withdrawn":[[key,revision,ms],...]},
 // deflated when it is large, since a whole data centre may copy a configuration over one slow link.
-std::string EncodePublishedSnapshot(const PublishedSnapshot& snapshot);
+// Returns an empty string if the JSON has more than `max_text_bytes`.
+std::string EncodePublishedSnapshot(const PublishedSnapshot& snapshot,
+                                    std::size_t max_text_bytes = SIZE_MAX);
 // Decodes a snapshot. Returns InvalidArgument for anything that EncodePublishedSnapshot does not
-// write.
-absl::StatusOr<PublishedSnapshot> DecodePublishedSnapshot(const std::string& text);
+// write, and for a deflated one that inflates to more than `max_text_bytes`.
+absl::StatusOr<PublishedSnapshot> DecodePublishedSnapshot(
+    const std::string& text, std::size_t max_text_bytes = kMaxPublishedSnapshotBytes);
 
 }  // namespace primroseweir
 
--- a/src/gateway/fleet_service.cc
+++ b/src/gateway/fleet_service.cc
@@ -265,7 +265,8 @@
   table_.SetPublishedRevision(cache_->revision());
   FleetMessage message;
   message.members = {table_.self()};
-  message.change = EncodePublishedSnapshot(cache_->SnapshotAfter(before, now));
+  message.change =
+      EncodePublishedSnapshot(cache_->SnapshotAfter(before, now), kMaxInflatedChangeBytes);
   if (message.change.size() > kMaxInlineChangeBytes) {
     message.change.clear();
   }
--- a/src/gateway/fleet_service_receiving.cc
+++ b/src/gateway/fleet_service_receiving.cc
@@ -166,7 +166,11 @@
   if (sender.published_revision <= cache_->revision()) {
     return;
   }
-  const auto snapshot = DecodePublishedSnapshot(change);
+  if (change.size() > kMaxInlineChangeBytes) {
+    log_->Write("peer_change", {{"peer", sender.ip}, {"outcome", "above the size limit"}}, now);
+    return;
+  }
+  const auto snapshot = DecodePublishedSnapshot(change, kMaxInflatedChangeBytes);
   if (!snapshot.ok()) {
     log_->Write("peer_change", {{"peer", sender.ip}, {"outcome", MessageOf(snapshot.status())}},
                 now);
--- a/src/published/published_snapshot.cc
+++ b/src/published/published_snapshot.cc
@@ -32,7 +32,7 @@
   return result;
 }
 
-std::string Inflate(const std::string& bytes) {
+std::string Inflate(const std::string& bytes, std::size_t max_bytes) {
   z_stream stream{};
   if (inflateInit(&stream) != Z_OK) {
     throw std::runtime_error("inflate failed");
@@ -42,14 +42,14 @@
   std::string text;
   std::string chunk(kInflateChunkBytes, '\0');
   int status = Z_OK;
-  while (status == Z_OK && text.size() <= kMaxPublishedSnapshotBytes) {
+  while (status == Z_OK && text.size() <= max_bytes) {
     stream.next_out = reinterpret_cast<Bytef*>(chunk.data());
     stream.avail_out = static_cast<uInt>(chunk.size());
     status = inflate(&stream, Z_NO_FLUSH);
     text.append(chunk, 0, chunk.size() - stream.avail_out);
   }
   inflateEnd(&stream);
-  if (status != Z_STREAM_END) {
+  if (status != Z_STREAM_END || text.size() > max_bytes) {
     throw std::invalid_argument("deflated snapshot is invalid, truncated or above the size limit");
   }
   return text;
@@ -57,7 +57,7 @@
 
 }  // namespace
 
-std::string EncodePublishedSnapshot(const PublishedSnapshot& snapshot) {
+std::string EncodePublishedSnapshot(const PublishedSnapshot& snapshot, std::size_t max_text_bytes) {
   auto items = nlohmann::json::array();
   for (const auto& item : snapshot.items) {
     items.push_back({item.key, item.value, item.revision.value()});
@@ -73,13 +73,17 @@
   // Values from other writers may hold bytes that are not UTF-8. Replacing them loses nothing,
   // since no reader accepts such values.
   auto text = json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  if (text.size() > max_text_bytes) {
+    return {};
+  }
   return text.size() < kMinDeflatedBytes ? text : Deflate(text);
 }
 
-absl::StatusOr<PublishedSnapshot> DecodePublishedSnapshot(const std::string& text) {
+absl::StatusOr<PublishedSnapshot> DecodePublishedSnapshot(const std::string& text,
+                                                          std::size_t max_text_bytes) {
   try {
     const bool deflated = !text.empty() && text.front() == kFirstDeflatedByte;
-    const auto json = nlohmann::json::parse(deflated ? Inflate(text) : text);
+    const auto json = nlohmann::json::parse(deflated ? Inflate(text, max_text_bytes) : text);
     PublishedSnapshot snapshot;
     snapshot.after = Revision(json.at("after").get<std::uint64_t>());
     snapshot.revision = Revision(json.at("at").get<std::uint64_t>());
--- a/tests/published/published_cache_test.cc
+++ b/tests/published/published_cache_test.cc
@@ -82,6 +82,21 @@
   }
 }
 
+// Guards against a forged datagram of a few kilobytes that inflates to 32 MB.
+TEST_CASE("a deflated snapshot is refused above the size that its reader allows", "[published]") {
+  PublishedSnapshot snapshot;
+  snapshot.revision = Revision(5);
+  snapshot.items = {{"key", std::string(100'000, 'x'), Revision(5)}};
+  const auto text = EncodePublishedSnapshot(snapshot);
+  REQUIRE(text.size() < 4000);
+  CHECK(DecodePublishedSnapshot(text).ok());
+  CHECK(DecodePublishedSnapshot(text, 101'000).ok());
+  CHECK_FALSE(DecodePublishedSnapshot(text, 100'000).ok());
+  CHECK_FALSE(DecodePublishedSnapshot(text, 1'000).ok());
+  CHECK(EncodePublishedSnapshot(snapshot, 101'000) == text);
+  CHECK(EncodePublishedSnapshot(snapshot, 100'000).empty());
+}
+
 // Guards against peers that receive an outdated or different snapshot from the cache.
 TEST_CASE("a cached snapshot is encoded anew after a change", "[published][config-in-force]") {
   PublishedCache cache("upstreams/");
