Destroy the requests ahead outside of their list

Closing a connection cleared the list of requests ahead; each exchange updates the connection's account when it is destroyed, which reads that list. AddressSanitizer showed a heap-use-after-free in HeldAheadBytes in the fuzz of the loop. The list is now emptied before its exchanges are destroyed, also in the destructor.

With -fsanitize=address,undefined: 'random conversations with evictions and closes are never mixed up' (300 cases) fails before and passes now. Without: all 63 test cases of loop_test pass.

--- a/src/loop/http_server_stream.cc
+++ b/src/loop/http_server_stream.cc
@@ -45,7 +45,7 @@
 HttpServerStream::~HttpServerStream() {
   // These update the account.
   current_ahead_.reset();
-  ahead_.clear();
+  std::exchange(ahead_, {}).clear();
   port_->UpdateBufferedBytes(-static_cast<std::int64_t>(reported_bytes_));
   auto& connections = port_->loop()->connections();
   connections.memory().Charge(-charged_bytes_);
--- a/src/loop/http_server_stream_ahead.cc
+++ b/src/loop/http_server_stream_ahead.cc
@@ -80,11 +80,12 @@
 }
 
 void HttpServerStream::DropRequestsAhead() {
+  // The end of each exchange updates the account, which looks at all that are in `ahead_`.
+  const auto dropped = std::exchange(ahead_, {});
   // The last one first, so that none of them is sent when an earlier one makes room.
-  for (auto exchange = ahead_.rbegin(); exchange != ahead_.rend(); ++exchange) {
+  for (auto exchange = dropped.rbegin(); exchange != dropped.rend(); ++exchange) {
     port_->sink()->OnCallerDisconnected(exchange->get());
   }
-  ahead_.clear();
 }
 
 std::size_t HttpServerStream::HeldAheadBytes() const {
