Charge a response that waits for its turn when it is complete

PipelinedExchange reported the change before it held the new bytes, and the connection charged what was held before: a complete response of 2 MB that waited for its turn was not in the memory account (27,542 bytes were) until a later update. The test also guards against the use after free in an eviction with requests ahead.

The new test fails before, with the sanitizers also by the use after free.

--- a/src/loop/pipelined_exchange.cc
+++ b/src/loop/pipelined_exchange.cc
@@ -18,8 +18,11 @@
 PipelinedExchange::~PipelinedExchange() { SetBuffered(std::string()); }
 
 void PipelinedExchange::SetBuffered(std::string bytes) {
-  on_buffered_(static_cast<std::int64_t>(bytes.size()) - static_cast<std::int64_t>(body_.size()));
+  const auto change =
+      static_cast<std::int64_t>(bytes.size()) - static_cast<std::int64_t>(body_.size());
   body_ = std::move(bytes);
+  // Reads held_bytes().
+  on_buffered_(change);
 }
 
 void PipelinedExchange::StartTurn() {
--- a/tests/loop/pipelined_requests_test.cc
+++ b/tests/loop/pipelined_requests_test.cc
@@ -217,6 +217,24 @@
   CHECK(sink.disconnect_count == 3);
 }
 
+// Guards against the account of a connection that reads the list of requests ahead while these are
+// destroyed (a use after free that AddressSanitizer showed).
+TEST_CASE("an eviction drops the requests ahead and what they hold", "[loop][pipeline]") {
+  HoldingSink sink;
+  auto& connections = sink.loop().connections();
+  LoopCaller caller(&sink.loop(), sink.port().address());
+  caller.Send(Get("/ahead1") + Get("/ahead2") + Get("/ahead3") + Get("/ahead4"));
+  sink.WaitFor(4);
+  sink.requests[2].second->Respond(ResponseHead(), std::string(2 * 1024 * 1024, 'x'));
+  REQUIRE(connections.memory().held_bytes() > 2 * 1024 * 1024);
+  connections.memory().SetBudget(1);
+  RunUntil(&sink.loop(), [&] { return sink.port().connection_count() == 0; });
+  CHECK(sink.port().connection_count() == 0);
+  CHECK(sink.disconnect_count == 4);
+  CHECK(connections.memory().held_bytes() == 0);
+  CHECK(sink.port().buffered_bytes() == 0);
+}
+
 // Guards against requests that were passed on and lose their response to a planned stop.
 TEST_CASE("a stop answers the requests in progress and reads none behind them",
           "[loop][pipeline]") {
