Say whether entry instances run when a test site does not start

A failed start of a test site printed only the log of one instance, which does not tell a crash from a hang.

--- a/tests/support/site.cc
+++ b/tests/support/site.cc
@@ -110,7 +110,8 @@
   for (int i = 0; i < entry_count(); ++i) {
     if (WaitForAddresses(i, entry_count(), kStartTimeout)) continue;
     throw std::runtime_error("entry instance " + std::to_string(i) +
-                             " does not list all instances within 15 s: " + entry(i).Log());
+                             " does not list all instances within 15 s; " + DescribeEntries() +
+                             ": " + entry(i).Log());
   }
 }
 
@@ -126,6 +127,16 @@
   std::filesystem::remove_all(folder_, ignored);
 }
 
+std::string Site::DescribeEntries() {
+  std::string text;
+  for (int i = 0; i < entry_count(); ++i) {
+    const auto exit_code = entry(i).WaitForExit(Duration::zero());
+    text += (i == 0 ? "entry-" : ", entry-") + std::to_string(i + 1) +
+            (exit_code ? " ended with " + std::to_string(*exit_code) : " runs");
+  }
+  return text;
+}
+
 std::string Site::PidsText() const {
   std::string text = std::to_string(configuration_->pid());
   for (const Entry& entry : entries_) text += "," + std::to_string(entry.process->pid());
--- a/tests/support/site.h
+++ b/tests/support/site.h
@@ -95,6 +95,8 @@
 
   // Returns the ids of all processes, separated by commas.
   std::string PidsText() const;
+  // Returns for each entry instance whether it runs or with which exit code it ended.
+  std::string DescribeEntries();
   const std::string& folder() const { return folder_; }
   const Network& network() const { return network_; }
   const std::string& operator_token() const { return operator_token_; }
