Hold the tables of an entry instance while they are read

Cause: in C++17 a range-based loop over a member of what a returned shared pointer points to destroys that pointer before the first round, so that the loop may walk over a table that Router::Apply has just freed. Change: five loops hold the pointer. Ruled out: lock-order inversions, liburcu with many threads.

--- a/src/configuration/watch_controller.cc
+++ b/src/configuration/watch_controller.cc
@@ -22,7 +22,8 @@
 // Returns the keys to read: the fixed ones and those of the parts named by the list in force.
 std::set<std::string> KeysToRead(const ConfigurationController& controller) {
   std::set<std::string> keys = {kTextKey, kDeclarationsKey, kInstancesKey};
-  for (const DataCentre& part : controller.Current()->parts) keys.insert(PartKey(part));
+  const auto current = controller.Current();
+  for (const DataCentre& part : current->parts) keys.insert(PartKey(part));
   return keys;
 }
 
--- a/src/filters/connection_pool.cc
+++ b/src/filters/connection_pool.cc
@@ -84,13 +84,15 @@
   if (!taken) {
     return;
   }
-  for (const auto& [id, connections] : *table_.Load()) {
+  const auto table = table_.Load();
+  for (const auto& [id, connections] : *table) {
     connections->CloseIdle();
   }
 }
 
 void ConnectionPool::CloseExpired(Instant now) {
-  for (const auto& [id, connections] : *table_.Load()) {
+  const auto table = table_.Load();
+  for (const auto& [id, connections] : *table) {
     connections->CloseExpired(now);
   }
 }
--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -291,7 +291,9 @@
 
 std::vector<UpstreamObservation> Router::Observations(Instant now) const {
   std::vector<UpstreamObservation> all;
-  for (const auto& [id, state] : implementation_->table()->upstreams) {
+  // Held for the whole loop: Apply may replace the table meanwhile.
+  const auto table = implementation_->table();
+  for (const auto& [id, state] : table->upstreams) {
     all.push_back(state->Observation(now));
   }
   return all;
@@ -299,7 +301,8 @@
 
 std::vector<std::shared_ptr<UpstreamState>> Router::Upstreams() const {
   std::vector<std::shared_ptr<UpstreamState>> all;
-  for (const auto& [id, state] : implementation_->table()->upstreams) all.push_back(state);
+  const auto table = implementation_->table();
+  for (const auto& [id, state] : table->upstreams) all.push_back(state);
   return all;
 }
 
--- a/tests/routing/router_concurrency_test.cc
+++ b/tests/routing/router_concurrency_test.cc
@@ -1,6 +1,7 @@
 #include <atomic>
 #include <catch2/catch.hpp>
 #include <memory>
+#include <string>
 #include <thread>
 #include <vector>
 
@@ -69,6 +70,39 @@
   for (const auto& upstream : explanation->upstreams) CHECK(upstream.in_flight == 0);
 }
 
+// Guards against a table that is freed while a reader walks over it: entry instances ended or hung
+// at their start when the configuration changed while gossip read the upstreams.
+TEST_CASE("the upstreams are read whole while tables are replaced") {
+  Router::Options options;
+  options.data_centre = DataCentre("krems");
+  options.seat_count = 4;
+  Router router(options, nullptr);
+  constexpr int kUpstreams = 200;
+  std::vector<UpstreamRecord> records;
+  for (int i = 0; i < kUpstreams; ++i) records.push_back(MakeRecord("u" + std::to_string(i)));
+  const auto all = MakeSnapshot(records);
+  records.resize(1);
+  const auto one = MakeSnapshot(records);
+  router.Apply(all, MonotonicNow());
+  std::atomic<bool> is_done{false};
+  std::atomic<int> torn{0};
+  const auto read = [&] {
+    while (!is_done) {
+      const auto upstreams = router.Upstreams().size();
+      const auto observations = router.Observations(MonotonicNow()).size();
+      for (const auto count : {upstreams, observations}) {
+        torn += count == 1 || count == kUpstreams ? 0 : 1;
+      }
+    }
+  };
+  std::vector<std::thread> readers;
+  for (int i = 0; i < 2; ++i) readers.emplace_back(read);
+  for (int i = 0; i < 300; ++i) router.Apply(i % 2 == 0 ? one : all, MonotonicNow());
+  is_done = true;
+  for (auto& reader : readers) reader.join();
+  CHECK(torn == 0);
+}
+
 // Guards against a lost wakeup when a lease ends. The recheck interval is one hour, so that a call
 // that misses its wakeup waits until its deadline.
 TEST_CASE("each end of a lease wakes a waiting call") {
