--- a/tests/crowds/bodies_test.cc
+++ b/tests/crowds/bodies_test.cc
@@ -2,7 +2,7 @@
 #include <catch2/catch.hpp>
 #include <string>
 
-#include "crowded_site.h"
+#include "platform/crowded_site.h"
 #include "support/crowd_requests.h"
 
 namespace primroseweir::testing {
--- a/tests/crowds/callers_test.cc
+++ b/tests/crowds/callers_test.cc
@@ -3,7 +3,7 @@
 #include <chrono>
 #include <thread>
 
-#include "crowded_site.h"
+#include "platform/crowded_site.h"
 #include "support/crowd_requests.h"
 
 namespace primroseweir::testing {
--- a/tests/crowds/datagrams_test.cc
+++ b/tests/crowds/datagrams_test.cc
@@ -5,7 +5,7 @@
 #include <iostream>
 #include <string>
 
-#include "crowded_site.h"
+#include "platform/crowded_site.h"
 #include "primroseweir/fleet/fleet_codec.h"
 #include "primroseweir/fleet/fleet_heartbeat.h"
 #include "primroseweir/fleet/fleet_message.h"
--- a/tests/crowds/crowded_site.h
+++ b/tests/platform/crowded_site.h
@@ -1,5 +1,5 @@
-#ifndef PRIMROSEWEIR_TESTS_CROWDS_CROWDED_SITE_H_
-#define PRIMROSEWEIR_TESTS_CROWDS_CROWDED_SITE_H_
+#ifndef PRIMROSEWEIR_TESTS_PLATFORM_CROWDED_SITE_H_
+#define PRIMROSEWEIR_TESTS_PLATFORM_CROWDED_SITE_H_
 
 #include <algorithm>
 #include <catch2/catch.hpp>
@@ -13,7 +13,7 @@
 #include <thread>
 #include <utility>
 
-#include "draining_upstream.h"
+#include "platform/draining_upstream.h"
 #include "platform/platform_site.h"
 #include "support/crowd.h"
 #include "support/crowd_requests.h"
@@ -166,4 +166,4 @@
 
 }  // namespace primroseweir::testing
 
-#endif  // PRIMROSEWEIR_TESTS_CROWDS_CROWDED_SITE_H_
+#endif  // PRIMROSEWEIR_TESTS_PLATFORM_CROWDED_SITE_H_
