Resume a download that was hedged

Cause: the losing attempt of a hedge, which is cancelled before it sends anything, counted as the second execution of the call, so that the rest of the download was not requested when its upstream reset the connection. Change: it does not count for the resumption.

--- a/include/primroseweir/filters/detail/call_dispatch.h
+++ b/include/primroseweir/filters/detail/call_dispatch.h
@@ -56,6 +56,10 @@
   bool ShouldRetryAfterRefusal();
   bool ShouldRetryAfterShedding();
   bool MayExecuteAgain() const;
+  // Whether the rest of a download may be requested. The losing attempt of a hedge does not count:
+  // it was cancelled before it sent anything, and on a busy machine most downloads are hedged.
+  bool MayResume() const;
+  bool MayExecuteAfter(int executions) const;
   bool TryAcquireRetry();
   // Identifies the caller by the configuration in force. Returns whether it may use the service.
   bool ConfirmCaller();
@@ -80,6 +84,8 @@
   std::string if_range_;
   // Number of attempts that may have executed the call.
   int executions_ = 0;
+  // Those of executions_ that lost as a hedge and were cancelled.
+  int cancelled_executions_ = 0;
   // Number of refusals, failed connects and failures before the first byte was sent: in all of them
   // the call was not executed. An exhausted connection share does not count.
   int not_executed_attempts_ = 0;
--- a/src/filters/detail/call_dispatch.cc
+++ b/src/filters/detail/call_dispatch.cc
@@ -226,6 +226,7 @@
 void CallDispatch::SelectWinner(std::unique_ptr<Attempt>* winner, std::unique_ptr<Attempt>* loser) {
   if (*loser != nullptr) {
     may_have_executed_ = true;
+    ++cancelled_executions_;
     (*loser)->Finish(AttemptEnd::kCancelled);
     loser->reset();
   }
@@ -295,8 +296,14 @@
   }
 }
 
-bool CallDispatch::MayExecuteAgain() const {
-  return call_->depth == 0 && call_->is_idempotent && executions_ < kMaxExecutions &&
+bool CallDispatch::MayExecuteAgain() const { return MayExecuteAfter(executions_); }
+
+bool CallDispatch::MayResume() const {
+  return MayExecuteAfter(executions_ - cancelled_executions_);
+}
+
+bool CallDispatch::MayExecuteAfter(int executions) const {
+  return call_->depth == 0 && call_->is_idempotent && executions < kMaxExecutions &&
          !body_consumed_ && MonotonicNow() < call_->deadline;
 }
 
@@ -368,7 +375,7 @@
   request_.deadline = call_->deadline;
   // A resumed request asks only for the missing bytes and does not multiply the work of a download.
   // It therefore takes no token from the retry budget, which is empty for a service with few calls.
-  if (!MayExecuteAgain()) {
+  if (!MayResume()) {
     return nullptr;
   }
   auto broken_attempt = std::move(current_);
--- a/tests/filters/whole_answers_test.cc
+++ b/tests/filters/whole_answers_test.cc
@@ -204,6 +204,40 @@
   CHECK(download.if_range == "\"v1\"");
 }
 
+// Guards against a download that breaks off because its hedge, whose loser was cancelled, counted
+// as the second execution: one of two downloads on a busy machine.
+TEST_CASE("[whole-answers] a download that was hedged is resumed", "[whole-answers]") {
+  const auto body = RandomText(1, 500'000);
+  InterruptedDownload download(body, 200'000, {"\"v1\"", "\"v1\""});
+  std::atomic<int> downloads{0};
+  const auto serve = [&](ServerConnection* connection) {
+    if (connection->request()->target != "/chart") {
+      connection->Respond(ResponseHead(), "quick").IgnoreError();
+    } else if (downloads.fetch_add(1) == 0) {
+      connection->socket()->WaitReadable(TestDeadline()).IgnoreError();
+    } else {
+      download.Serve(connection);
+    }
+  };
+  FakeUpstream first(serve);
+  FakeUpstream second(serve);
+  FakeUpstream third(serve);
+  CallFixture entry;
+  for (auto* upstream : {&first, &second, &third}) {
+    entry.AddUpstream("board", upstream->address());
+  }
+  entry.Start();
+  // Enough responses for a hedge delay.
+  for (int i = 0; i < 200; ++i) {
+    REQUIRE(entry.Send(CallFixture::Request("GET", "/board/x")).body == "quick");
+  }
+  entry.FillRetryBudgets();
+  const auto reply = entry.Send(CallFixture::Request("GET", "/board/chart"));
+  CHECK(reply.status.ok());
+  CHECK((reply.body == body));
+  CHECK(downloads == 3);
+}
+
 // Guards against a response that is combined from two versions of a resource.
 TEST_CASE("[whole-answers] a download is not resumed without the same strong entity tag",
           "[whole-answers]") {
