--- a/review/common-2/site.h
+++ b/review/common-2/site.h
@@ -484,7 +484,8 @@
                        ",0," + std::to_string(slots_) + ",100\r\n" + more;
     const auto request_id = request.Field("x-request-id");
     if (!request_id.empty()) head += "X-Request-Id: " + request_id + "\r\n";
-    return head + extra_fields + "\r\n";
+    if (is_leaving) head += "Server-Leaving: 1\r\n";
+    return head + "\r\n";
   }
 
   // Runs the request and answers. Returns false to end the connection.
@@ -505,8 +506,8 @@
       [](Backend* backend, Connection* connection, const Message& request) {
         return backend->Run(connection, request);
       };
-  // Set before the start, or while no request is under way.
-  std::string extra_fields;
+  // Whether the backend says in its answers that it leaves.
+  std::atomic<bool> is_leaving{false};
 
   static constexpr int kPort = 9000;
 
