--- a/review/10/case.cc
+++ b/review/10/case.cc
@@ -37,10 +37,11 @@
         begun.insert(id);
       }
       if (request.start.rfind("GET /board/large", 0) == 0) {
-        const auto text = backend->Head("200 OK", request,
-                                        "Content-Length: " + std::to_string(kLargeBytes) +
-                                            "\r\nX-Response-Signature: s." + backend->id() + "\r\n") +
-                          std::string(kLargeBytes, 'a');
+        const auto text =
+            backend->Head("200 OK", request,
+                          "Content-Length: " + std::to_string(kLargeBytes) +
+                              "\r\nX-Response-Signature: s." + backend->id() + "\r\n") +
+            std::string(kLargeBytes, 'a');
         Sleep(0.05);
         if (!trouble) return connection->Write(text);
         connection->Write(text.substr(0, 1000000));
@@ -56,10 +57,10 @@
     };
     Require(backends.back()->Start(), "backend");
   }
-  store.Put("op/config", Configuration(1,
-                                       Json::array({Route("/board/", "eisbrett", "idempotent",
-                                                          kDeadlineMs, 500)}),
-                                       {"eisbrett"}));
+  store.Put(
+      "op/config",
+      Configuration(1, Json::array({Route("/board/", "eisbrett", "idempotent", kDeadlineMs, 500)}),
+                    {"eisbrett"}));
   Instance instance(network, 0, 1, "krems");
   Require(instance.Start() && instance.WaitUntilReady(), "instance");
   Sleep(4);  // contactMs, so that the machine is in touch
@@ -119,10 +120,12 @@
   for (auto& client : clients) client.join();
   for (auto& other : others) other.join();
   Record("%d other reads answered", ordinary.load());
-  Record("%d large answers whole, %d broken off by their backends; of the requests behind them %d "
-         "answered, %d passed on to sound backends and without an answer",
-         large_whole.load(), broken_off.load(), answered.load(), unanswered.load());
-  if (answered + unanswered == 0 || ordinary == 0) Finish(kCouldNotRun, "could not run: nothing was passed on");
+  Record(
+      "%d large answers whole, %d broken off by their backends; of the requests behind them %d "
+      "answered, %d passed on to sound backends and without an answer",
+      large_whole.load(), broken_off.load(), answered.load(), unanswered.load());
+  if (answered + unanswered == 0 || ordinary == 0)
+    Finish(kCouldNotRun, "could not run: nothing was passed on");
   if (unanswered > 3) {
     Finish(kBroken, "LOST: " + std::to_string(unanswered.load()) +
                         " requests were passed on to sound backends, and their connections closed "
--- a/review/7/case.cc
+++ b/review/7/case.cc
@@ -126,10 +126,9 @@
   std::string reason;
   for (int n = 0; n < kReads; ++n) {
     const auto& ip = instances[static_cast<std::size_t>(n % kInstances)]->ip();
-    const auto page =
-        Call(ip, "GET", "/board/today", "s" + std::to_string(n), kDeadlineMs);
-    const auto other = Call(ip, "GET", "/slots/steady" + std::to_string(n),
-                            "t" + std::to_string(n), kDeadlineMs);
+    const auto page = Call(ip, "GET", "/board/today", "s" + std::to_string(n), kDeadlineMs);
+    const auto other =
+        Call(ip, "GET", "/slots/steady" + std::to_string(n), "t" + std::to_string(n), kDeadlineMs);
     page_served += page.status == 200 && page.is_whole ? 1 : 0;
     other_served += other.status == 200 && other.is_whole ? 1 : 0;
     if (page.status == 503) {
@@ -140,9 +139,10 @@
   }
   is_over = true;
   for (auto& other : others) other.join();
-  Record("steady state: %d of %d reads served on the later route (%d refused, \"%s\"), %d of %d on "
-         "the first route",
-         page_served, kReads, page_refused, reason.c_str(), other_served, kReads);
+  Record(
+      "steady state: %d of %d reads served on the later route (%d refused, \"%s\"), %d of %d on "
+      "the first route",
+      page_served, kReads, page_refused, reason.c_str(), other_served, kReads);
   Record("backends began %d runs of /board/today, %d backends crashed", executions.load(), ended);
   if (other_served == 0) Finish(kCouldNotRun, "could not run: nothing was served");
   if (page_served * 4 < other_served) {
--- a/review/9/case.cc
+++ b/review/9/case.cc
@@ -36,8 +36,8 @@
       const double began = Now();
       const auto length = std::to_string(kFirstPart + kRest);
       connection->Write(backend->Head("200 OK", request,
-                                      "Content-Length: " + length +
-                                          "\r\nX-Response-Signature: s." + backend->id() + "\r\n") +
+                                      "Content-Length: " + length + "\r\nX-Response-Signature: s." +
+                                          backend->id() + "\r\n") +
                         std::string(kFirstPart, 'a'));
       const double end = began + (trouble ? kLongWork : kWork);
       char byte = 0;
@@ -56,10 +56,10 @@
     };
     Require(backends.back()->Start(), "backend");
   }
-  store.Put("op/config", Configuration(1,
-                                       Json::array({Route("/charts/", "kartenhaus", "download",
-                                                          kDeadlineMs, 3000)}),
-                                       {"kartenhaus"}));
+  store.Put("op/config",
+            Configuration(
+                1, Json::array({Route("/charts/", "kartenhaus", "download", kDeadlineMs, 3000)}),
+                {"kartenhaus"}));
   Instance instance(network, 0, 1, "krems");
   Require(instance.Start() && instance.WaitUntilReady(), "instance");
   Sleep(4);  // contactMs, so that the machine is in touch
@@ -77,7 +77,10 @@
       answer = Call(instance.ip(), "GET", "/charts/" + id, id, kDeadlineMs);
       Record("client: %s sent at %.3f, status %d, %zu bytes, %s after %.2f s", id.c_str(), began,
              answer.status, answer.message.body.size(),
-             answer.is_whole ? "whole" : answer.was_reset ? "reset" : "not whole", Now() - began);
+             answer.is_whole    ? "whole"
+             : answer.was_reset ? "reset"
+                                : "not whole",
+             Now() - began);
     });
   }
   for (auto& client : clients) client.join();
--- a/review/common-2/site.h
+++ b/review/common-2/site.h
@@ -19,6 +19,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <cctype>
 #include <cerrno>
 #include <chrono>
 #include <condition_variable>
@@ -34,6 +35,7 @@
 #include <set>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 namespace review {
@@ -410,8 +412,7 @@
       } else {
         const auto after = std::strtoull(Parameter(target, "after").c_str(), nullptr, 10);
         const auto wait = std::strtoul(Parameter(target, "waitMs").c_str(), nullptr, 10);
-        changed_.wait_for(lock, std::chrono::milliseconds(wait),
-                          [&] { return revision_ > after; });
+        changed_.wait_for(lock, std::chrono::milliseconds(wait), [&] { return revision_ > after; });
         answer = {{"events", Json::array()}};
         for (const auto& event : history_) {
           if (event["revision"].get<std::uint64_t>() > after &&
@@ -424,7 +425,8 @@
       lock.unlock();
       const auto body = answer.dump();
       if (!connection->Write("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
-                             "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body)) {
+                             "Content-Length: " +
+                             std::to_string(body.size()) + "\r\n\r\n" + body)) {
         return;
       }
     }
@@ -471,10 +473,14 @@
 
   void Register(const std::string& state) { store_->Put("servers/" + id_, Entry(state)); }
   Json Entry(const std::string& state) {
-    return {{"service", service_},  {"address", ip_ + ":" + std::to_string(kPort)},
-            {"zone", zone_},        {"version", "v1"},
-            {"maxConcurrency", slots_}, {"state", state},
-            {"coldMs", cold_ms_},   {"sequence", ++sequence_},
+    return {{"service", service_},
+            {"address", ip_ + ":" + std::to_string(kPort)},
+            {"zone", zone_},
+            {"version", "v1"},
+            {"maxConcurrency", slots_},
+            {"state", state},
+            {"coldMs", cold_ms_},
+            {"sequence", ++sequence_},
             {"born", born_}};
   }
 
@@ -493,9 +499,9 @@
     ++running_;
     Sleep(work_);
     --running_;
-    return connection->Write(Head("200 OK", request,
-                                  "Content-Length: 5\r\nX-Response-Signature: s." + id_ + "\r\n") +
-                             "hello");
+    return connection->Write(
+        Head("200 OK", request, "Content-Length: 5\r\nX-Response-Signature: s." + id_ + "\r\n") +
+        "hello");
   }
 
   const std::string& id() const { return id_; }
@@ -553,25 +559,38 @@
 inline Json Route(const std::string& prefix, const std::string& service, const std::string& kind,
                   int timeout_ms, int slo_ms) {
   return {{"name", "r" + std::to_string(std::hash<std::string>()(prefix) % 100000)},
-          {"host", "desk.example"}, {"prefix", prefix},       {"service", service},
-          {"kind", kind},           {"timeoutMs", timeout_ms}, {"sloMs", slo_ms},
-          {"priority", 1},          {"maxAttempts", 2}};
+          {"host", "desk.example"},
+          {"prefix", prefix},
+          {"service", service},
+          {"kind", kind},
+          {"timeoutMs", timeout_ms},
+          {"sloMs", slo_ms},
+          {"priority", 1},
+          {"maxAttempts", 2}};
 }
 
-inline Json Configuration(int version, const Json& routes, const std::vector<std::string>& services) {
+inline Json Configuration(int version, const Json& routes,
+                          const std::vector<std::string>& services) {
   char digits[16];
   std::snprintf(digits, sizeof digits, "%08x", version);
   Json list = Json::array();
   for (const auto& service : services) {
-    list.push_back({{"name", service}, {"healthPath", "/health"}, {"maxConnections", 260},
-                    {"protocol", "h1"}, {"tls", false},           {"warmupS", 3.0},
+    list.push_back({{"name", service},
+                    {"healthPath", "/health"},
+                    {"maxConnections", 260},
+                    {"protocol", "h1"},
+                    {"tls", false},
+                    {"warmupS", 3.0},
                     {"coldPerS", 3.6}});
   }
   return {{"version", digits},
           {"routes", routes},
           {"services", list},
-          {"limits", {{"maxHeaderBytes", 16384}, {"maxBodyBytes", 67108864},
-                      {"headerTimeoutMs", 3000}, {"idleTimeoutMs", 15000}}}};
+          {"limits",
+           {{"maxHeaderBytes", 16384},
+            {"maxBodyBytes", 67108864},
+            {"headerTimeoutMs", 3000},
+            {"idleTimeoutMs", 15000}}}};
 }
 
 // ---- instances ----
@@ -600,30 +619,42 @@
         {"region", "wachau"},
         {"zones", {{"krems", "wachau"}, {"melk", "wachau"}, {"spitz", "wachau"}}},
         {"listenAddrs",
-         {{"front", at(kFront)}, {"ready", at(kReady)}, {"control", at(kControl)},
+         {{"front", at(kFront)},
+          {"ready", at(kReady)},
+          {"control", at(kControl)},
           {"directory", at(kDirectory)}}},
         {"portRange", {7540, 7555}},
         {"seeds", seed_list},
         {"bootstrap", true},
         {"lossCounts", false},
-        {"limits", {{"cpuShare", 0.2}, {"cpuCores", 1}, {"memoryMb", 260}, {"maxFds", 4100},
-                    {"linkMbps", 1000.0}, {"diskMb", 0}}},
+        {"limits",
+         {{"cpuShare", 0.2},
+          {"cpuCores", 1},
+          {"memoryMb", 260},
+          {"maxFds", 4100},
+          {"linkMbps", 1000.0},
+          {"diskMb", 0}}},
         {"dataDir", nullptr},
         {"discovery", "platform"},
         {"entry", "directory"},
         {"heartbeatMs", 1500},
-        {"contracts", {"base", "drain", "config", "cost", "retry", "recover", "health", "places",
-                       "platform"}},
+        {"contracts",
+         {"base", "drain", "config", "cost", "retry", "recover", "health", "places", "platform"}},
         {"faultTolerance", {{"machines", 1}, {"zones", 1}, {"regions", 0}}},
         {"contractBounds",
-         {{"seedLagS", 3}, {"reuseAfterS", 2}, {"contactMs", 3000}, {"ackMs", 4000},
-          {"catchUpS", 4}, {"drainMs", 2000}, {"graceS", 6}, {"lostMs", 200}, {"configMs", 2000},
-          {"backMs", 250}, {"maxStretchMs", 5000}, {"budgetRatio", 0.2}, {"budgetWindowS", 10},
-          {"budgetExtra", 62}, {"coldOver", 1.5}, {"coldSlack", 5}, {"evacuateMs", 5000},
-          {"recoverS", 15}, {"ttl_max_s", 5}, {"probesPerS", 60}}},
-        {"platform", {{"address", network + ".1:8541"}, {"form", "read"}, {"writesPerS", 400},
-                      {"readsPerS", 2000}, {"historyS", 20}, {"valueBytes", 1048576},
-                      {"ttlMinMs", 1000}}}};
+         {{"seedLagS", 3},       {"reuseAfterS", 2},  {"contactMs", 3000},    {"ackMs", 4000},
+          {"catchUpS", 4},       {"drainMs", 2000},   {"graceS", 6},          {"lostMs", 200},
+          {"configMs", 2000},    {"backMs", 250},     {"maxStretchMs", 5000}, {"budgetRatio", 0.2},
+          {"budgetWindowS", 10}, {"budgetExtra", 62}, {"coldOver", 1.5},      {"coldSlack", 5},
+          {"evacuateMs", 5000},  {"recoverS", 15},    {"ttl_max_s", 5},       {"probesPerS", 60}}},
+        {"platform",
+         {{"address", network + ".1:8541"},
+          {"form", "read"},
+          {"writesPerS", 400},
+          {"readsPerS", 2000},
+          {"historyS", 20},
+          {"valueBytes", 1048576},
+          {"ttlMinMs", 1000}}}};
   }
 
   // Starts the program with the command of the deploy file, in the repository's root.
@@ -710,8 +741,9 @@
 inline std::string RequestText(const std::string& method, const std::string& target,
                                const std::string& id, int deadline_ms,
                                const std::string& body = "") {
-  std::string text = method + " " + target + " HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: " +
-                     id + "\r\nX-Deadline-Ms: " + std::to_string(deadline_ms) + "\r\n";
+  std::string text = method + " " + target +
+                     " HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: " + id +
+                     "\r\nX-Deadline-Ms: " + std::to_string(deadline_ms) + "\r\n";
   if (method == "POST") text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
   return text + "\r\n" + body;
 }
